--- /dev/null
+++ b/packages/figquay-log/src/index.ts
@@ -0,0 +1,5 @@
+export { LogService, type LogPage, type LogRecord, type NewRecord } from './FigquayLogService.js'
+export { HttpLogService, registerHttpLogService, type HttpLogServiceOptions } from './FigquayHttpLogService.js'
+export { Fold, isSnapshot, type SnapshotData } from './FigquayFold.js'
+export { FoldedStream, type FoldedStreamOptions } from './FigquayFoldedStream.js'
+export { LogAppender } from './FigquayLogAppender.js'
--- /dev/null
+++ b/packages/figquay-measure/src/__tests__/integration/WholePath.test.ts
@@ -0,0 +1,46 @@
+/** The whole path: a streamed question by every daemon, and an order that is placed once. */
+import { after, before, describe, test } from 'node:test'
+import { expect } from 'earl'
+import { Caller, LocalCluster } from 'figquay-measure'
+
+const KEY = 'key-workshop-cairo'
+
+describe('whole path', () => {
+  const cluster = LocalCluster.create({ deployment: 'guild', daemons: 3, storeScale: 0.02 })
+  const caller = Caller.create()
+
+  before(() => cluster.start())
+  after(async () => {
+    caller.close()
+    const codes = await cluster.stop()
+    expect(codes.every((code) => code === 0)).toEqual(true)
+  })
+
+  test('a streamed question goes in by any daemon and the whole answer comes out', async () => {
+    for (const daemon of cluster.daemons) {
+      const result = await caller.complete({ url: daemon.callerUrl, key: KEY, model: 'manual-3', nonce: `n-${daemon.id}`, prompt: 'Which hinge fits?', outputTokens: 20 })
+      expect(result.status).toEqual(200)
+      expect(result.answer).toEqual('whole')
+    }
+  })
+
+  test('an adapter answers', async () => {
+    const result = await caller.complete({ url: cluster.daemons[1]!.callerUrl, key: KEY, model: 'manual-2:cairo', nonce: 'a1', prompt: 'Which tensioner?', outputTokens: 5 })
+    expect(result.answer).toEqual('whole')
+  })
+
+  test('an order with one key runs once, whichever daemon it goes to', async () => {
+    const replies = await Promise.all(cluster.daemons.map((daemon) => caller.callService(daemon.callerUrl, KEY, 'POST', '/services/ledger/orders', { item: 'hinge' }, 'order-1')))
+    for (const reply of replies) {
+      expect(reply.status).toEqual(201)
+      expect(reply.outcome).toEqual('ran')
+    }
+    const facts = await Promise.all(cluster.services.map((service) => cluster.readFacts<{ executions: Record<string, number> }>(service)))
+    expect(facts.reduce((sum, fact) => sum + (fact.executions['order-1'] ?? 0), 0)).toEqual(1)
+  })
+
+  test('a stock lookup is answered', async () => {
+    const reply = await caller.callService(cluster.daemons[0]!.callerUrl, KEY, 'GET', '/services/ledger/stock/hinge-7')
+    expect(reply.status).toEqual(200)
+  })
+})
--- /dev/null
+++ b/packages/figquay-membership/src/FigquayHttpRoster.ts
@@ -0,0 +1,49 @@
+/** Roster over HTTP: `GET /vms`. */
+import { JsonClient, makeFailure, makeSuccess, type CallFailure, type Outcome, type PluginRegistry } from 'figquay'
+import { Roster, type RosterPage } from './FigquayRoster.js'
+
+/** Options of the HTTP roster. */
+export interface HttpRosterOptions {
+  readonly url: string
+}
+
+const READ_TIMEOUT_MS = 800
+const OK = 200
+
+/** Roster that speaks HTTP and JSON. */
+export class HttpRoster extends Roster {
+  private readonly client = JsonClient.create()
+
+  private constructor (private readonly options: HttpRosterOptions) {
+    super()
+  }
+
+  /**
+   * @example
+   * const roster = HttpRoster.create({ url: 'http://127.0.0.1:7101' })
+   */
+  static create (options: HttpRosterOptions): HttpRoster {
+    return new HttpRoster(options)
+  }
+
+  override async readPage (): Promise<Outcome<RosterPage, CallFailure>> {
+    const reply = await this.client.requestJson('GET', `${this.options.url}/vms`, undefined, READ_TIMEOUT_MS)
+    if (!reply.ok) return reply
+    if (reply.value.status === OK) return makeSuccess(reply.value.body as RosterPage)
+    return makeFailure({ sent: 'maybe', reason: 'reset', message: `the roster answered with status ${reply.value.status}` })
+  }
+
+  override close (): void {
+    this.client.close()
+  }
+}
+
+/**
+ * Makes the HTTP roster available as `http`.
+ *
+ * @example
+ * const undo = registerHttpRoster(registry)
+ */
+export function registerHttpRoster (registry: PluginRegistry): () => void {
+  return registry.registerPlugin('roster', 'http', HttpRoster.create)
+}
--- /dev/null
+++ b/packages/figquay-peers/src/index.ts
@@ -0,0 +1,3 @@
+export { HintTable, type Hints, type ReceivedHints } from './FigquayPeersHints.js'
+export { PeerConnection, type PeerConnectionOptions, type PeerMethods } from './FigquayPeerConnection.js'
+export { PeerMesh, selectNeighbours, type PeerAddress, type PeerMeshOptions } from './FigquayPeerMesh.js'
--- /dev/null
+++ b/packages/figquay-placement/src/FigquayPlacementController.ts
@@ -0,0 +1,278 @@
+/** Keeps the runners of the cells that this daemon holds as the plan wants them. */
+import type { Clock, Logger, TaskGroup } from 'figquay'
+import type { Configuration, Model, Pool } from 'figquay-contracts'
+import type { Membership, Vm } from 'figquay-membership'
+import type { RunnerReport, RunnerTable } from 'figquay-routing'
+import type { OrderAction } from 'figquay-upstreams'
+import type { LeaseKeeper } from './FigquayPlacementLeaseKeeper.js'
+import { RunnerLedger } from './FigquayPlacementLedger.js'
+import type { OrderBook } from './FigquayPlacementOrders.js'
+import type { PlacementPolicy, PlannedModel, PlannedMove, PlannedRunner, PlanView } from './FigquayPlacementPolicy.js'
+
+/** What the controller needs. */
+export interface PlacementControllerOptions {
+  readonly leases: LeaseKeeper
+  readonly orders: OrderBook
+  readonly policy: PlacementPolicy
+  readonly table: RunnerTable
+  readonly membership: Membership
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly readConfiguration: () => Configuration | undefined
+  /** Runners that the requests for a model keep busy, over all daemons. */
+  readonly readDemand: (model: string) => { readonly busyRunners: number, readonly workPerRequest: number }
+  /** Called after each order. */
+  readonly onMove: (move: MoveRecord) => void
+}
+
+/** A move that was made, for people. */
+export interface MoveRecord {
+  readonly at: string
+  readonly action: OrderAction
+  readonly runner: string
+  readonly subject: string
+  readonly reason: string
+  readonly result: string
+}
+
+const ROUND_MS = 250
+const KEPT_MOVES = 500
+/** A runner whose report is older than this gets no orders, in milliseconds. */
+const REPORT_EXPIRES_MS = 2_000
+const FIRST_REPORTS_MS = 3_000
+const ADAPTER_WAIT_MS = 800
+const ADAPTER_POLL_MS = 20
+
+/**
+ * Id under which engines know a version of a model.
+ *
+ * @example
+ * makeModelId(model) // 'manual-3@v1'
+ */
+export function makeModelId (model: Model): string {
+  return `${model.name}@${model.version}`
+}
+
+/** Places models and adapters on the runners of held cells. */
+export class PlacementController {
+  private readonly lastMoveAtMs = new Map<string, number>()
+  private readonly adapterUsedAtMs = new Map<string, number>()
+  private moves: readonly MoveRecord[] = []
+  private loadCredit = 1
+  private creditAtMs: number
+  private readonly startedAtMs: number
+
+  private constructor (private readonly options: PlacementControllerOptions) {
+    this.startedAtMs = options.clock.readMonotonicMs()
+    this.creditAtMs = this.startedAtMs
+  }
+
+  /**
+   * @example
+   * const controller = PlacementController.create(options)
+   */
+  static create (options: PlacementControllerOptions): PlacementController {
+    return new PlacementController(options)
+  }
+
+  /** The latest moves, oldest first. */
+  get history (): readonly MoveRecord[] {
+    return this.moves
+  }
+
+  /**
+   * Starts the task that keeps leases and makes moves.
+   *
+   * @example
+   * controller.start(tasks)
+   */
+  start (tasks: TaskGroup): void {
+    tasks.startLoop('leases', ROUND_MS, () => this.options.leases.keepLeases(this.listCells()))
+    tasks.startLoop('placement', ROUND_MS, () => this.runRound())
+  }
+
+  /** Cell of a runner. */
+  findCell (vm: Vm): string {
+    const pool = this.options.readConfiguration()?.findPool(vm.group)
+    return pool?.plannedBy === 'zone' ? `${vm.group}@${vm.zone}` : vm.group
+  }
+
+  /**
+   * Loads an adapter that a request waits for; false when this daemon may not or cannot.
+   *
+   * @example
+   * const isReady = await controller.loadAdapter('engine-2', 'manual-3', 'cairo')
+   */
+  async loadAdapter (runner: string, modelName: string, adapterName: string): Promise<boolean> {
+    const configuration = this.options.readConfiguration()
+    const model = configuration?.findModel(modelName)
+    const adapter = model?.adapters.find((candidate) => candidate.name === adapterName)
+    const vm = this.options.membership.findVm(runner)
+    const pool = model === undefined ? undefined : configuration!.findPool(model.pool)
+    if (adapter === undefined || vm === undefined || pool === undefined) return false
+    const id = `${modelName}:${adapterName}`
+    this.adapterUsedAtMs.set(`${runner}/${id}`, this.options.clock.readMonotonicMs())
+    const deadline = this.options.clock.readMonotonicMs() + ADAPTER_WAIT_MS
+    while (this.options.clock.readMonotonicMs() < deadline) {
+      const report = this.options.table.findReport(runner)
+      if (report === undefined) return false
+      if (report.state.adapters.some((candidate) => candidate.id === id && candidate.phase === 'ready')) return true
+      await this.orderAdapter(this.findCell(vm), pool, report, id, adapter.size)
+      await this.options.clock.waitFor(ADAPTER_POLL_MS)
+    }
+    return false
+  }
+
+  private listCells (): string[] {
+    return [...new Set(this.options.membership.listVms('engine').map((vm) => this.findCell(vm)))]
+  }
+
+  private async runRound (): Promise<void> {
+    const configuration = this.options.readConfiguration()
+    if (configuration === undefined) return
+    this.settleAll(configuration)
+    for (const cell of this.options.leases.listHeld()) {
+      const vms = this.options.membership.listVms('engine').filter((vm) => this.findCell(vm) === cell)
+      const pool = configuration.findPool(vms[0]?.group ?? '')
+      if (pool !== undefined && this.isViewWhole(vms)) await this.runCell(cell, pool, vms, configuration)
+    }
+  }
+
+  /** A daemon that has just started waits for the first reports, or it would load what is there already. */
+  private isViewWhole (vms: readonly Vm[]): boolean {
+    const livedMs = this.options.clock.readMonotonicMs() - this.startedAtMs
+    return livedMs > FIRST_REPORTS_MS || vms.every((vm) => this.options.table.findReport(vm.id) !== undefined)
+  }
+
+  private settleAll (configuration: Configuration): void {
+    for (const vm of this.options.membership.listVms('engine')) {
+      const pool = configuration.findPool(vm.group)
+      const report = this.options.table.findReport(vm.id)
+      if (pool !== undefined && report !== undefined) this.options.orders.settleOrders(this.findCell(vm), pool, report)
+    }
+  }
+
+  private async runCell (cell: string, pool: Pool, vms: readonly Vm[], configuration: Configuration): Promise<void> {
+    const prepared = await Promise.all(vms.map(async (vm) => {
+      const report = this.options.table.findReport(vm.id)
+      const isReady = report !== undefined && this.isFresh(report) && await this.options.orders.prepareRunner(cell, pool, report)
+      return { vm, report, isReady }
+    }))
+    const view = this.makeView(pool, configuration, prepared)
+    const moves = this.options.policy.planMoves(view)
+    await Promise.all(moves.map((move) => this.makeMove(cell, pool, move)))
+    await this.keepAdapters(cell, pool, configuration, view)
+  }
+
+  private isFresh (report: RunnerReport): boolean {
+    return report.downSinceMs === undefined && this.options.clock.readMonotonicMs() - report.receivedAtMs < REPORT_EXPIRES_MS
+  }
+
+  private makeView (pool: Pool, configuration: Configuration, prepared: ReadonlyArray<{ vm: Vm, report: RunnerReport | undefined, isReady: boolean }>): PlanView {
+    const runners = prepared.flatMap(({ vm, report, isReady }) => report === undefined ? [] : [this.makeRunner(pool, vm, report, isReady)])
+    const models = configuration.deployment.models.filter((model) => model.pool === pool.name).map((model) => this.makeModel(model))
+    const loading = runners.reduce((sum, runner) => sum + runner.copies.filter((copy) => copy.phase === 'loading').length, 0)
+    const policy = configuration.deployment.policy
+    return { runners, models, policy, nowMs: this.options.clock.readMonotonicMs(), loadsLeft: Math.min(policy.loadsAtOnce - loading, this.readLoadCredit(policy.loadsPerSecond)) }
+  }
+
+  private makeRunner (pool: Pool, vm: Vm, report: RunnerReport, isReady: boolean): PlannedRunner {
+    const ledger = RunnerLedger.create(report.state, this.options.orders.listOpen(vm.id))
+    const copies = ledger.listCopies('models')
+    return {
+      id: vm.id,
+      zone: vm.zone,
+      isServing: this.options.table.isUsable(report),
+      isUsable: isReady && this.options.table.isUsable(report),
+      freeBytes: pool.memory - pool.adapterMemory - ledger.sumBytes('models'),
+      copies,
+      busySubjects: new Set(copies.filter((copy) => ledger.hasOpenOrder(copy.id)).map((copy) => copy.id)),
+      lastMoveAtMs: this.lastMoveAtMs.get(vm.id) ?? Number.NEGATIVE_INFINITY
+    }
+  }
+
+  private makeModel (model: Model): PlannedModel {
+    const { busyRunners, workPerRequest } = this.options.readDemand(model.name)
+    return { id: makeModelId(model), bytes: model.size, demand: busyRunners, workPerRequest }
+  }
+
+  /** Whole loads that may be started now, under the weight store's rate. */
+  private readLoadCredit (perSecond: number): number {
+    const now = this.options.clock.readMonotonicMs()
+    this.loadCredit = Math.min(Math.max(1, perSecond), this.loadCredit + (now - this.creditAtMs) * perSecond / 1_000)
+    this.creditAtMs = now
+    return Math.floor(this.loadCredit)
+  }
+
+  private async makeMove (cell: string, pool: Pool, move: PlannedMove): Promise<void> {
+    const report = this.options.table.findReport(move.runner)
+    if (report === undefined) return
+    if (move.action === 'load-model') this.loadCredit -= 1
+    this.lastMoveAtMs.set(move.runner, this.options.clock.readMonotonicMs())
+    const result = await this.options.orders.sendOrder({ cell, pool, report, action: move.action, subject: move.subject, bytes: move.bytes })
+    this.noteMove({ action: move.action, runner: move.runner, subject: move.subject, reason: move.reason, result: result ?? 'unknown' })
+  }
+
+  private noteMove (move: Omit<MoveRecord, 'at'>): void {
+    const record = { at: this.options.clock.now().toISOString(), ...move }
+    this.moves = [...this.moves, record].slice(-KEPT_MOVES)
+    this.options.logger.info('move', { ...record })
+    this.options.onMove(record)
+  }
+
+  /** Adapters are small: those of every model that a runner holds are kept there, as far as there is room. */
+  private async keepAdapters (cell: string, pool: Pool, configuration: Configuration, view: PlanView): Promise<void> {
+    const atOnce = configuration.deployment.policy.adaptersAtOnce
+    let left = atOnce
+    for (const runner of view.runners.filter((candidate) => candidate.isUsable)) {
+      const report = this.options.table.findReport(runner.id)
+      if (report === undefined) continue
+      left -= report.state.adapters.filter((adapter) => adapter.phase === 'loading').length
+      const wanted = configuration.deployment.models
+        .filter((model) => runner.copies.some((copy) => copy.id === makeModelId(model) && copy.phase === 'ready'))
+        .flatMap((model) => model.adapters.map((adapter) => ({ id: `${model.name}:${adapter.name}`, bytes: adapter.size })))
+      left = await this.keepRunnerAdapters(cell, pool, report, wanted, left)
+      if (left <= 0) return
+    }
+  }
+
+  private async keepRunnerAdapters (cell: string, pool: Pool, report: RunnerReport, wanted: ReadonlyArray<{ readonly id: string, readonly bytes: number }>, atMost: number): Promise<number> {
+    let left = atMost
+    let room = pool.adapterMemory - this.readLedger(report).sumBytes('adapters')
+    const orders: Array<Promise<boolean>> = []
+    for (const adapter of wanted) {
+      if (left <= 0 || adapter.bytes > room || this.isAdapterKnown(report, adapter.id)) continue
+      left -= 1
+      room -= adapter.bytes
+      orders.push(this.orderAdapter(cell, pool, report, adapter.id, adapter.bytes))
+    }
+    await Promise.all(orders)
+    return left
+  }
+
+  private readLedger (report: RunnerReport): RunnerLedger {
+    return RunnerLedger.create(report.state, this.options.orders.listOpen(report.runner))
+  }
+
+  private isAdapterKnown (report: RunnerReport, id: string): boolean {
+    return this.readLedger(report).listCopies('adapters').some((copy) => copy.id === id)
+  }
+
+  /** Orders an adapter if it is not there yet; makes room first by unloading the one that was used least recently. */
+  private async orderAdapter (cell: string, pool: Pool, report: RunnerReport, id: string, bytes: number): Promise<boolean> {
+    if (this.isAdapterKnown(report, id) || !await this.options.orders.prepareRunner(cell, pool, report)) return false
+    const ledger = this.readLedger(report)
+    const copies = ledger.listCopies('adapters')
+    if (ledger.sumBytes('adapters') + bytes <= pool.adapterMemory) {
+      const result = await this.options.orders.sendOrder({ cell, pool, report, action: 'load-adapter', subject: id, bytes })
+      this.noteMove({ action: 'load-adapter', runner: report.runner, subject: id, reason: 'kept with its model', result: result ?? 'unknown' })
+      return result === 'accepted'
+    }
+    const readUse = (copyId: string): number => this.adapterUsedAtMs.get(`${report.runner}/${copyId}`) ?? 0
+    const victim = copies.filter((copy) => copy.phase === 'ready' && !ledger.hasOpenOrder(copy.id)).sort((a, b) => readUse(a.id) - readUse(b.id))[0]
+    if (victim === undefined || copies.some((copy) => copy.phase === 'leaving')) return false
+    const result = await this.options.orders.sendOrder({ cell, pool, report, action: 'unload-adapter', subject: victim.id, bytes: victim.bytes })
+    this.noteMove({ action: 'unload-adapter', runner: report.runner, subject: victim.id, reason: 'makes room for another adapter', result: result ?? 'unknown' })
+    return false
+  }
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingAdmission.ts
@@ -0,0 +1,109 @@
+/** Decides whether a request can still meet its contract, and when a runner may take it. */
+import { Refusal, type PluginRegistry } from 'figquay'
+import type { RoutedRequest } from './FigquayRoutingTypes.js'
+import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
+import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
+
+/** What admission may look at. */
+export interface AdmissionContext {
+  readonly table: RunnerTable
+  readonly predictor: FirstTokenPredictor
+  readonly nowMs: number
+  /** Prompt tokens of waiting requests that go to the same model first. */
+  readonly queuedTokens: number
+  readonly queueLength: number
+}
+
+/** Way of deciding on admission. */
+export abstract class AdmissionPolicy {
+  /** A refusal when the request cannot be served within its contract any more. */
+  abstract checkRequest (request: RoutedRequest, holders: readonly RunnerReport[], context: AdmissionContext): Refusal | undefined
+  /** Whether a runner may take the request now; else the request waits. */
+  abstract canTake (report: RunnerReport, request: RoutedRequest, context: AdmissionContext): boolean
+}
+
+/** Part of a runner's batch that batch work may fill. */
+const BATCH_PART = 0.5
+const LONGEST_QUEUE = 2_000
+const MODEL_RETRY_MS = 2_000
+const SHORTEST_RETRY_MS = 200
+/** Part of the time that a prediction may fill; the rest is for its error. */
+const PREDICTION_PART = 0.85
+
+/** Admits what is predicted to meet its contract. */
+export class PredictedAdmission extends AdmissionPolicy {
+  /**
+   * @example
+   * const admission = PredictedAdmission.create()
+   */
+  static create (): PredictedAdmission {
+    return new PredictedAdmission()
+  }
+
+  override checkRequest (request: RoutedRequest, holders: readonly RunnerReport[], context: AdmissionContext): Refusal | undefined {
+    if (context.queueLength >= LONGEST_QUEUE) return Refusal.create('overloaded', 'too many requests wait', { retryAfterMs: MODEL_RETRY_MS })
+    const left = this.readLeftMs(request, context.nowMs)
+    if (left.firstTokenMs <= 0 || left.answerMs <= 0) return Refusal.create('deadline_unreachable', 'the time of the contract has passed', { retryAfterMs: SHORTEST_RETRY_MS })
+    if (request.kind.priority === 'batch') return undefined
+    const usable = holders.filter((report) => context.table.isUsable(report))
+    if (usable.length === 0) return Refusal.create('model_unavailable', `no runner holds ${request.model.name} now`, { retryAfterMs: MODEL_RETRY_MS })
+    const queuedEach = context.queuedTokens / usable.length
+    const lateMs = Math.min(...usable.map((report) => this.measureLateness(report, request, queuedEach, context)))
+    if (lateMs <= 0) return undefined
+    return Refusal.create('deadline_unreachable', `predicted to be ${Math.ceil(lateMs)} ms late`, { retryAfterMs: Math.max(SHORTEST_RETRY_MS, Math.ceil(lateMs)) })
+  }
+
+  override canTake (report: RunnerReport, request: RoutedRequest, context: AdmissionContext): boolean {
+    const active = context.table.countActive(report)
+    const { maxBatch } = report.state.load
+    if (request.kind.priority === 'batch') return active < maxBatch * BATCH_PART
+    return active < maxBatch
+  }
+
+  /** Milliseconds by which the contract would be missed on a runner; not above 0 when it is met. */
+  private measureLateness (report: RunnerReport, request: RoutedRequest, queuedTokens: number, { predictor, nowMs }: AdmissionContext): number {
+    const left = this.readLeftMs(request, nowMs)
+    const firstToken = predictor.predictFirstTokenMs(report, request, queuedTokens)
+    const whole = firstToken + predictor.predictDecodeMs(report, request)
+    return Math.max(firstToken - left.firstTokenMs * PREDICTION_PART, whole - left.answerMs * PREDICTION_PART)
+  }
+
+  private readLeftMs (request: RoutedRequest, nowMs: number): { readonly firstTokenMs: number, readonly answerMs: number } {
+    const waited = nowMs - request.arrivedAtMs
+    return { firstTokenMs: request.kind.firstTokenWithin - waited, answerMs: request.kind.answerWithin - waited }
+  }
+}
+
+/** Naive baseline: everything is sent on at once, in the order in which it comes. */
+export class OpenAdmission extends AdmissionPolicy {
+  /**
+   * @example
+   * const admission = OpenAdmission.create()
+   */
+  static create (): OpenAdmission {
+    return new OpenAdmission()
+  }
+
+  override checkRequest (request: RoutedRequest, holders: readonly RunnerReport[], { nowMs }: AdmissionContext): Refusal | undefined {
+    const isLate = nowMs - request.arrivedAtMs > request.kind.answerWithin
+    return isLate ? Refusal.create('deadline_unreachable', 'the time of the contract has passed', { retryAfterMs: SHORTEST_RETRY_MS }) : undefined
+  }
+
+  override canTake (): boolean {
+    return true
+  }
+}
+
+/**
+ * Makes the ways of admission available by name.
+ *
+ * @example
+ * const undo = registerAdmissionPolicies(registry)
+ */
+export function registerAdmissionPolicies (registry: PluginRegistry): () => void {
+  const undos = [
+    registry.registerPlugin('admission-policy', 'predicted', PredictedAdmission.create),
+    registry.registerPlugin('admission-policy', 'open', OpenAdmission.create)
+  ]
+  return () => undos.forEach((undo) => undo())
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingCompletions.ts
@@ -0,0 +1,222 @@
+/** Serves one completion from admission to its last chunk: queue, send, watch, resume. */
+import { hashText, Refusal, type Clock, type Logger } from 'figquay'
+import type { CompletionEvent, EngineClient, EngineFailure } from 'figquay-upstreams'
+import type { CompletionReport, CompletionSink, RoutedRequest } from './FigquayRoutingTypes.js'
+import { PRIORITY_RANK } from './FigquayRoutingTypes.js'
+import type { CrashGuard } from './FigquayRoutingCrashGuard.js'
+import type { Assignment, Dispatcher } from './FigquayRoutingDispatcher.js'
+import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
+import type { RetryBudget } from './FigquayRoutingRetryBudget.js'
+import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
+import type { RequestTraces } from './FigquayRoutingTrace.js'
+
+/** Ensures that an adapter is ready on a runner; false when it cannot be. */
+export type AdapterLoader = (runner: string, model: string, adapter: string) => Promise<boolean>
+
+/** What the completion router needs. */
+export interface CompletionRouterOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly engines: EngineClient
+  readonly dispatcher: Dispatcher
+  readonly table: RunnerTable
+  readonly predictor: FirstTokenPredictor
+  readonly retries: RetryBudget
+  readonly crashes: CrashGuard
+  readonly traces: RequestTraces
+  /** Asks a runner for its state; true when it is the same process as before. */
+  readonly probeRunner: (runner: string) => Promise<boolean>
+  /** Tells all peers about a charge. */
+  readonly spreadCharge: (fingerprint: string, upstream: string) => void
+  readonly loadAdapter: AdapterLoader
+  /** Model ids that serve a model, the current version first. */
+  readonly listModelIds: (model: string) => readonly string[]
+}
+
+/** One request on its way, across its attempts. */
+interface Progress {
+  readonly request: RoutedRequest
+  readonly sink: CompletionSink
+  readonly signal: AbortSignal
+  chunks: number
+  retries: number
+  firstTokenMs: number | undefined
+  isFinished: boolean
+  /** An attempt whose bytes may have reached an upstream. */
+  maySent: boolean
+}
+
+type AttemptResult = 'done' | 'cancelled' | EngineFailure
+
+const MOST_RETRIES = 4
+const UNREACHED_PAUSE_MS = 50
+const FAILED_RETRY_AFTER_MS = 1_000
+
+/** Routes completions. */
+export class CompletionRouter {
+  private constructor (private readonly options: CompletionRouterOptions) {}
+
+  /**
+   * @example
+   * const router = CompletionRouter.create(options)
+   */
+  static create (options: CompletionRouterOptions): CompletionRouter {
+    return new CompletionRouter(options)
+  }
+
+  /**
+   * Serves a request; the refusal says whether it was run.
+   *
+   * @example
+   * const result = await router.serveRequest(request, sink, signal)
+   */
+  async serveRequest (request: RoutedRequest, sink: CompletionSink, signal: AbortSignal): Promise<CompletionReport | Refusal> {
+    this.options.retries.noteRequest()
+    const progress: Progress = { request, sink, signal, chunks: 0, retries: 0, firstTokenMs: undefined, isFinished: false, maySent: false }
+    while (!signal.aborted) {
+      const result = await this.runAttempt(progress)
+      if (result === 'done') return this.makeReport(progress)
+      if (result === 'cancelled') break
+      if (result instanceof Refusal) return progress.maySent ? restateRefusal(result) : result
+      const refusal = await this.planRetry(progress, result)
+      if (refusal !== undefined) return refusal
+    }
+    return Refusal.create('bad_request', 'the caller went away', { execution: progress.maySent ? 'unknown' : 'not-run' })
+  }
+
+  private async runAttempt (progress: Progress): Promise<AttemptResult | Refusal> {
+    const { request, signal } = progress
+    const assignment = await this.options.dispatcher.assignRunner({
+      request,
+      modelIds: this.options.listModelIds(request.model.name),
+      hasStarted: progress.chunks > 0,
+      signal
+    })
+    if (assignment instanceof Refusal) {
+      this.options.traces.addEvent(request.requestId, 'refused', `${assignment.code}: ${assignment.message}`)
+      return assignment
+    }
+    const startedAtMs = this.options.clock.readMonotonicMs()
+    this.options.traces.addEvent(request.requestId, 'sent', `to ${assignment.report.runner}, from chunk ${progress.chunks}`)
+    try {
+      return await this.runExchange(progress, assignment)
+    } finally {
+      assignment.release()
+      this.options.predictor.noteService(this.options.clock.readMonotonicMs() - startedAtMs)
+    }
+  }
+
+  private async runExchange (progress: Progress, assignment: Assignment): Promise<AttemptResult> {
+    const { request, signal } = progress
+    const { report } = assignment
+    if (!await this.prepareAdapter(request, report)) return { sent: 'never', reason: 'refused', message: `adapter ${request.adapter} cannot be loaded on ${report.runner}` }
+    if (signal.aborted) return 'cancelled'
+    const modelId = this.options.listModelIds(request.model.name).find((id) => report.state.models.some((model) => model.id === id)) ?? request.model.name
+    const events = this.options.engines.streamCompletion(report.url, {
+      requestId: request.requestId,
+      path: request.path,
+      body: request.body,
+      model: request.adapter === undefined ? modelId : `${modelId}:${request.adapter}`,
+      priority: PRIORITY_RANK[request.kind.priority],
+      resumeFrom: progress.chunks
+    }, signal)
+    for await (const event of events) {
+      const result = await this.takeEvent(event, progress, assignment)
+      if (result !== undefined) return await this.judgeFailure(result, progress, assignment)
+    }
+    return 'cancelled'
+  }
+
+  private async prepareAdapter (request: RoutedRequest, report: RunnerReport): Promise<boolean> {
+    if (request.adapter === undefined) return true
+    const id = `${request.model.name}:${request.adapter}`
+    const isReady = report.state.adapters.some((adapter) => adapter.id === id && adapter.phase === 'ready')
+    return isReady || await this.options.loadAdapter(report.runner, request.model.name, request.adapter)
+  }
+
+  /** Passes one event on; returns the result once the exchange is over. */
+  private async takeEvent (event: CompletionEvent, progress: Progress, { entry, report }: Assignment): Promise<AttemptResult | undefined> {
+    if (event.type === 'alive') {
+      progress.maySent = true
+      return undefined
+    }
+    if (event.type === 'failed') return progress.signal.aborted ? 'cancelled' : event.failure
+    if (event.type === 'done') return progress.isFinished ? 'done' : { sent: 'maybe', reason: 'truncated', message: 'the answer ended without a finish reason' }
+    if (progress.firstTokenMs === undefined) progress.firstTokenMs = this.options.clock.readMonotonicMs() - progress.request.arrivedAtMs
+    if (!entry.hasFirstToken) {
+      entry.hasFirstToken = true
+      this.options.predictor.notePrefix(report.runner, progress.request.prefixKey)
+      this.options.dispatcher.planPass()
+    }
+    progress.chunks += 1
+    progress.isFinished = hasFinishReason(event.data)
+    await progress.sink.writeChunk(event.data)
+    return undefined
+  }
+
+  /** After a broken exchange the runner is asked whether it is still the same process. */
+  private async judgeFailure (result: AttemptResult, progress: Progress, { report }: Assignment): Promise<AttemptResult> {
+    if (typeof result === 'string' || result.reason === 'invalid') return result
+    if (result.sent === 'maybe') progress.maySent = true
+    this.options.traces.addEvent(progress.request.requestId, 'failed', `${report.runner}: ${result.reason}, ${result.message}`)
+    if (result.reason === 'refused' || result.reason === 'silent') {
+      if (result.reason === 'refused') this.options.table.restRunner(report.runner)
+      return result
+    }
+    this.options.table.restRunner(report.runner)
+    const isSame = await this.options.probeRunner(report.runner)
+    if (!isSame && result.sent === 'maybe') this.chargeCrash(progress.request, report)
+    return result
+  }
+
+  private chargeCrash (request: RoutedRequest, report: RunnerReport): void {
+    const upstream = `${report.runner}/${report.state.bootId}`
+    this.options.logger.warn('upstream crashed with a request in flight', { upstream, request: request.requestId })
+    this.options.crashes.addCharge({ fingerprint: request.fingerprint, upstream }, this.options.clock.readMonotonicMs())
+    this.options.spreadCharge(request.fingerprint, upstream)
+  }
+
+  /** Undefined when another attempt may be made; else the final answer. */
+  private async planRetry (progress: Progress, failure: EngineFailure): Promise<Refusal | undefined> {
+    const execution = progress.maySent || failure.sent === 'maybe' ? 'unknown' : 'not-run'
+    if (failure.reason === 'invalid') return Refusal.create('bad_request', failure.message, { execution: 'not-run' })
+    progress.retries += 1
+    const isSpent = progress.retries > MOST_RETRIES
+    // A runner that did not take the request costs nothing, so it does not use up the budget.
+    if (isSpent || (failure.sent === 'maybe' && !this.options.retries.spendRetry())) {
+      return Refusal.create('upstream_failed', `${failure.reason}: ${failure.message}`, { execution, retryAfterMs: FAILED_RETRY_AFTER_MS })
+    }
+    if (failure.sent === 'never') await this.options.clock.waitFor(UNREACHED_PAUSE_MS, progress.signal)
+    return undefined
+  }
+
+  private makeReport (progress: Progress): CompletionReport {
+    const totalMs = this.options.clock.readMonotonicMs() - progress.request.arrivedAtMs
+    this.options.traces.addEvent(progress.request.requestId, 'answered', `${progress.chunks} chunks in ${Math.round(totalMs)} ms`)
+    return { firstTokenMs: progress.firstTokenMs ?? totalMs, totalMs, chunks: progress.chunks, retries: progress.retries }
+  }
+}
+
+/** A refusal after an attempt whose bytes left must not say "not run". */
+function restateRefusal (refusal: Refusal): Refusal {
+  return Refusal.create(refusal.code, refusal.message, { execution: 'unknown', retryAfterMs: refusal.retryAfterMs })
+}
+
+/** Whether a chunk is the last of its answer. */
+function hasFinishReason (chunk: Readonly<Record<string, unknown>>): boolean {
+  const choices = chunk['choices'] as Array<{ finish_reason?: string | null }> | undefined
+  return choices?.some((choice) => choice.finish_reason !== undefined && choice.finish_reason !== null) ?? false
+}
+
+/** Characters of a prompt that decide which runner is likely to have its beginning cached. */
+const PREFIX_CHARACTERS = 512
+
+/**
+ * Key of the beginning of a prompt.
+ *
+ * @example
+ * makePrefixKey('manual-3', promptText)
+ */
+export function makePrefixKey (model: string, prompt: string): string {
+  return hashText(`${model}/${prompt.slice(0, PREFIX_CHARACTERS)}`)
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -0,0 +1,58 @@
+/** Finds requests that crash upstreams: what was in flight at two crashes is refused from then on. */
+
+/** One crash charged to one request; sent to all peers at once. */
+export interface CrashCharge {
+  readonly fingerprint: string
+  /** Upstream that crashed, with its boot id. */
+  readonly upstream: string
+}
+
+interface ChargeEntry {
+  readonly upstreams: ReadonlySet<string>
+  readonly chargedAtMs: number
+}
+
+const CHARGES_TO_QUARANTINE = 2
+const FORGET_AFTER_MS = 600_000
+
+/** Charges by fingerprint. */
+export class CrashGuard {
+  private readonly entries = new Map<string, ChargeEntry>()
+
+  /**
+   * @example
+   * const guard = CrashGuard.create()
+   */
+  static create (): CrashGuard {
+    return new CrashGuard()
+  }
+
+  /**
+   * Charges a request with a crash; the same crash counts once.
+   *
+   * @example
+   * guard.addCharge({ fingerprint, upstream: 'engine-2/boot-7' }, nowMs)
+   */
+  addCharge (charge: CrashCharge, nowMs: number): void {
+    const upstreams = new Set(this.entries.get(charge.fingerprint)?.upstreams).add(charge.upstream)
+    this.entries.set(charge.fingerprint, { upstreams, chargedAtMs: nowMs })
+  }
+
+  /** Whether a request was in flight at a crash. */
+  isCharged (fingerprint: string, nowMs: number): boolean {
+    return this.countCharges(fingerprint, nowMs) > 0
+  }
+
+  /** Whether a request is no longer sent to any upstream. */
+  isQuarantined (fingerprint: string, nowMs: number): boolean {
+    return this.countCharges(fingerprint, nowMs) >= CHARGES_TO_QUARANTINE
+  }
+
+  private countCharges (fingerprint: string, nowMs: number): number {
+    const entry = this.entries.get(fingerprint)
+    if (entry === undefined) return 0
+    if (nowMs - entry.chargedAtMs < FORGET_AFTER_MS) return entry.upstreams.size
+    this.entries.delete(fingerprint)
+    return 0
+  }
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
@@ -0,0 +1,167 @@
+/** Matches waiting requests with runners. */
+import { Refusal, type Clock, type TaskGroup } from 'figquay'
+import type { RoutedRequest } from './FigquayRoutingTypes.js'
+import type { AdmissionContext, AdmissionPolicy } from './FigquayRoutingAdmission.js'
+import type { CrashGuard } from './FigquayRoutingCrashGuard.js'
+import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
+import { FairQueue, type QueueEntry } from './FigquayRoutingQueue.js'
+import type { InFlight, RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
+import type { RunnerSelector } from './FigquayRoutingSelector.js'
+
+/** What the dispatcher needs. */
+export interface DispatcherOptions {
+  readonly clock: Clock
+  readonly table: RunnerTable
+  readonly predictor: FirstTokenPredictor
+  readonly selector: RunnerSelector
+  readonly admission: AdmissionPolicy
+  readonly crashes: CrashGuard
+}
+
+/** A runner set aside for one request. */
+export interface Assignment {
+  readonly report: RunnerReport
+  readonly entry: InFlight
+  /** Ends the assignment. */
+  readonly release: () => void
+}
+
+/** What a request asks of the dispatcher. */
+export interface DispatchRequest {
+  readonly request: RoutedRequest
+  /** Model ids that will do, the best first. */
+  readonly modelIds: readonly string[]
+  /** Chunks that have reached the caller: such a request is no longer refused for being late. */
+  readonly hasStarted: boolean
+  readonly signal: AbortSignal
+}
+
+interface Waiter {
+  readonly dispatch: DispatchRequest
+  readonly settle: (result: Assignment | Refusal) => void
+}
+
+/** Waiting requests are looked at this often when nothing else happens, in milliseconds. */
+const SWEEP_MS = 25
+
+/** The queue and the passes over it. */
+export class Dispatcher {
+  private readonly queue = FairQueue.create<Waiter>()
+  private passPlanned = false
+
+  private constructor (private readonly options: DispatcherOptions) {}
+
+  /**
+   * @example
+   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes })
+   */
+  static create (options: DispatcherOptions): Dispatcher {
+    return new Dispatcher(options)
+  }
+
+  /** Requests that wait. */
+  get queueLength (): number {
+    return this.queue.length
+  }
+
+  /**
+   * Starts the task that looks after waiting requests.
+   *
+   * @example
+   * dispatcher.start(tasks)
+   */
+  start (tasks: TaskGroup): void {
+    tasks.startLoop('dispatch', SWEEP_MS, async () => {
+      if (this.queue.length > 0) this.runPass()
+    })
+  }
+
+  /**
+   * Waits for a runner; or the final refusal, as soon as it is known.
+   *
+   * @example
+   * const result = await dispatcher.assignRunner({ request, modelIds, hasStarted: false, signal })
+   */
+  assignRunner (dispatch: DispatchRequest): Promise<Assignment | Refusal> {
+    return new Promise((resolve) => {
+      const entry: QueueEntry<Waiter> = this.queue.addRequest(dispatch.request, { dispatch, settle: resolve })
+      dispatch.signal.addEventListener('abort', () => {
+        this.queue.removeEntry(entry, false)
+        resolve(Refusal.create('bad_request', 'the caller went away'))
+      }, { once: true })
+      this.planPass()
+    })
+  }
+
+  /** Looks at the queue soon; called whenever something may have changed. */
+  planPass (): void {
+    if (this.passPlanned) return
+    this.passPlanned = true
+    setImmediate(() => {
+      this.passPlanned = false
+      this.runPass()
+    })
+  }
+
+  private runPass (): void {
+    const now = this.options.clock.readMonotonicMs()
+    let queuedTokens = new Map<string, number>()
+    for (const entry of this.queue.listInOrder(now)) {
+      const { model, promptTokens } = entry.request
+      const ahead = queuedTokens.get(model.name) ?? 0
+      const result = this.tryEntry(entry, ahead, now)
+      if (result === undefined) {
+        queuedTokens = queuedTokens.set(model.name, ahead + promptTokens)
+        continue
+      }
+      this.queue.removeEntry(entry, !(result instanceof Refusal))
+      entry.payload.settle(result)
+    }
+  }
+
+  /** An assignment, a refusal, or undefined when the request has to wait. */
+  private tryEntry ({ request, payload }: QueueEntry<Waiter>, queuedTokens: number, nowMs: number): Assignment | Refusal | undefined {
+    const { crashes, admission, table, predictor } = this.options
+    if (crashes.isQuarantined(request.fingerprint, nowMs)) return Refusal.create('quarantined', 'the request was in flight at two crashes of upstreams', { execution: 'unknown' })
+    const holders = this.listHolders(payload.dispatch.modelIds)
+    const context: AdmissionContext = { table, predictor, nowMs, queuedTokens, queueLength: this.queue.length }
+    const refusal = payload.dispatch.hasStarted ? undefined : admission.checkRequest(request, holders, context)
+    if (refusal !== undefined) return refusal
+    return this.selectFor(request, holders, context)
+  }
+
+  private selectFor (request: RoutedRequest, holders: readonly RunnerReport[], context: AdmissionContext): Assignment | undefined {
+    const { crashes, admission, table, predictor, selector } = this.options
+    const isCharged = crashes.isCharged(request.fingerprint, context.nowMs)
+    const canTake = (report: RunnerReport): boolean => admission.canTake(report, request, context) && !(isCharged && hasCharged(table, report))
+    const report = selector.selectRunner({ request, isCharged, canTake }, holders, { table, predictor })
+    if (report === undefined) return undefined
+    const entry: InFlight = {
+      requestId: request.requestId,
+      fingerprint: request.fingerprint,
+      promptTokens: predictor.estimatePrompt(report.runner, request),
+      isCharged,
+      hasFirstToken: false
+    }
+    const unregister = table.registerInFlight(report.runner, entry)
+    const release = (): void => {
+      unregister()
+      this.planPass()
+    }
+    return { report, entry, release }
+  }
+
+  /** Holders of the current version, or of an older one while the current is not ready anywhere. */
+  private listHolders (modelIds: readonly string[]): RunnerReport[] {
+    for (const modelId of modelIds) {
+      const holders = this.options.table.listHolders(modelId)
+      if (holders.some((report) => this.options.table.isUsable(report))) return holders
+    }
+    return []
+  }
+}
+
+/** Requests that were in flight at a crash are kept apart, so that an innocent one is not charged twice. */
+function hasCharged (table: RunnerTable, report: RunnerReport): boolean {
+  return table.listInFlight(report.runner).some((entry) => entry.isCharged)
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -0,0 +1,102 @@
+/** Asks every runner for its state, one task for each. */
+import type { Clock, Logger, TaskGroup } from 'figquay'
+import type { Membership, Vm } from 'figquay-membership'
+import type { EngineClient } from 'figquay-upstreams'
+import type { RunnerTable } from './FigquayRoutingRunnerTable.js'
+
+/** What the monitor needs. */
+export interface EngineMonitorOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly membership: Membership
+  readonly engines: EngineClient
+  readonly table: RunnerTable
+  /** Called after each report. */
+  readonly onReport: () => void
+}
+
+const POLL_MS = 300
+const FAILURES_TO_DOWN = 3
+
+/** Keeps the runner table up to date. */
+export class EngineMonitor {
+  private readonly watched = new Set<string>()
+
+  private constructor (private readonly options: EngineMonitorOptions) {}
+
+  /**
+   * @example
+   * const monitor = EngineMonitor.create(options)
+   */
+  static create (options: EngineMonitorOptions): EngineMonitor {
+    return new EngineMonitor(options)
+  }
+
+  /**
+   * Starts a task for every runner on the roster, now and as they come.
+   *
+   * @example
+   * monitor.start(tasks)
+   */
+  start (tasks: TaskGroup): void {
+    this.watchListed(tasks)
+    this.options.membership.registerListener(() => this.watchListed(tasks))
+  }
+
+  /**
+   * Asks a runner at once; true when it is the process that the table knows.
+   *
+   * @example
+   * const isSame = await monitor.probeRunner('engine-2')
+   */
+  async probeRunner (runner: string): Promise<boolean> {
+    const vm = this.options.membership.findVm(runner)
+    const before = this.options.table.findReport(runner)?.state.bootId
+    if (vm === undefined) return false
+    const failure = await this.pollRunner(vm)
+    if (failure === 'connect') this.options.table.markDown(runner)
+    return failure !== 'connect' && (failure !== undefined || this.options.table.findReport(runner)?.state.bootId === before)
+  }
+
+  private watchListed (tasks: TaskGroup): void {
+    const listed = this.options.membership.listVms('engine')
+    this.options.table.keepOnly(new Set(listed.map((vm) => vm.id)))
+    for (const vm of listed) {
+      if (this.watched.has(vm.id)) continue
+      this.watched.add(vm.id)
+      tasks.startTask(`runner ${vm.id}`, (signal) => this.watchRunner(vm.id, signal))
+    }
+  }
+
+  private async watchRunner (runner: string, signal: AbortSignal): Promise<void> {
+    let failures = 0
+    while (!signal.aborted) {
+      const vm = this.options.membership.findVm(runner)
+      if (vm === undefined) break
+      const failure = await this.pollRunner(vm)
+      failures = failure === undefined ? 0 : failures + 1
+      if (failures >= FAILURES_TO_DOWN) this.options.table.markDown(runner)
+      await this.options.clock.waitFor(POLL_MS, signal)
+    }
+    this.watched.delete(runner)
+  }
+
+  /** Undefined when the runner answered, else why not. */
+  private async pollRunner (vm: Vm): Promise<string | undefined> {
+    const requestedAtMs = this.options.clock.readMonotonicMs()
+    const state = await this.options.engines.readState(vm.url)
+    if (!state.ok) return state.error.reason
+    if (state.value.leaving) this.options.membership.markLeaving(vm.id, 'vm')
+    this.options.table.putReport({
+      runner: vm.id,
+      url: vm.url,
+      zone: vm.zone,
+      state: state.value,
+      requestedAtMs,
+      receivedAtMs: this.options.clock.readMonotonicMs(),
+      downSinceMs: undefined
+    })
+    this.options.onReport()
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
@@ -0,0 +1,76 @@
+/** Demand for each model, in runners that its requests would keep busy. */
+import type { Clock } from 'figquay'
+import type { HintTable } from 'figquay-peers'
+import { RateTable } from './FigquayRoutingRateMeter.js'
+import type { RunnerTable } from './FigquayRoutingRunnerTable.js'
+import type { RoutedRequest } from './FigquayRoutingTypes.js'
+
+/** What the demand needs. */
+export interface ModelDemandOptions {
+  readonly clock: Clock
+  readonly hints: HintTable
+  readonly table: RunnerTable
+}
+
+/** Demand as placement weighs it. */
+export interface DemandReading {
+  readonly busyRunners: number
+  /** Runner seconds of one request. */
+  readonly workPerRequest: number
+}
+
+const FIRST_WORK_SECONDS = 0.2
+const WORK_WEIGHT = 0.05
+/** Batch work can wait, so it hardly calls for more copies. */
+const BATCH_WEIGHT = 0.15
+
+/** Demand seen by this daemon and its peers. */
+export class ModelDemand {
+  private readonly work = RateTable.create()
+  private readonly workPerRequest = new Map<string, number>()
+
+  private constructor (private readonly options: ModelDemandOptions) {}
+
+  /**
+   * @example
+   * const demand = ModelDemand.create({ clock, hints, table })
+   */
+  static create (options: ModelDemandOptions): ModelDemand {
+    return new ModelDemand(options)
+  }
+
+  /**
+   * Counts a request, served or not.
+   *
+   * @example
+   * demand.countRequest(request)
+   */
+  countRequest (request: RoutedRequest): void {
+    const seconds = this.estimateWork(request)
+    const name = request.model.name
+    const mean = this.workPerRequest.get(name) ?? seconds
+    this.workPerRequest.set(name, mean + WORK_WEIGHT * (seconds - mean))
+    const weight = request.kind.priority === 'batch' ? BATCH_WEIGHT : 1
+    this.work.countEvents(name, seconds * weight, this.options.clock.readMonotonicMs())
+  }
+
+  /** Own demand by model, for the hints to peers. */
+  listOwn (): Record<string, number> {
+    return this.work.listRates(this.options.clock.readMonotonicMs())
+  }
+
+  /** Demand for a model over all daemons. */
+  readDemand (model: string): DemandReading {
+    const now = this.options.clock.readMonotonicMs()
+    const peers = this.options.hints.listFresh(now).reduce((sum, hints) => sum + (hints.modelDemand[model] ?? 0), 0)
+    return { busyRunners: this.work.readRate(model, now) + peers, workPerRequest: this.workPerRequest.get(model) ?? FIRST_WORK_SECONDS }
+  }
+
+  /** Runner seconds: the prompt takes a runner alone, decoding shares it with a whole batch. */
+  private estimateWork (request: RoutedRequest): number {
+    const load = this.options.table.listReports()[0]?.state.load
+    if (load === undefined) return FIRST_WORK_SECONDS
+    const decodeSeconds = request.outputTokens * load.stepMs / 1_000 / load.maxBatch
+    return request.promptTokens / load.prefillTokensPerSecond + decodeSeconds
+  }
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingPredictor.ts
@@ -0,0 +1,67 @@
+/** Predicts when a runner would give the first token of a request. */
+import type { RoutedRequest } from './FigquayRoutingTypes.js'
+import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
+
+/** Part of a prompt that a runner still has to process when it has seen its beginning before. */
+const UNCACHED_PART = 0.3
+const REMEMBERED_PREFIXES = 5_000
+const FIRST_SERVICE_MS = 1_500
+const SERVICE_WEIGHT = 0.1
+/** Steps between the end of the prompt and the first token at the caller. */
+const STEPS_TO_FIRST_TOKEN = 2
+
+/** Predictions from reports, own requests and prefixes seen. */
+export class FirstTokenPredictor {
+  private readonly prefixes = new Map<string, true>()
+  private meanServiceMs = FIRST_SERVICE_MS
+
+  private constructor (private readonly table: RunnerTable) {}
+
+  /**
+   * @example
+   * const predictor = FirstTokenPredictor.create(table)
+   */
+  static create (table: RunnerTable): FirstTokenPredictor {
+    return new FirstTokenPredictor(table)
+  }
+
+  /**
+   * Milliseconds from sending a request to its first token.
+   *
+   * @param queuedTokens Prompt tokens that will go to the runner before this request.
+   * @example
+   * predictor.predictFirstTokenMs(report, request, 0)
+   */
+  predictFirstTokenMs (report: RunnerReport, request: RoutedRequest, queuedTokens: number): number {
+    const { load } = report.state
+    const pending = this.table.sumPendingPromptTokens(report) + queuedTokens + this.estimatePrompt(report.runner, request)
+    const active = this.table.countActive(report)
+    const excess = Math.max(0, active - load.maxBatch + 1)
+    const slotMs = excess * this.meanServiceMs / load.maxBatch
+    return pending * 1_000 / load.prefillTokensPerSecond + slotMs + load.stepMs * STEPS_TO_FIRST_TOKEN
+  }
+
+  /** Milliseconds from the first token to the last. */
+  predictDecodeMs (report: RunnerReport, request: RoutedRequest): number {
+    return request.outputTokens * report.state.load.stepMs
+  }
+
+  /** Prompt tokens that a runner would have to process. */
+  estimatePrompt (runner: string, request: RoutedRequest): number {
+    const cached = this.prefixes.has(`${runner}/${request.prefixKey}`)
+    return Math.ceil(request.promptTokens * (cached ? UNCACHED_PART : 1))
+  }
+
+  /** Notes that a runner has processed a prompt. */
+  notePrefix (runner: string, prefixKey: string): void {
+    const key = `${runner}/${prefixKey}`
+    this.prefixes.delete(key)
+    this.prefixes.set(key, true)
+    if (this.prefixes.size > REMEMBERED_PREFIXES) this.prefixes.delete(this.prefixes.keys().next().value!)
+  }
+
+  /** Notes how long an exchange took. */
+  noteService (durationMs: number): void {
+    this.meanServiceMs += SERVICE_WEIGHT * (durationMs - this.meanServiceMs)
+  }
+}
--- /dev/null
+++ b/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
@@ -0,0 +1,166 @@
+/** What is known of each runner: its last report, what this daemon has in flight, what peers say. */
+import type { Clock } from 'figquay'
+import type { HintTable } from 'figquay-peers'
+import type { EngineState } from 'figquay-upstreams'
+
+/** One request on its way through a runner. */
+export interface InFlight {
+  readonly requestId: string
+  readonly fingerprint: string
+  readonly promptTokens: number
+  /** The request was in flight at a crash before. */
+  readonly isCharged: boolean
+  hasFirstToken: boolean
+}
+
+/** Last report of a runner. */
+export interface RunnerReport {
+  readonly runner: string
+  readonly url: string
+  readonly zone: string
+  readonly state: EngineState
+  /** When the report was asked for: whatever was answered before is in it. */
+  readonly requestedAtMs: number
+  readonly receivedAtMs: number
+  /** When the runner was found gone; undefined while it answers. */
+  readonly downSinceMs: number | undefined
+}
+
+/** What the table needs. */
+export interface RunnerTableOptions {
+  readonly clock: Clock
+  readonly hints: HintTable
+  readonly isLeaving: (runner: string) => boolean
+}
+
+/** Reports older than this make a runner unusable, in milliseconds. */
+const REPORT_EXPIRES_MS = 3_000
+/** A runner that crashed keeps its place among the candidates for this long, in milliseconds. */
+const CRASH_MEMORY_MS = 30_000
+/** A runner that refused or reset a connection rests for this long, in milliseconds. */
+const REST_MS = 400
+
+/** Runners and the load on them. */
+export class RunnerTable {
+  private reports: ReadonlyMap<string, RunnerReport> = new Map()
+  private readonly inFlight = new Map<string, Map<string, InFlight>>()
+  private readonly restUntilMs = new Map<string, number>()
+
+  private constructor (private readonly options: RunnerTableOptions) {}
+
+  /**
+   * @example
+   * const table = RunnerTable.create({ clock, hints, isLeaving })
+   */
+  static create (options: RunnerTableOptions): RunnerTable {
+    return new RunnerTable(options)
+  }
+
+  /**
+   * Notes a report.
+   *
+   * @example
+   * table.putReport({ runner, url, zone, state, requestedAtMs, receivedAtMs, downSinceMs: undefined })
+   */
+  putReport (report: RunnerReport): void {
+    this.reports = new Map(this.reports).set(report.runner, report)
+  }
+
+  /** Notes that a runner is gone; its models stay known for a while. */
+  markDown (runner: string): void {
+    const report = this.reports.get(runner)
+    if (report === undefined || report.downSinceMs !== undefined) return
+    this.putReport({ ...report, downSinceMs: this.options.clock.readMonotonicMs() })
+  }
+
+  /** Forgets runners that are no longer listed. */
+  keepOnly (runners: ReadonlySet<string>): void {
+    this.reports = new Map([...this.reports].filter(([runner]) => runners.has(runner)))
+  }
+
+  /** Gives a runner a short rest after a failed connection. */
+  restRunner (runner: string): void {
+    this.restUntilMs.set(runner, this.options.clock.readMonotonicMs() + REST_MS)
+  }
+
+  /** Last report of a runner. */
+  findReport (runner: string): RunnerReport | undefined {
+    return this.reports.get(runner)
+  }
+
+  /** All reports. */
+  listReports (): RunnerReport[] {
+    return [...this.reports.values()]
+  }
+
+  /**
+   * Runners that hold a model, those that crashed of late included: they keep their place in the ranking,
+   * so that a request that crashes upstreams does not move on to a third.
+   *
+   * @example
+   * table.listHolders('manual-3@v1')
+   */
+  listHolders (modelId: string): RunnerReport[] {
+    const now = this.options.clock.readMonotonicMs()
+    return this.listReports().filter((report) => hasReadyModel(report.state, modelId) && !this.options.isLeaving(report.runner) &&
+      (report.downSinceMs === undefined || now - report.downSinceMs < CRASH_MEMORY_MS))
+  }
+
+  /** Whether a runner may get new work now. */
+  isUsable (report: RunnerReport): boolean {
+    const now = this.options.clock.readMonotonicMs()
+    return report.downSinceMs === undefined && now - report.receivedAtMs < REPORT_EXPIRES_MS &&
+      now >= (this.restUntilMs.get(report.runner) ?? 0) && !report.state.leaving && !this.options.isLeaving(report.runner)
+  }
+
+  /** Notes that a request was sent to a runner; returns the function that ends it. */
+  registerInFlight (runner: string, entry: InFlight): () => void {
+    const entries = this.inFlight.get(runner) ?? new Map<string, InFlight>()
+    this.inFlight.set(runner, entries.set(entry.requestId, entry))
+    return () => {
+      entries.delete(entry.requestId)
+    }
+  }
+
+  /** Own requests at a runner. */
+  listInFlight (runner: string): InFlight[] {
+    return [...(this.inFlight.get(runner)?.values() ?? [])]
+  }
+
+  /** Requests at a runner, by own count and by what peers say. */
+  countActive (report: RunnerReport): number {
+    const now = this.options.clock.readMonotonicMs()
+    const own = this.inFlight.get(report.runner)?.size ?? 0
+    return own + this.options.hints.sumInFlight(report.runner, now)
+  }
+
+  /** Prompt tokens that a runner still has to process. */
+  sumPendingPromptTokens (report: RunnerReport): number {
+    const now = this.options.clock.readMonotonicMs()
+    const own = this.listInFlight(report.runner).filter((entry) => !entry.hasFirstToken).reduce((sum, entry) => sum + entry.promptTokens, 0)
+    return own + this.options.hints.sumPendingPromptTokens(report.runner, now)
+  }
+
+  /** Own counts by runner, for the hints to peers. */
+  exportInFlight (): { readonly inFlight: Record<string, number>, readonly pendingPromptTokens: Record<string, number> } {
+    const inFlight: Record<string, number> = {}
+    const pendingPromptTokens: Record<string, number> = {}
+    for (const [runner, entries] of this.inFlight) {
+      if (entries.size === 0) continue
+      inFlight[runner] = entries.size
+      const pending = [...entries.values()].filter((entry) => !entry.hasFirstToken).reduce((sum, entry) => sum + entry.promptTokens, 0)
+      if (pending > 0) pendingPromptTokens[runner] = pending
+    }
+    return { inFlight, pendingPromptTokens }
+  }
+}
+
+/**
+ * Tells whether a model is ready on a runner.
+ *
+ * @example
+ * hasReadyModel(state, 'manual-3@v1')
+ */
+export function hasReadyModel (state: EngineState, modelId: string): boolean {
+  return state.models.some((model) => model.id === modelId && model.phase === 'ready')
+}
--- /dev/null
+++ b/packages/figquay-standins/src/index.ts
@@ -0,0 +1,7 @@
+export { StandinEngine, CRASH_WORD, type EngineFacts, type StandinEngineOptions } from './FigquayStandinsEngine.js'
+export { SequenceBatch, type BatchingOptions, type Sequence } from './FigquayStandinsSequences.js'
+export { StandinLog, type LogBehaviour } from './FigquayStandinsLog.js'
+export { FaultProxy, type FaultProxyOptions, type FaultRule } from './FigquayStandinsProxy.js'
+export { StandinRoster, type RosterControl, type RosterVm } from './FigquayStandinsRoster.js'
+export { StandinService, type ServiceBehaviour, type StandinServiceOptions } from './FigquayStandinsService.js'
+export { StandinStore, type StandinStoreOptions, type StoreLane } from './FigquayStandinsStore.js'
--- /dev/null
+++ b/packages/figquay/src/FigquayIds.ts
@@ -0,0 +1,46 @@
+/** Identifiers and digests. */
+import { createHash, createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+
+const ID_BYTES = 12
+
+/**
+ * Makes an identifier that no other process makes.
+ *
+ * @example
+ * makeId('req') // 'req-7f3a…'
+ */
+export function makeId (prefix: string): string {
+  return `${prefix}-${randomBytes(ID_BYTES).toString('hex')}`
+}
+
+/**
+ * SHA-256 of a text, in hexadecimal.
+ *
+ * @example
+ * hashText('key') // '2c70e12b…'
+ */
+export function hashText (text: string | Uint8Array): string {
+  return createHash('sha256').update(text).digest('hex')
+}
+
+/**
+ * HMAC-SHA-256 of a text under a secret, in hexadecimal.
+ *
+ * @example
+ * signText('secret', 'nonce')
+ */
+export function signText (secret: string, text: string): string {
+  return createHmac('sha256', secret).update(text).digest('hex')
+}
+
+/**
+ * Compares two texts in a time that does not depend on where they differ.
+ *
+ * @example
+ * compareSecrets(hashText(given), stored)
+ */
+export function compareSecrets (left: string, right: string): boolean {
+  const leftBytes = Buffer.from(left)
+  const rightBytes = Buffer.from(right)
+  return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes)
+}
--- /dev/null
+++ b/packages/figquay/src/FigquayJsonClient.ts
@@ -0,0 +1,107 @@
+/** JSON over HTTP to the platform and to upstreams, wary of connections that went silent. */
+import { Agent, request } from 'undici'
+import { makeFailure, makeSuccess, type Outcome } from './FigquayOutcome.js'
+import { describeError } from './FigquayErrors.js'
+
+/** A reply that arrived whole and parsed. */
+export interface JsonReply {
+  readonly status: number
+  readonly body: unknown
+}
+
+/** Why a call gave no reply, and whether its bytes may have left. */
+export interface CallFailure {
+  /** `never`: no byte left this process. `maybe`: the other side may act on it. */
+  readonly sent: 'never' | 'maybe'
+  readonly reason: 'connect' | 'timeout' | 'reset' | 'malformed' | 'cancelled'
+  readonly message: string
+}
+
+const CONNECT_TIMEOUT_MS = 1_000
+const IDLE_CONNECTION_MS = 4_000
+
+const CONNECT_ERRORS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/**
+ * Classifies what undici threw.
+ *
+ * @example
+ * classifyCallError(new Error('socket hang up')) // { sent: 'maybe', reason: 'reset', … }
+ */
+export function classifyCallError (error: unknown): CallFailure {
+  const code = String((error as { code?: unknown }).code ?? '')
+  const name = (error as { name?: string }).name ?? ''
+  const message = describeError(error)
+  if (CONNECT_ERRORS.has(code)) return { sent: 'never', reason: 'connect', message }
+  if (name === 'TimeoutError' || code.includes('TIMEOUT')) return { sent: 'maybe', reason: 'timeout', message }
+  if (name === 'AbortError') return { sent: 'maybe', reason: 'cancelled', message }
+  return { sent: 'maybe', reason: 'reset', message }
+}
+
+/**
+ * A signal that aborts after some time.
+ *
+ * @param ms Any number of milliseconds; fractions are rounded up.
+ * @example
+ * const signal = makeTimeout(799.5)
+ */
+export function makeTimeout (ms: number): AbortSignal {
+  return AbortSignal.timeout(Math.max(1, Math.ceil(ms)))
+}
+
+/** Client with a connection pool that is thrown away as a whole when a call times out. */
+export class JsonClient {
+  private agent = JsonClient.makeAgent()
+
+  /**
+   * @example
+   * const client = JsonClient.create()
+   */
+  static create (): JsonClient {
+    return new JsonClient()
+  }
+
+  private static makeAgent (): Agent {
+    return new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: IDLE_CONNECTION_MS })
+  }
+
+  /**
+   * Sends one request; the reply counts only if it is whole JSON.
+   *
+   * @param timeoutMs Bound on the whole exchange, in milliseconds.
+   * @example
+   * const reply = await client.requestJson('GET', 'http://10.0.0.4:7000/vms', undefined, 1_000)
+   */
+  async requestJson (method: 'GET' | 'POST', url: string, body: unknown, timeoutMs: number, signal?: AbortSignal): Promise<Outcome<JsonReply, CallFailure>> {
+    const timeout = makeTimeout(timeoutMs)
+    const agent = this.agent
+    try {
+      const response = await request(url, {
+        method,
+        dispatcher: agent,
+        signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
+        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body)
+      })
+      const text = await response.body.text()
+      return makeSuccess({ status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) })
+    } catch (error) {
+      if (error instanceof SyntaxError) return makeFailure({ sent: 'maybe', reason: 'malformed', message: error.message })
+      const failure = timeout.aborted ? { sent: 'maybe' as const, reason: 'timeout' as const, message: `no reply in ${timeoutMs} ms` } : classifyCallError(error)
+      if (failure.reason === 'timeout') this.replaceAgent(agent)
+      return makeFailure(failure)
+    }
+  }
+
+  /** Closes every connection. */
+  close (): void {
+    this.agent.destroy()
+  }
+
+  /** A timeout makes every pooled connection suspect: later calls open new ones. */
+  private replaceAgent (suspect: Agent): void {
+    if (this.agent !== suspect) return
+    this.agent = JsonClient.makeAgent()
+    suspect.close()
+  }
+}
--- /dev/null
+++ b/packages/figquayctl/src/FigquayctlClient.ts
@@ -0,0 +1,54 @@
+/** Client of a daemon's operator port. */
+import { request as sendRequest } from 'undici'
+import { makeFailure, makeSuccess, type Outcome } from 'figquay'
+
+/** How to reach a daemon. */
+export interface OperatorAddress {
+  /** `http://ip:port` of the operator port. */
+  readonly url: string
+  readonly key: string
+}
+
+/** Why a call gave no result. */
+export interface OperatorFailure {
+  readonly kind: 'unreachable' | 'refused'
+  readonly message: string
+}
+
+const CALL_TIMEOUT_MS = 8_000
+const OK = 200
+
+/** JSON-RPC over HTTP. */
+export class OperatorClient {
+  private constructor (private readonly address: OperatorAddress) {}
+
+  /**
+   * @example
+   * const client = OperatorClient.create({ url: 'http://127.0.0.1:9090', key })
+   */
+  static create (address: OperatorAddress): OperatorClient {
+    return new OperatorClient(address)
+  }
+
+  /**
+   * Calls a method.
+   *
+   * @example
+   * const status = await client.callMethod<StatusReply>('status.get', {})
+   */
+  async callMethod<T> (method: string, params: unknown): Promise<Outcome<T, OperatorFailure>> {
+    try {
+      const response = await sendRequest(`${this.address.url}/rpc`, {
+        method: 'POST',
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        headers: { authorization: `Bearer ${this.address.key}`, 'content-type': 'application/json' },
+        body: JSON.stringify({ jsonrpc: '2.0', id: 1, method, params })
+      })
+      const body = await response.body.json() as { result?: T, error?: { message: string } }
+      if (response.statusCode === OK && body.error === undefined) return makeSuccess(body.result as T)
+      return makeFailure({ kind: 'refused', message: body.error?.message ?? `status ${response.statusCode}` })
+    } catch (error) {
+      return makeFailure({ kind: 'unreachable', message: `${this.address.url}: ${(error as Error).message || (error as { code?: string }).code || 'no answer'}` })
+    }
+  }
+}
--- /dev/null
+++ b/packages/figquayctl/src/FigquayctlViews.ts
@@ -0,0 +1,99 @@
+/** Views of a running system for people. */
+import { formatTable } from './FigquayctlOutput.js'
+
+/** One daemon at a glance, as the operator port gives it. */
+export interface StatusView {
+  readonly daemons: ReadonlyArray<{
+    readonly daemon: string
+    readonly zone: string
+    readonly ready: boolean
+    readonly draining: boolean
+    readonly activeExchanges: number
+    readonly queueLength: number
+    readonly peers: readonly string[]
+    readonly cells: readonly string[]
+    readonly positions: Readonly<Record<string, number>>
+    readonly logReachable: boolean
+  }>
+  readonly missing: readonly string[]
+}
+
+/** A runner's last report. */
+export interface RunnerView {
+  readonly runner: string
+  readonly zone: string
+  readonly active: number
+  readonly downSinceMs?: number
+  readonly state: {
+    readonly leaving: boolean
+    readonly models: ReadonlyArray<{ readonly id: string, readonly phase: string }>
+    readonly adapters: readonly unknown[]
+    readonly load: { readonly running: number, readonly waiting: number, readonly stepMs: number, readonly maxBatch: number }
+  }
+}
+
+/** One move. */
+export interface MoveView {
+  readonly at: string
+  readonly daemon: string
+  readonly action: string
+  readonly runner: string
+  readonly subject: string
+  readonly reason: string
+  readonly result: string
+}
+
+/**
+ * Daemons as a table.
+ *
+ * @example
+ * formatStatus(reply)
+ */
+export function formatStatus (status: StatusView): string {
+  const rows = status.daemons.map((daemon) => [
+    daemon.daemon, daemon.zone, daemon.draining ? 'draining' : daemon.ready ? 'ready' : 'not ready', String(daemon.activeExchanges), String(daemon.queueLength),
+    String(daemon.peers.length), daemon.logReachable ? 'yes' : 'no', String(daemon.positions['config'] ?? 0), daemon.cells.join(' ')
+  ])
+  const missing = status.missing.length === 0 ? '' : `\nno answer: ${status.missing.join(', ')}`
+  return formatTable(['daemon', 'zone', 'state', 'active', 'waiting', 'peers', 'log', 'config', 'orders runners of'], rows) + missing
+}
+
+/** Runners as a table. */
+export function formatRunners (runners: readonly RunnerView[]): string {
+  const rows = [...runners].sort((a, b) => a.runner < b.runner ? -1 : 1).map((runner) => [
+    runner.runner, runner.zone, runner.downSinceMs !== undefined ? 'down' : runner.state.leaving ? 'leaving' : 'up',
+    `${runner.active}/${runner.state.load.maxBatch}`, runner.state.load.stepMs.toFixed(1), String(runner.state.adapters.length),
+    runner.state.models.map((model) => model.phase === 'ready' ? model.id : `${model.id} (${model.phase})`).join(' ')
+  ])
+  return formatTable(['runner', 'zone', 'state', 'active', 'step ms', 'adapters', 'models'], rows)
+}
+
+/** Copies of each model as a table. */
+export function formatModels (runners: readonly RunnerView[]): string {
+  const copies = new Map<string, string[]>()
+  for (const runner of runners) {
+    for (const model of runner.state.models) {
+      const place = model.phase === 'ready' ? runner.runner : `${runner.runner} (${model.phase})`
+      copies.set(model.id, [...copies.get(model.id) ?? [], place])
+    }
+  }
+  const rows = [...copies].sort(([a], [b]) => a < b ? -1 : 1).map(([id, places]) => [id, String(places.length), places.sort().join(' ')])
+  return formatTable(['model', 'copies', 'runners'], rows)
+}
+
+/** Moves as a table. */
+export function formatMoves (moves: readonly MoveView[]): string {
+  return formatTable(['at', 'daemon', 'action', 'runner', 'subject', 'result', 'why'], moves.map((move) => [move.at, move.daemon, move.action, move.runner, move.subject, move.result, move.reason]))
+}
+
+/** Decisions about one request as a table. */
+export function formatTrace (events: ReadonlyArray<{ readonly at: string, readonly daemon: string, readonly event: string, readonly detail: string }>): string {
+  if (events.length === 0) return 'no daemon remembers the request'
+  return formatTable(['at', 'daemon', 'event', 'detail'], events.map((event) => [event.at, event.daemon, event.event, event.detail]))
+}
+
+/** Rulings on changes as a table. */
+export function formatHistory (verdicts: ReadonlyArray<{ readonly at: number, readonly offset: number, readonly changeId: string, readonly author: string, readonly verdict: string, readonly reason: string, readonly keys: readonly string[] }>): string {
+  const rows = verdicts.map((verdict) => [new Date(verdict.at).toISOString(), String(verdict.offset), verdict.changeId, verdict.author, verdict.verdict, verdict.reason === '' ? `${verdict.keys.length} documents` : verdict.reason])
+  return formatTable(['at', 'offset', 'change', 'author', 'ruling', 'what'], rows)
+}
