--- a/packages/figquay-membership/src/FigquayMembership.ts
+++ b/packages/figquay-membership/src/FigquayMembership.ts
@@ -27,6 +27,7 @@
   private vms: ReadonlyMap<string, Vm> = new Map()
   private readonly leavingMarks = new Map<string, LeavingMark>()
   private readonly absentSince = new Map<string, number>()
+  private readonly leavingSince = new Map<string, number>()
   private readonly listeners = new Set<() => void>()
 
   private constructor (private readonly options: MembershipOptions) {}
@@ -78,6 +79,18 @@
     return vm === undefined || vm.state === 'leaving' || this.leavingMarks.has(id)
   }
 
+  /** Milliseconds since a VM was first seen to be leaving; 0 while it is not. */
+  readLeavingMs (id: string): number {
+    if (!this.isLeaving(id)) {
+      this.leavingSince.delete(id)
+      return 0
+    }
+    const now = this.options.clock.readMonotonicMs()
+    const since = this.leavingSince.get(id) ?? now
+    this.leavingSince.set(id, since)
+    return Math.max(1, now - since)
+  }
+
   /** Milliseconds that a VM has been off the list; 0 while it is on it. */
   readAbsenceMs (id: string): number {
     const since = this.absentSince.get(id)
@@ -100,6 +113,7 @@
     if (known?.source === 'vm' && source === 'peer') return
     this.leavingMarks.set(id, { atMs: this.options.clock.readMonotonicMs(), source })
     if (known !== undefined) return
+    this.readLeavingMs(id)
     this.options.logger.info('vm is leaving', { vm: id, source })
     this.notifyListeners()
   }
@@ -131,6 +145,8 @@
     }
     for (const id of next.keys()) this.absentSince.delete(id)
     this.vms = next
+    // Starts the time of those that are leaving from here on.
+    for (const id of next.keys()) this.readLeavingMs(id)
     this.notifyListeners()
   }
 
--- a/packages/figquay-peers/src/FigquayPeersHints.ts
+++ b/packages/figquay-peers/src/FigquayPeersHints.ts
@@ -1,9 +1,7 @@
 /** Soft state that daemons tell each other; it may be late, lost or doubled. */
 
-/** What one daemon sees of its own traffic at one moment. */
-export interface Hints {
-  /** Sender. */
-  readonly daemon: string
+/** Parts of the hints; each is sent whole or not at all. */
+export interface HintParts {
   /** Position of each followed stream, so that a daemon cut off from the log can catch up. */
   readonly positions: Readonly<Record<string, number>>
   /** Requests in flight to each runner, none left out but zeroes. */
@@ -18,6 +16,14 @@
   readonly leaving: readonly string[]
 }
 
+/** What one daemon sees of its own traffic at one moment. */
+export interface Hints extends HintParts {
+  /** Sender. */
+  readonly daemon: string
+}
+
+const NO_HINTS: HintParts = { positions: {}, inFlight: {}, pendingPromptTokens: {}, customerDemand: {}, modelDemand: {}, leaving: [] }
+
 /** Hints with the time at which they came in. */
 export interface ReceivedHints {
   readonly hints: Hints
@@ -26,7 +32,7 @@
 }
 
 /** Hints older than this say nothing any more, in milliseconds. */
-const HINTS_EXPIRE_MS = 2_000
+const HINTS_EXPIRE_MS = 2_500
 
 /** Latest hints of each peer. */
 export class HintTable {
@@ -41,13 +47,15 @@
   }
 
   /**
-   * Notes the hints of a peer.
+   * Notes the parts that a peer has sent and returns all that is known of it now.
    *
    * @example
-   * table.putHints(hints, clock.readMonotonicMs())
+   * const hints = table.putParts({ daemon: 'daemon-2', inFlight: { 'engine-1': 3 } }, clock.readMonotonicMs())
    */
-  putHints (hints: Hints, nowMs: number): void {
-    this.latest = new Map(this.latest).set(hints.daemon, { hints, receivedAtMs: nowMs })
+  putParts (parts: Partial<HintParts> & { readonly daemon: string }, nowMs: number): Hints {
+    const hints: Hints = { ...NO_HINTS, ...this.latest.get(parts.daemon)?.hints, ...parts }
+    this.latest = new Map(this.latest).set(parts.daemon, { hints, receivedAtMs: nowMs })
+    return hints
   }
 
   /** Hints that are still fresh. */
--- a/packages/figquay-peers/src/index.ts
+++ b/packages/figquay-peers/src/index.ts
@@ -1,3 +1,4 @@
-export { HintTable, type Hints, type ReceivedHints } from './FigquayPeersHints.js'
+export { HintSender } from './FigquayPeersHintSender.js'
+export { HintTable, type HintParts, type Hints, type ReceivedHints } from './FigquayPeersHints.js'
 export { PeerConnection, type PeerConnectionOptions, type PeerMethods } from './FigquayPeerConnection.js'
 export { PeerMesh, selectNeighbours, type PeerAddress, type PeerMeshOptions } from './FigquayPeerMesh.js'
--- a/packages/figquay-placement/src/FigquayPlacementController.ts
+++ b/packages/figquay-placement/src/FigquayPlacementController.ts
@@ -182,8 +182,8 @@
     return {
       id: vm.id,
       zone: vm.zone,
-      isServing: this.options.table.isUsable(report),
-      isUsable: isReady && this.options.table.isUsable(report),
+      isServing: this.options.table.isStaying(report),
+      isUsable: isReady && this.options.table.isStaying(report),
       freeBytes: pool.memory - pool.adapterMemory - ledger.sumBytes('models'),
       copies,
       busySubjects: new Set(copies.filter((copy) => ledger.hasOpenOrder(copy.id)).map((copy) => copy.id)),
--- a/packages/figquay-routing/src/FigquayRoutingRateMeter.ts
+++ b/packages/figquay-routing/src/FigquayRoutingRateMeter.ts
@@ -89,7 +89,7 @@
     const rates: Record<string, number> = {}
     for (const [name, meter] of this.meters) {
       const rate = meter.readRate(nowMs)
-      if (rate > NEGLIGIBLE_RATE) rates[name] = Number(rate.toFixed(3))
+      if (rate > NEGLIGIBLE_RATE) rates[name] = Number(rate.toPrecision(2))
       else this.meters.delete(name)
     }
     return rates
--- a/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
+++ b/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
@@ -32,13 +32,16 @@
 export interface RunnerTableOptions {
   readonly clock: Clock
   readonly hints: HintTable
-  readonly isLeaving: (runner: string) => boolean
+  /** Milliseconds since a runner was seen to be leaving; 0 while it is not. */
+  readonly readLeavingMs: (runner: string) => number
 }
 
 /** Reports older than this make a runner unusable, in milliseconds. */
 const REPORT_EXPIRES_MS = 3_000
 /** A runner that crashed keeps its place among the candidates for this long, in milliseconds. */
 const CRASH_MEMORY_MS = 30_000
+/** A leaving runner may serve a model that nobody else holds for this long, in milliseconds. */
+const LAST_RESORT_MS = 2_000
 /** A runner that refused or reset a connection rests for this long, in milliseconds. */
 const REST_MS = 400
 
@@ -52,7 +55,7 @@
 
   /**
    * @example
-   * const table = RunnerTable.create({ clock, hints, isLeaving })
+   * const table = RunnerTable.create({ clock, hints, readLeavingMs })
    */
   static create (options: RunnerTableOptions): RunnerTable {
     return new RunnerTable(options)
@@ -97,22 +100,30 @@
 
   /**
    * Runners that hold a model, those that crashed of late included: they keep their place in the ranking,
-   * so that a request that crashes upstreams does not move on to a third.
+   * so that a request that crashes upstreams does not move on to a third. When every holder is leaving,
+   * those that began to a moment ago still count, while the model is loaded elsewhere.
    *
    * @example
    * table.listHolders('manual-3@v1')
    */
   listHolders (modelId: string): RunnerReport[] {
     const now = this.options.clock.readMonotonicMs()
-    return this.listReports().filter((report) => hasReadyModel(report.state, modelId) && !this.options.isLeaving(report.runner) &&
-      (report.downSinceMs === undefined || now - report.downSinceMs < CRASH_MEMORY_MS))
+    const holders = this.listReports().filter((report) => hasReadyModel(report.state, modelId) && (report.downSinceMs === undefined || now - report.downSinceMs < CRASH_MEMORY_MS))
+    const staying = holders.filter((report) => this.options.readLeavingMs(report.runner) === 0)
+    if (staying.some((report) => this.isUsable(report))) return staying
+    return holders.filter((report) => this.options.readLeavingMs(report.runner) < LAST_RESORT_MS)
   }
 
   /** Whether a runner may get new work now. */
   isUsable (report: RunnerReport): boolean {
     const now = this.options.clock.readMonotonicMs()
     return report.downSinceMs === undefined && now - report.receivedAtMs < REPORT_EXPIRES_MS &&
-      now >= (this.restUntilMs.get(report.runner) ?? 0) && !report.state.leaving && !this.options.isLeaving(report.runner)
+      now >= (this.restUntilMs.get(report.runner) ?? 0) && this.options.readLeavingMs(report.runner) < LAST_RESORT_MS
+  }
+
+  /** Whether a runner stays: its copies count for placement. */
+  isStaying (report: RunnerReport): boolean {
+    return this.options.readLeavingMs(report.runner) === 0 && this.isUsable(report)
   }
 
   /** Notes that a request was sent to a runner; returns the function that ends it. */
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -6,7 +6,7 @@
 import { IdempotencyRunner } from 'figquay-idempotency'
 import type { LogRecord, SnapshotData } from 'figquay-log'
 import { Membership } from 'figquay-membership'
-import { HintTable, PeerMesh, selectNeighbours, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
+import { HintSender, HintTable, PeerMesh, selectNeighbours, type HintParts, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
 import { LeaseKeeper, makeModelId, OrderBook, PlacementController } from 'figquay-placement'
 import { BurnTracker, Metrics } from 'figquay-report'
 import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type RunnerReport } from 'figquay-routing'
@@ -25,6 +25,7 @@
   private readonly logger: Logger
   private readonly tasks: TaskGroup
   private readonly hints = HintTable.create()
+  private readonly hintSender = HintSender.create()
   private readonly metrics = Metrics.create()
   private readonly crashes = CrashGuard.create()
   private readonly suspects = SuspectPermits.create()
@@ -70,7 +71,7 @@
       snapshotRecords: settings.snapshots.records
     })
     this.mesh = PeerMesh.create({ self: this.ownAddress, secrets: settings.peerSecrets, methods: this.makePeerMethods(), clock, logger: this.logger })
-    this.table = RunnerTable.create({ clock, hints: this.hints, isLeaving: (runner) => this.membership.isLeaving(runner) })
+    this.table = RunnerTable.create({ clock, hints: this.hints, readLeavingMs: (runner) => this.membership.readLeavingMs(runner) })
     this.modelDemand = ModelDemand.create({ clock, hints: this.hints, table: this.table })
     this.predictor = FirstTokenPredictor.create(this.table)
     this.dispatcher = Dispatcher.create({ clock, table: this.table, predictor: this.predictor, selector: plugins.selector, admission: plugins.admission, crashes: this.crashes, demand: this.modelDemand })
@@ -182,11 +183,12 @@
       modelDemand: this.modelDemand.listOwn(),
       leaving: this.membership.listLeaving()
     }
-    this.mesh.sendToAll('hints.put', hints)
+    const parts = this.hintSender.selectParts(hints, this.clock.readMonotonicMs())
+    if (parts !== undefined) this.mesh.sendToAll('hints.put', parts)
   }
 
-  private takeHints (hints: Hints): void {
-    this.hints.putHints(hints, this.clock.readMonotonicMs())
+  private takeHints (parts: Partial<HintParts> & { readonly daemon: string }): void {
+    const hints = this.hints.putParts(parts, this.clock.readMonotonicMs())
     for (const vm of hints.leaving) this.membership.markLeaving(vm, 'peer')
     this.dispatcher.planPass()
     this.streams.catchUp(this.mesh, hints)
@@ -199,7 +201,7 @@
 
   private makePeerMethods (): PeerMethods {
     return {
-      'hints.put': (hints: Hints) => this.takeHints(hints),
+      'hints.put': (parts: Partial<HintParts> & { readonly daemon: string }) => this.takeHints(parts),
       'crash.charge': (charge: CrashCharge) => this.crashes.addCharge(charge, this.clock.readMonotonicMs()),
       'log.read': (params: { stream: string, from: number }): readonly LogRecord[] | null => this.streams.findStream(params.stream)?.listRecent(params.from) ?? null,
       'log.snapshot': (params: { stream: string }): SnapshotData | null => this.streams.findStream(params.stream)?.exportSnapshot() ?? null,
