--- a/packages/figquay-measure/src/FigquayMeasureCluster.ts
+++ b/packages/figquay-measure/src/FigquayMeasureCluster.ts
@@ -6,7 +6,7 @@
 import { fileURLToPath } from 'node:url'
 import { hashText, JsonClient } from 'figquay'
 import { listDocuments, parseDeployment, type DocumentChange } from 'figquay-contracts'
-import type { FaultRule, LogBehaviour, RosterControl, RosterVm } from 'figquay-standins'
+import type { FaultRule, LogBehaviour, RosterControl, RosterVm, StandinEngineOptions } from 'figquay-standins'
 import { DEPLOYMENTS, type DeploymentName, type DeploymentSize } from './FigquayMeasureDeployments.js'
 import { findPorts, ManagedProcess } from './FigquayMeasureProcesses.js'
 
@@ -23,6 +23,8 @@
   /** Multiplies every duration of the weight store; below 1 loads are faster. */
   readonly storeScale?: number
   readonly restartMs?: number
+  /** Engines that share a process, for many light ones; 1 unless said otherwise. */
+  readonly enginesPerProcess?: number
   /** Whether to wait until every model is loaded; true unless said otherwise. */
   readonly waitForModels?: boolean
   readonly drainGrace?: string
@@ -288,25 +290,36 @@
   }
 
   private async startEngines (): Promise<void> {
-    const ports = await findPorts(this.size.runners * 3)
-    await Promise.all(Array.from({ length: this.size.runners }, async (_, index) => {
-      const id = `engine-${index + 1}`
-      const [port, proxyPort, controlPort] = ports.slice(index * 3, index * 3 + 3) as [number, number, number]
-      const engine = {
-        id,
-        port,
-        capacityBytes: this.size.capacityGib * GIB,
-        fencing: this.options.fencing ?? 'checked',
-        storeUrl: this.storeUrl,
-        batching: this.size.batching,
-        loadLagMs: LOAD_LAG_MS,
-        restartMs: this.options.restartMs ?? 2_000
-      }
-      const process = await this.startStandin(id, 'engine', { engines: [engine] })
-      this.engines[index] = await this.makeUpstream(id, 'engine', this.size.pool, index, process, port, proxyPort, controlPort, this.options.proxied?.engines === true)
+    const perProcess = this.options.enginesPerProcess ?? 1
+    const count = Math.ceil(this.size.runners / perProcess)
+    await Promise.all(Array.from({ length: count }, (_, index) => this.startEngineProcess(index * perProcess, Math.min(this.size.runners, (index + 1) * perProcess))))
+  }
+
+  /** Starts the engines from one index to before another in one process. */
+  private async startEngineProcess (from: number, to: number): Promise<void> {
+    const ports = await findPorts((to - from) * 3)
+    const indexes = Array.from({ length: to - from }, (_, position) => from + position)
+    const engines = indexes.map((index) => this.makeEngineOptions(`engine-${index + 1}`, ports[(index - from) * 3]!))
+    const process = await this.startStandin(`engine-${from + 1}`, 'engine', { engines })
+    await Promise.all(indexes.map(async (index) => {
+      const [port, proxyPort, controlPort] = ports.slice((index - from) * 3, (index - from) * 3 + 3) as [number, number, number]
+      this.engines[index] = await this.makeUpstream(`engine-${index + 1}`, 'engine', this.size.pool, index, process, port, proxyPort, controlPort, this.options.proxied?.engines === true)
     }))
   }
 
+  private makeEngineOptions (id: string, port: number): StandinEngineOptions {
+    return {
+      id,
+      port,
+      capacityBytes: this.size.capacityGib * GIB,
+      fencing: this.options.fencing ?? 'checked',
+      storeUrl: this.storeUrl,
+      batching: this.size.batching,
+      loadLagMs: LOAD_LAG_MS,
+      restartMs: this.options.restartMs ?? 2_000
+    }
+  }
+
   private async startServices (): Promise<void> {
     const ports = await findPorts(this.size.serviceUpstreams * 3)
     await Promise.all(Array.from({ length: this.size.serviceUpstreams }, async (_, index) => {
