Predict what nine in ten stay under; spend less while idle

Causes: - Overload 'beyond capacity': all late answers were in the first second of the flood (indices 14 to 35 of 240): predictions began without regard to decoding steps between parts of a prompt.

In one run before the last change the limit test failed too, with no figure printed; it prints one now.

--- a/packages/figquay-log/src/FigquayFoldedStream.ts
+++ b/packages/figquay-log/src/FigquayFoldedStream.ts
@@ -12,7 +12,7 @@
   readonly logger: Logger
 }
 
-const LONG_POLL_MS = 500
+const LONG_POLL_MS = 900
 const RETRY_PAUSE_MS = 100
 /** Raw records kept to pass on to peers that cannot reach the log. */
 const RECENT_RECORDS = 2_000
@@ -109,10 +109,13 @@
   async waitUntil (condition: () => boolean, timeoutMs: number, signal?: AbortSignal): Promise<boolean> {
     if (condition()) return true
     const settled = new AbortController()
+    const settle = (): void => settled.abort()
     const undo = this.registerListener(() => {
-      if (condition()) settled.abort()
+      if (condition()) settle()
     })
-    await this.options.clock.waitFor(timeoutMs, signal === undefined ? settled.signal : AbortSignal.any([settled.signal, signal]))
+    signal?.addEventListener('abort', settle, { once: true })
+    await this.options.clock.waitFor(timeoutMs, settled.signal)
+    signal?.removeEventListener('abort', settle)
     undo()
     return condition()
   }
--- a/packages/figquay-measure/src/__tests__/integration/Overload.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/Overload.test.ts
@@ -7,6 +7,8 @@
 const WINDOW_SECONDS = 10
 const OVERSHOOT = 1.1
 const REFUSAL_P99_MS = 50
+/** The target of letter 1: the first token in time for 95 in 100. */
+const IN_TIME_PART = 0.95
 
 describe('overload', () => {
   const cluster = LocalCluster.create({
@@ -40,6 +42,7 @@
       await flood(3, 60, (index) => caller.complete({ url: pick(index), key: 'key-workshop-alexandria', model: 'shop-1', nonce: `w${index}`, prompt: 'clamp?', outputTokens: 1 }))
       const results = await flood(WINDOW_SECONDS, 60, (index) => caller.complete({ url: pick(index), key: 'key-workshop-alexandria', model: 'shop-1', nonce: `l${index}`, prompt: 'clamp?', outputTokens: 1 }))
       const admitted = results.filter((result) => result.status !== 429).length
+      process.stderr.write(`admitted: ${admitted}; refused: ${results.filter((result) => result.status === 503).length}\n`)
       expect(admitted <= LIMIT_PER_SECOND * WINDOW_SECONDS * OVERSHOOT).toEqual(true)
       expect(admitted >= LIMIT_PER_SECOND * WINDOW_SECONDS * 0.7).toEqual(true)
       for (const result of results.filter((entry) => entry.status === 429)) expect(result.retryAfterSeconds !== undefined && result.outcome === 'not-run').toEqual(true)
@@ -57,8 +60,8 @@
     const answered = results.filter((result) => result.answer === 'whole')
     const inTime = answered.filter((result) => result.firstTokenMs <= 1_200).length
     const part = inTime / answered.length
-    if (part <= 0.9) process.stderr.write(`in time: ${inTime} of ${answered.length}\n`)
-    expect({ answered: answered.length > 20, inTime: part > 0.9 }).toEqual({ answered: true, inTime: true })
+    process.stderr.write(`in time: ${inTime} of ${answered.length}; late: ${results.flatMap((result, index) => result.answer === 'whole' && result.firstTokenMs > 1_200 ? [`${index}:${Math.round(result.firstTokenMs)}`] : []).join(' ')}\n`)
+    expect({ answered: answered.length > 20, inTime: part >= IN_TIME_PART }).toEqual({ answered: true, inTime: true })
   })
 
   test('overnight work gives way to callers who wait', async () => {
--- a/packages/figquay-measure/src/capacity.ts
+++ b/packages/figquay-measure/src/capacity.ts
@@ -164,7 +164,7 @@
     }
     const micros = (performance.now() - startMs) * 1_000 / keys
     globalThis.gc?.()
-    process.stdout.write(`claims fold: ${keys} keys: ${micros.toFixed(1)} µs a key, ${((process.memoryUsage().heapUsed - before) / keys).toFixed(0)} bytes a key\n`)
+    process.stdout.write(`claims fold: ${keys} keys: ${micros.toFixed(1)} µs a key, ${((process.memoryUsage().heapUsed - before) / keys).toFixed(0)} bytes a key (${fold.size} held)\n`)
   }
 }
 
@@ -189,8 +189,9 @@
     const policy = GainPlacement.create()
     policy.planMoves(view)
     const rounds = 5
+    const laterMs = 2_000
     const startMs = performance.now()
-    for (let index = 0; index < rounds; index++) policy.planMoves(view)
+    for (let index = 0; index < rounds; index++) policy.planMoves({ ...view, nowMs: view.nowMs + (index + 1) * laterMs })
     process.stdout.write(`plan: ${runners} runners, ${models} models: ${((performance.now() - startMs) / rounds).toFixed(2)} ms a round\n`)
   }
 }
--- a/packages/figquay-membership/src/FigquayMembership.ts
+++ b/packages/figquay-membership/src/FigquayMembership.ts
@@ -17,7 +17,7 @@
   readonly source: LeavingSource
 }
 
-const REFRESH_MS = 400
+const REFRESH_MS = 700
 /** How long a mark that a VM is leaving outlives the roster saying otherwise, in milliseconds. */
 const LEAVING_MARK_MS = 10_000
 
--- a/packages/figquay-placement/src/FigquayPlacementGain.ts
+++ b/packages/figquay-placement/src/FigquayPlacementGain.ts
@@ -9,6 +9,8 @@
 /** Value of a second copy, as a part of the demand that one lost runner would leave without any. */
 const INSURANCE_PART = 0.08
 const SECONDS_PER_MINUTE = 60
+/** Gains are weighed this often at most, in milliseconds. */
+const GAIN_INTERVAL_MS = 1_000
 
 /** Expected loss of a runner under a load, in busy runners. */
 function measureLoss (load: number): number {
@@ -69,6 +71,8 @@
 
 /** Placement by marginal gain. */
 export class GainPlacement extends PlacementPolicy {
+  private lastGainAtMs = Number.NEGATIVE_INFINITY
+
   /**
    * @example
    * const policy = GainPlacement.create()
@@ -167,7 +171,8 @@
 
   /** The one best move whose gain is above its price. */
   private planGain (view: PlanView): PlannedMove[] {
-    if (view.loadsLeft <= 0) return []
+    if (view.loadsLeft <= 0 || view.nowMs - this.lastGainAtMs < GAIN_INTERVAL_MS) return []
+    this.lastGainAtMs = view.nowMs
     const loads = new LoadModel(view)
     const rested = view.runners.filter((runner) => runner.isUsable && view.nowMs - runner.lastMoveAtMs >= view.policy.coolDown)
     const candidates = view.models.filter((model) => model.demand > 0).flatMap((model) => rested
--- a/packages/figquay-routing/src/FigquayRoutingAdmission.ts
+++ b/packages/figquay-routing/src/FigquayRoutingAdmission.ts
@@ -32,7 +32,7 @@
 const MODEL_RETRY_MS = 2_000
 const SHORTEST_RETRY_MS = 200
 /** Part of the time that a prediction may fill. */
-const PREDICTION_PART = 0.9
+const PREDICTION_PART = 1
 
 /** Admits what is predicted to meet its contract. */
 export class PredictedAdmission extends AdmissionPolicy {
--- a/packages/figquay-routing/src/FigquayRoutingCompletions.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCompletions.ts
@@ -176,7 +176,7 @@
     if (progress.firstTokenMs === undefined) progress.firstTokenMs = this.options.clock.readMonotonicMs() - progress.request.arrivedAtMs
     if (!entry.hasFirstToken) {
       entry.hasFirstToken = true
-      this.options.predictor.noteFirstToken(entry.predictedMs, this.options.clock.readMonotonicMs() - progress.sentAtMs)
+      if (!entry.isBatch) this.options.predictor.noteFirstToken(entry.predictedMs, this.options.clock.readMonotonicMs() - progress.sentAtMs)
       this.options.predictor.notePrefix(report.runner, progress.request.prefixKey)
       this.options.dispatcher.planPass()
     }
--- a/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
+++ b/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
@@ -151,6 +151,7 @@
       requestId: request.requestId,
       fingerprint: request.fingerprint,
       promptTokens: predictor.estimatePrompt(report.runner, request),
+      isBatch: request.kind.priority === 'batch',
       isCharged,
       predictedMs: predictor.predictFirstTokenMs(report, request, 0),
       hasFirstToken: false
--- a/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -15,7 +15,9 @@
   readonly onReport: (report: RunnerReport) => void
 }
 
-const POLL_MS = 300
+const BUSY_POLL_MS = 300
+/** A runner on which nothing goes on is asked less often. */
+const IDLE_POLL_MS = 1_000
 const FAILURES_TO_DOWN = 3
 
 /** Keeps the runner table up to date. */
@@ -77,11 +79,20 @@
       const failure = await this.pollRunner(vm)
       failures = failure === undefined ? 0 : failures + 1
       if (failures >= FAILURES_TO_DOWN) this.options.table.markDown(runner)
-      await this.options.clock.waitFor(POLL_MS, signal)
+      await this.options.clock.waitFor(this.isBusy(runner) ? BUSY_POLL_MS : IDLE_POLL_MS, signal)
     }
     this.watched.delete(runner)
   }
 
+  /** A runner that works, moves something, or does not answer is asked often. */
+  private isBusy (runner: string): boolean {
+    const report = this.options.table.findReport(runner)
+    if (report === undefined || report.downSinceMs !== undefined) return true
+    const { models, adapters, load } = report.state
+    const isMoving = [...models, ...adapters].some((held) => held.phase !== 'ready')
+    return isMoving || load.running + load.waiting > 0 || this.options.table.countActive(report) > 0
+  }
+
   /** Undefined when the runner answered, else why not. */
   private async pollRunner (vm: Vm): Promise<string | undefined> {
     const requestedAtMs = this.options.clock.readMonotonicMs()
--- a/packages/figquay-routing/src/FigquayRoutingPredictor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingPredictor.ts
@@ -7,7 +7,11 @@
 const REMEMBERED_PREFIXES = 5_000
 const FIRST_SERVICE_MS = 1_500
 const SERVICE_WEIGHT = 0.1
-const CORRECTION_WEIGHT = 0.1
+const FIRST_CORRECTION = 1.3
+const CORRECTION_STEP = 0.08
+/** Part of the requests whose first token comes no later than predicted. */
+const COVERED_PART = 0.9
+const SHORTEST_LESSON_MS = 300
 const LOWEST_CORRECTION = 0.7
 const HIGHEST_CORRECTION = 3
 /** Steps between the end of the prompt and the first token at the caller. */
@@ -17,8 +21,8 @@
 export class FirstTokenPredictor {
   private readonly prefixes = new Map<string, true>()
   private meanServiceMs = FIRST_SERVICE_MS
-  /** Factor between what the formula says and what was seen. */
-  private correction = 1
+  /** Factor on the formula under which most of what was seen stays. */
+  private correction = FIRST_CORRECTION
 
   private constructor (private readonly table: RunnerTable) {}
 
@@ -47,14 +51,16 @@
   }
 
   /**
-   * Learns from what a prediction came to.
+   * Learns from what a prediction came to: the factor that nine in ten stay under.
    *
    * @example
    * predictor.noteFirstToken(entry.predictedMs, 420)
    */
   noteFirstToken (predictedMs: number, actualMs: number): void {
-    const wanted = this.correction * actualMs / Math.max(1, predictedMs)
-    const next = this.correction + CORRECTION_WEIGHT * (wanted - this.correction)
+    // Short waits are mostly rounding, and never decide anything.
+    if (Math.max(predictedMs, actualMs) < SHORTEST_LESSON_MS) return
+    const step = actualMs > predictedMs ? COVERED_PART : COVERED_PART - 1
+    const next = this.correction + CORRECTION_STEP * step
     this.correction = Math.min(HIGHEST_CORRECTION, Math.max(LOWEST_CORRECTION, next))
   }
 
--- a/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
+++ b/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
@@ -8,6 +8,8 @@
   readonly requestId: string
   readonly fingerprint: string
   readonly promptTokens: number
+  /** Engines put batch work behind all other, so nobody waits for it. */
+  readonly isBatch: boolean
   /** The request was in flight at a crash before. */
   readonly isCharged: boolean
   /** Predicted time from sending to the first token, in milliseconds. */
@@ -147,10 +149,10 @@
     return own + this.options.hints.sumInFlight(report.runner, now)
   }
 
-  /** Prompt tokens that a runner still has to process. */
+  /** Prompt tokens that a runner still has to process, batch work aside. */
   sumPendingPromptTokens (report: RunnerReport): number {
     const now = this.options.clock.readMonotonicMs()
-    const own = this.listInFlight(report.runner).filter((entry) => !entry.hasFirstToken).reduce((sum, entry) => sum + entry.promptTokens, 0)
+    const own = sumPending(this.listInFlight(report.runner))
     // What peers told of has been worked on since, but they have sent more since too: take it as it is.
     return own + this.options.hints.sumPendingPromptTokens(report.runner, now)
   }
@@ -162,13 +164,18 @@
     for (const [runner, entries] of this.inFlight) {
       if (entries.size === 0) continue
       inFlight[runner] = entries.size
-      const pending = [...entries.values()].filter((entry) => !entry.hasFirstToken).reduce((sum, entry) => sum + entry.promptTokens, 0)
+      const pending = sumPending([...entries.values()])
       if (pending > 0) pendingPromptTokens[runner] = pending
     }
     return { inFlight, pendingPromptTokens }
   }
 }
 
+/** Prompt tokens of requests that wait for their first token. */
+function sumPending (entries: readonly InFlight[]): number {
+  return entries.filter((entry) => !entry.hasFirstToken && !entry.isBatch).reduce((sum, entry) => sum + entry.promptTokens, 0)
+}
+
 /**
  * Tells whether a model is ready on a runner.
  *
--- a/packages/figquay-routing/src/FigquayRoutingServices.ts
+++ b/packages/figquay-routing/src/FigquayRoutingServices.ts
@@ -15,7 +15,7 @@
   readonly traces: RequestTraces
 }
 
-const HEALTH_INTERVAL_MS = 500
+const HEALTH_INTERVAL_MS = 800
 const REST_MS = 500
 const MOST_ATTEMPTS = 4
 const RETRY_AFTER_MS = 1_000
--- a/packages/figquay-upstreams/src/FigquayHttpPlainServiceClient.ts
+++ b/packages/figquay-upstreams/src/FigquayHttpPlainServiceClient.ts
@@ -1,6 +1,6 @@
 /** Plain services over HTTP. */
 import { Agent, Client, request as sendRequest, type Dispatcher } from 'undici'
-import { classifyCallError, JsonClient, makeFailure, makeSuccess, makeTimeout, type CallFailure, type Outcome, type PluginRegistry } from 'figquay'
+import { classifyCallError, JsonClient, Deadline, makeFailure, makeSuccess, type CallFailure, type Outcome, type PluginRegistry } from 'figquay'
 import { PlainServiceClient, type ServiceCall, type ServiceReply } from './FigquayPlainServiceClient.js'
 
 const CONNECT_TIMEOUT_MS = 500
@@ -47,20 +47,22 @@
   }
 
   private async exchange (url: string, call: ServiceCall, dispatcher: Dispatcher, signal?: AbortSignal): Promise<Outcome<ServiceReply, CallFailure>> {
-    const timeout = makeTimeout(call.timeoutMs)
+    const deadline = Deadline.create(call.timeoutMs, signal)
     try {
       const response = await sendRequest(`${url}${call.path}`, {
         method: call.method as Dispatcher.HttpMethod,
         dispatcher,
-        signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
+        signal: deadline.signal,
         headers: makeHeaders(call),
         body: call.body.length === 0 ? null : call.body
       })
       return await readReply(response, call)
     } catch (error) {
       const failure = classifyCallError(error)
-      if (timeout.aborted) this.replaceAgent(dispatcher)
-      return makeFailure(timeout.aborted ? { ...failure, sent: 'maybe', reason: 'timeout' } : failure)
+      if (deadline.hasExpired) this.replaceAgent(dispatcher)
+      return makeFailure(deadline.hasExpired ? { ...failure, sent: 'maybe', reason: 'timeout' } : failure)
+    } finally {
+      deadline.dispose()
     }
   }
 
--- a/packages/figquay/src/FigquayJsonClient.ts
+++ b/packages/figquay/src/FigquayJsonClient.ts
@@ -1,5 +1,6 @@
 /** JSON over HTTP to the platform and to upstreams, wary of connections that went silent. */
 import { Agent, request } from 'undici'
+import { Deadline } from './FigquayDeadline.js'
 import { makeFailure, makeSuccess, type Outcome } from './FigquayOutcome.js'
 import { describeError } from './FigquayErrors.js'
 
@@ -38,17 +39,6 @@
   return { sent: 'maybe', reason: 'reset', message }
 }
 
-/**
- * A signal that aborts after some time.
- *
- * @param ms Any number of milliseconds; fractions are rounded up.
- * @example
- * const signal = makeTimeout(799.5)
- */
-export function makeTimeout (ms: number): AbortSignal {
-  return AbortSignal.timeout(Math.max(1, Math.ceil(ms)))
-}
-
 /** Client with a connection pool that is thrown away as a whole when a call times out. */
 export class JsonClient {
   private agent = JsonClient.makeAgent()
@@ -73,13 +63,13 @@
    * const reply = await client.requestJson('GET', 'http://10.0.0.4:7000/vms', undefined, 1_000)
    */
   async requestJson (method: 'GET' | 'POST', url: string, body: unknown, timeoutMs: number, signal?: AbortSignal): Promise<Outcome<JsonReply, CallFailure>> {
-    const timeout = makeTimeout(timeoutMs)
+    const deadline = Deadline.create(timeoutMs, signal)
     const agent = this.agent
     try {
       const response = await request(url, {
         method,
         dispatcher: agent,
-        signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
+        signal: deadline.signal,
         headers: body === undefined ? {} : { 'content-type': 'application/json' },
         body: body === undefined ? null : JSON.stringify(body)
       })
@@ -87,9 +77,11 @@
       return makeSuccess({ status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) })
     } catch (error) {
       if (error instanceof SyntaxError) return makeFailure({ sent: 'maybe', reason: 'malformed', message: error.message })
-      const failure = timeout.aborted ? { sent: 'maybe' as const, reason: 'timeout' as const, message: `no reply in ${timeoutMs} ms` } : classifyCallError(error)
+      const failure = deadline.hasExpired ? { sent: 'maybe' as const, reason: 'timeout' as const, message: `no reply in ${timeoutMs} ms` } : classifyCallError(error)
       if (failure.reason === 'timeout') this.replaceAgent(agent)
       return makeFailure(failure)
+    } finally {
+      deadline.dispose()
     }
   }
 
--- a/packages/figquay/src/index.ts
+++ b/packages/figquay/src/index.ts
@@ -1,3 +1,4 @@
+export { Deadline } from './FigquayDeadline.js'
 export { SystemClock, type Clock } from './FigquayClock.js'
 export { makeFailure, makeSuccess, type Outcome } from './FigquayOutcome.js'
 export { describeError, invariant, InvariantError, Refusal, type Execution, type RefusalCode, type RefusalOptions } from './FigquayErrors.js'
@@ -5,6 +6,6 @@
 export { PluginRegistry, type ExtensionPoint } from './FigquayPluginRegistry.js'
 export { durationSchema, sizeSchema } from './FigquayUnits.js'
 export { formatProblem, parseJsonc, type TextProblem } from './FigquayJsonc.js'
-export { classifyCallError, JsonClient, makeTimeout, type CallFailure, type JsonReply } from './FigquayJsonClient.js'
+export { classifyCallError, JsonClient, type CallFailure, type JsonReply } from './FigquayJsonClient.js'
 export { compareSecrets, hashText, makeId, signText } from './FigquayIds.js'
 export { TaskGroup } from './FigquayTasks.js'
--- a/packages/figquayd/src/FigquaydSettings.ts
+++ b/packages/figquayd/src/FigquaydSettings.ts
@@ -23,7 +23,7 @@
   operatorKeys: z.array(hashSchema).min(1),
   logLevel: z.enum(['silent', 'error', 'warn', 'info', 'debug']).default('info'),
   /** Streams that claims of non-repeatable calls are spread over; the same on every daemon. */
-  claimPartitions: z.int().min(1).max(256).default(4),
+  claimPartitions: z.int().min(1).max(256).default(2),
   snapshots: z.strictObject({ every: durationSchema, records: z.int().positive() }).default({ every: 30_000, records: 1_000 }),
   policies: z.strictObject({
     admission: z.string().default('predicted'),
--- a/packages/figquayd/src/__tests__/unit/Settings.test.ts
+++ b/packages/figquayd/src/__tests__/unit/Settings.test.ts
@@ -21,7 +21,7 @@
 
 const BAD_EDITS: readonly BadEdit[] = [
   { name: 'unknown key', from: '"logLevel"', to: '"loglevel"', path: 'loglevel', message: /unknown key "loglevel"/ },
-  { name: 'wrong type', from: '"claimPartitions": 4', to: '"claimPartitions": "4"', path: 'claimPartitions', message: /number/ },
+  { name: 'wrong type', from: '"claimPartitions": 2', to: '"claimPartitions": "2"', path: 'claimPartitions', message: /number/ },
   { name: 'wrong unit', from: '"drainGrace": "3s"', to: '"drainGrace": "3 s"', path: 'drainGrace', message: /expected a duration with a unit/ },
   { name: 'host name for an address', from: '"127.0.0.1:8080"', to: '"localhost:8080"', path: 'listen.callers', message: /expected "ip:port"/ },
   { name: 'short secret', from: '"replace-this-secret-in-production"', to: '"short"', path: 'peerSecrets.0', message: /at least 16/ }
