Settle announced orders before a graceful stop; one table, one status type

Cause: a daemon that was stopped in order left its last orders to engines that ignore fencing numbers unsettled, and their memory stayed reserved until the platform took the daemon off the roster. Read, not seen to fail; Memory.test runs the path.

Also: the column layout stood three times and the status of a daemon twice; both are in figquay-report now.

--- a/packages/figquay-measure/src/FigquayMeasureTable.ts
+++ b/packages/figquay-measure/src/FigquayMeasureTable.ts
@@ -1,4 +1,5 @@
 /** Tables of trials for people. */
+import { formatTable } from 'figquay-report'
 import { findMedian, type TrialResult } from './FigquayMeasureExperiment.js'
 
 const PERCENT = 100
@@ -46,9 +47,7 @@
     ...figures.map(([name, read, digits]) => [name, ...policies.map((policy) => formatSpread(selectPolicy(results, policy).map(read), digits))]),
     ...kinds.map((kind) => [`${kind}: met/refused/late/failed %`, ...policies.map((policy) => formatKind(selectPolicy(results, policy), kind))])
   ]
-  const header = ['', ...policies]
-  const widths = header.map((title, column) => Math.max(title.length, ...rows.map((row) => row[column]!.length)))
-  return [header, ...rows].map((row) => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd()).join('\n')
+  return formatTable(['', ...policies], rows)
 }
 
 function selectPolicy (results: readonly TrialResult[], policy: string): TrialResult[] {
--- a/packages/figquay-placement/src/FigquayPlacementFold.ts
+++ b/packages/figquay-placement/src/FigquayPlacementFold.ts
@@ -81,6 +81,11 @@
     return [...this.intents.values()].filter((intent) => intent.runner === runner)
   }
 
+  /** Orders of one holder that have not been settled. */
+  countIntentsOf (holder: string): number {
+    return [...this.intents.values()].filter((intent) => intent.holder === holder).length
+  }
+
   /** An announced order that has not been settled. */
   findIntent (orderId: string): IntentData | undefined {
     return this.intents.get(orderId)
--- a/packages/figquay-report/src/FigquayReportPage.ts
+++ b/packages/figquay-report/src/FigquayReportPage.ts
@@ -1,5 +1,6 @@
 /** Writes the burn report as text and as a page that needs nothing from the network. */
 import { BURN_BUCKET_MS, type BurnBucket, type BurnRow } from './FigquayReportBurn.js'
+import { formatTable } from './FigquayReportTable.js'
 
 /** A burn report with the counts behind it. */
 export interface BurnReport {
@@ -29,10 +30,8 @@
     row.customer, row.kind, String(row.total), formatPercent(row.attainment), formatPercent(row.objective),
     row.fastBurn.toFixed(2), row.slowBurn.toFixed(2), row.state
   ])
-  const widths = header.map((title, column) => Math.max(title.length, ...lines.map((line) => line[column]!.length)))
-  const table = [header, ...lines].map((line) => line.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd())
   const missing = report.missing.length === 0 ? '' : `\nwithout ${report.missing.join(', ')}, which did not answer`
-  return `${table.join('\n')}\n\nfrom ${report.daemons.length} daemons at ${report.madeAt}${missing}`
+  return `${formatTable(header, lines)}\n\nfrom ${report.daemons.length} daemons at ${report.madeAt}${missing}`
 }
 
 const PLOT_WIDTH = 640
--- a/packages/figquayctl/src/FigquayctlOutput.ts
+++ b/packages/figquayctl/src/FigquayctlOutput.ts
@@ -13,17 +13,6 @@
   unknown: 4
 } as const
 
-/**
- * Lays out rows as columns.
- *
- * @example
- * formatTable(['model', 'copies'], [['manual-1', '2']])
- */
-export function formatTable (header: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
-  const widths = header.map((title, column) => Math.max(title.length, ...rows.map((row) => row[column]?.length ?? 0)))
-  return [header, ...rows].map((row) => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd()).join('\n')
-}
-
 /**
  * Writes a result: JSON for programs, text for people.
  *
--- a/packages/figquayctl/src/FigquayctlViews.ts
+++ b/packages/figquayctl/src/FigquayctlViews.ts
@@ -1,22 +1,5 @@
 /** Views of a running system for people. */
-import { formatTable } from './FigquayctlOutput.js'
-
-/** One daemon at a glance, as the operator port gives it. */
-export interface StatusView {
-  readonly daemons: ReadonlyArray<{
-    readonly daemon: string
-    readonly zone: string
-    readonly ready: boolean
-    readonly draining: boolean
-    readonly activeExchanges: number
-    readonly queueLength: number
-    readonly peers: readonly string[]
-    readonly cells: readonly string[]
-    readonly positions: Readonly<Record<string, number>>
-    readonly logReachable: boolean
-  }>
-  readonly missing: readonly string[]
-}
+import { formatTable, type StatusReport } from 'figquay-report'
 
 /** A runner's last report. */
 export interface RunnerView {
@@ -49,7 +32,7 @@
  * @example
  * formatStatus(reply)
  */
-export function formatStatus (status: StatusView): string {
+export function formatStatus (status: StatusReport): string {
   const rows = status.daemons.map((daemon) => [
     daemon.daemon, daemon.zone, daemon.draining ? 'draining' : daemon.ready ? 'ready' : 'not ready', String(daemon.activeExchanges), String(daemon.queueLength),
     String(daemon.peers.length), daemon.logReachable ? 'yes' : 'no', String(daemon.positions['config'] ?? 0), daemon.cells.join(' ')
--- a/packages/figquayctl/src/index.ts
+++ b/packages/figquayctl/src/index.ts
@@ -1,2 +1,2 @@
 export { OperatorClient, type OperatorAddress, type OperatorFailure } from './FigquayctlClient.js'
-export { EXIT_CODES, formatTable } from './FigquayctlOutput.js'
+export { EXIT_CODES } from './FigquayctlOutput.js'
--- a/packages/figquayctl/src/main.ts
+++ b/packages/figquayctl/src/main.ts
@@ -2,11 +2,11 @@
 /** Entry point of the command-line tool of operators. */
 import { writeFile } from 'node:fs/promises'
 import { binary, command, flag, option, optional, positional, run, string, subcommands } from 'cmd-ts'
-import { formatBurnHtml, formatBurnText, type BurnReport } from 'figquay-report'
+import { formatBurnHtml, formatBurnText, formatTable, type BurnReport, type StatusReport } from 'figquay-report'
 import { applyFile, listChanges } from './FigquayctlApply.js'
 import { OperatorClient } from './FigquayctlClient.js'
-import { EXIT_CODES, exitWith, formatTable, writeResult } from './FigquayctlOutput.js'
-import { formatHistory, formatModels, formatMoves, formatRunners, formatStatus, formatTrace, type MoveView, type RunnerView, type StatusView } from './FigquayctlViews.js'
+import { EXIT_CODES, exitWith, writeResult } from './FigquayctlOutput.js'
+import { formatHistory, formatModels, formatMoves, formatRunners, formatStatus, formatTrace, type MoveView, type RunnerView } from './FigquayctlViews.js'
 
 const connection = {
   url: option({ type: string, long: 'url', env: 'FIGQUAY_URL', defaultValue: () => 'http://127.0.0.1:9090', description: 'operator port of any daemon (FIGQUAY_URL)' }),
@@ -102,7 +102,7 @@
     explain,
     drain,
     history: makeView<Parameters<typeof formatHistory>[0]>('history', 'Rulings on changes', 'config.history', formatHistory),
-    status: makeView<StatusView>('status', 'Daemons at a glance', 'status.get', formatStatus),
+    status: makeView<StatusReport>('status', 'Daemons at a glance', 'status.get', formatStatus),
     runners: makeView<RunnerView[]>('runners', 'Runners and what they hold', 'runners.list', formatRunners),
     models: makeView<RunnerView[]>('models', 'Copies of each model', 'runners.list', formatModels),
     moves: makeView<MoveView[]>('moves', 'Moves that the system made, and why', 'moves.list', formatMoves),
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -8,15 +8,16 @@
 import { Membership } from 'figquay-membership'
 import { HintSender, HintTable, PeerMesh, selectNeighbours, type HintParts, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
 import { LeaseKeeper, makeModelId, OrderBook, PlacementController } from 'figquay-placement'
-import { BurnTracker, Metrics } from 'figquay-report'
+import { BurnTracker, Metrics, type DaemonStatus } from 'figquay-report'
 import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type RunnerReport } from 'figquay-routing'
-import { makeOperatorMethods, type DaemonStatus } from './FigquaydOperatorMethods.js'
+import { makeOperatorMethods } from './FigquaydOperatorMethods.js'
 import type { ChosenPlugins } from './FigquaydPlugins.js'
 import type { Settings } from './FigquaydSettings.js'
 import { DaemonStreams } from './FigquaydStreams.js'
 
 const HINT_INTERVAL_MS = 250
 const DRAIN_POLL_MS = 50
+const SETTLE_ORDERS_MS = 8_000
 const ADAPTER_CALL_MS = 1_000
 
 /** A running daemon. */
@@ -135,6 +136,7 @@
     while (this.activeExchanges.size > 0) await this.clock.waitFor(DRAIN_POLL_MS)
     await this.undoCallers?.()
     await this.idempotency.flush()
+    await this.waitForOrders()
     await this.tasks.stop()
     this.operators.close()
     this.mesh.close()
@@ -143,6 +145,12 @@
     this.logger.info('stopped')
   }
 
+  /** Orders that may still act are settled before the one that can settle them goes. */
+  private async waitForOrders (): Promise<void> {
+    const { placement } = this.streams
+    await placement.waitUntil(() => placement.fold.countIntentsOf(this.holder) === 0, SETTLE_ORDERS_MS)
+  }
+
   private get ownAddress (): PeerAddress {
     const { host, port } = this.settings.listen.peers
     return { id: this.settings.id, zone: this.settings.zone, address: `${host}:${port}` }
--- a/packages/figquayd/src/FigquaydOperatorMethods.ts
+++ b/packages/figquayd/src/FigquaydOperatorMethods.ts
@@ -4,7 +4,7 @@
 import type { OperatorMethods } from 'figquay-gateway'
 import type { PeerMesh } from 'figquay-peers'
 import type { LeaseKeeper, MoveRecord, PlacementController } from 'figquay-placement'
-import { summariseBurn, type BurnBucket, type BurnReport, type BurnTracker } from 'figquay-report'
+import { summariseBurn, type BurnBucket, type BurnReport, type BurnTracker, type DaemonStatus, type StatusReport } from 'figquay-report'
 import type { RequestTraces, RunnerReport, RunnerTable, TraceEvent } from 'figquay-routing'
 import type { DaemonStreams } from './FigquaydStreams.js'
 
@@ -23,20 +23,6 @@
   readonly startDrain: () => void
 }
 
-/** One daemon at a glance. */
-export interface DaemonStatus {
-  readonly daemon: string
-  readonly zone: string
-  readonly ready: boolean
-  readonly draining: boolean
-  readonly activeExchanges: number
-  readonly queueLength: number
-  readonly peers: readonly string[]
-  readonly cells: readonly string[]
-  readonly positions: Readonly<Record<string, number>>
-  readonly logReachable: boolean
-}
-
 /** Answer to a change. */
 export interface ApplyReply {
   readonly verdict: ChangeVerdict | null
@@ -135,7 +121,7 @@
     'config.apply': (params: ApplyParams) => applyChange(options, params),
     'config.history': () => fold.history,
     'config.inForce': (params: { offset: number }) => findInForce(options, params.offset),
-    'status.get': async () => {
+    'status.get': async (): Promise<StatusReport> => {
       const { answers, missing } = await gatherFromPeers<DaemonStatus>(options.mesh, 'status.get', {})
       return { daemons: [options.readStatus(), ...answers.values()].sort((a, b) => a.daemon < b.daemon ? -1 : 1), missing }
     },
--- a/packages/figquayd/src/index.ts
+++ b/packages/figquayd/src/index.ts
@@ -1,3 +1,3 @@
 export { Daemon } from './FigquaydDaemon.js'
-export type { DaemonStatus, ApplyReply, InForceReply } from './FigquaydOperatorMethods.js'
+export type { ApplyReply, InForceReply } from './FigquaydOperatorMethods.js'
 export { parseSettings, settingsSchema, type Settings } from './FigquaydSettings.js'
