--- a/packages/figquay-measure/src/FigquayMeasureProcesses.ts
+++ b/packages/figquay-measure/src/FigquayMeasureProcesses.ts
@@ -72,6 +72,22 @@
   }
 }
 
+/** Ports below those that the system gives to outgoing connections: nobody takes one between the check and its use. */
+const LOWEST_PORT = 10_000
+const HIGHEST_PORT = 32_000
+const PORTS_PER_PROCESS = 500
+
+let nextPort = LOWEST_PORT + process.pid * PORTS_PER_PROCESS % (HIGHEST_PORT - LOWEST_PORT)
+
+/** Whether nobody listens on a port. */
+function isPortFree (port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
+
 /**
  * Finds free ports on loopback.
  *
@@ -79,12 +95,11 @@
  * const [log, roster] = await findPorts(2)
  */
 export async function findPorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<import('node:net').Server>((resolve, reject) => {
-    const server = createServer()
-    server.once('error', reject)
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as import('node:net').AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = nextPort
+    nextPort = port + 1 < HIGHEST_PORT ? port + 1 : LOWEST_PORT
+    if (await isPortFree(port)) ports.push(port)
+  }
   return ports
 }
--- a/packages/figquay-measure/src/__tests__/integration/Overload.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/Overload.test.ts
@@ -72,4 +72,16 @@
     const late = await overnight
     expect(late.filter((result) => result.answer === 'whole').length / late.length > 0.95).toEqual(true)
   })
+
+  test('half the daemons are killed: the others serve on, and the limit is not exceeded', async () => {
+    const killed = cluster.daemons.slice(0, 2)
+    for (const daemon of killed) daemon.process.signal('SIGKILL')
+    await Promise.all(killed.map((daemon) => daemon.process.waitForExit()))
+    const url = (index: number): string => cluster.daemons[2 + index % 2]!.callerUrl
+    const flooding = flood(WINDOW_SECONDS, 40, (index) => caller.complete({ url: url(index), key: 'key-workshop-alexandria', model: 'shop-2', nonce: `k${index}`, prompt: 'clamp?', outputTokens: 1 }))
+    const counter = await flood(8, 5, (index) => caller.complete({ url: url(index), key: 'key-workshop-cairo', model: `manual-${index % 14 + 1}`, nonce: `h${index}`, prompt: 'Which part?', outputTokens: 10 }))
+    expect(counter.map((result) => result.answer)).toEqual(counter.map(() => 'whole'))
+    const admitted = (await flooding).filter((result) => result.status !== 429).length
+    expect(admitted <= LIMIT_PER_SECOND * WINDOW_SECONDS * OVERSHOOT).toEqual(true)
+  })
 })
--- a/packages/figquay-placement/src/FigquayPlacementOrders.ts
+++ b/packages/figquay-placement/src/FigquayPlacementOrders.ts
@@ -41,6 +41,8 @@
   readonly orders: Map<string, OpenOrder>
   /** Lease under which the runner has confirmed a fencing number of ours. */
   fencedLease: number
+  /** Engine process that has confirmed it: a new one may have forgotten. */
+  fencedBoot: string
   /** The engine must confirm a higher fencing number before its report settles anything. */
   needsFence: boolean
   /** Monotonic time from which reports may be believed, in milliseconds. */
@@ -88,7 +90,8 @@
     if (lease === undefined) return false
     const account = this.findAccount(report.runner)
     if (pool.fencing === 'ignored') return true
-    if (account.fencedLease === lease && !account.needsFence) return report.requestedAtMs > account.trustedFromMs
+    const isFenced = account.fencedLease === lease && account.fencedBoot === report.state.bootId && !account.needsFence
+    if (isFenced) return report.requestedAtMs > account.trustedFromMs
     return this.installFence(account, report, lease)
   }
 
@@ -114,7 +117,7 @@
   private findAccount (runner: string): RunnerAccount {
     let account = this.accounts.get(runner)
     if (account === undefined) {
-      account = { orders: new Map(), fencedLease: -1, needsFence: false, trustedFromMs: Number.NEGATIVE_INFINITY, sequence: 0 }
+      account = { orders: new Map(), fencedLease: -1, fencedBoot: '', needsFence: false, trustedFromMs: Number.NEGATIVE_INFINITY, sequence: 0 }
       this.accounts.set(runner, account)
     }
     return account
@@ -134,6 +137,7 @@
       return false
     }
     account.fencedLease = lease
+    account.fencedBoot = report.state.bootId
     account.needsFence = false
     account.trustedFromMs = this.options.clock.readMonotonicMs()
     // Nothing sent before can act any more: a report asked for from now on settles every order.
--- a/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
+++ b/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
@@ -19,8 +19,8 @@
   readonly workPerRequest: number
 }
 
-/** Age that hints reach before the next ones come, in milliseconds. */
-const HINT_AGE_MS = 300
+/** Mean age of the latest hints, in milliseconds. */
+const HINT_AGE_MS = 150
 const FIRST_WORK_SECONDS = 0.2
 const WORK_WEIGHT = 0.05
 /** Batch work can wait, so it hardly calls for more copies. */
