Keep companions of a crashing request; wait for a model that comes in time

The companion was sent to the same dead process every 0.4 s, spent its four attempts and was broken off (logs: four charges for one boot id). Two more ways to lose a companion were closed with it: copies of the culprit that nobody suspected yet ran beside it (a charged request now waits 250 ms, until every daemon knows of the charge, and copies already running are noted with the holder of the runner), and a runner that had just come back without the model ate attempts (attempts that no runner took are counted apart, and a refusal makes the daemon ask the runner at once). A whole answer clears its request.

Reports older than the request no longer count; a model being loaded is waited for when its predicted time fits the contract, else the refusal names that time.

Ruled out: too slow a restart (the answers broke off after 1.6 s of 6), charges that got lost (all three daemons had them).

--- a/packages/figquay-routing/src/FigquayRoutingAdmission.ts
+++ b/packages/figquay-routing/src/FigquayRoutingAdmission.ts
@@ -14,6 +14,8 @@
   readonly queueLength: number
   /** Work that peers may send to a runner unseen, in milliseconds. */
   readonly estimatePeerWorkMs: (report: RunnerReport) => number
+  /** Milliseconds until the model, which no runner can serve now, is likely to be there; undefined when nothing says so. */
+  readonly estimateAvailableMs: () => number | undefined
 }
 
 /** Way of deciding on admission. */
@@ -50,7 +52,7 @@
     if (left.firstTokenMs <= 0 || left.answerMs <= 0) return Refusal.create('deadline_unreachable', 'the time of the contract has passed', { retryAfterMs: SHORTEST_RETRY_MS })
     if (request.kind.priority === 'batch') return undefined
     const usable = holders.filter((report) => context.table.isUsable(report))
-    if (usable.length === 0) return Refusal.create('model_unavailable', `no runner holds ${request.model.name} now`, { retryAfterMs: MODEL_RETRY_MS })
+    if (usable.length === 0) return this.checkUnavailable(request, left.firstTokenMs, context)
     const queuedEach = context.queuedTokens / usable.length
     // Every daemon sees the same gap and would fill it: a random part of what peers may send meanwhile
     // is added, so that together they admit about as much as fits.
@@ -60,6 +62,14 @@
     return Refusal.create('deadline_unreachable', `predicted to be ${Math.ceil(lateMs)} ms late`, { retryAfterMs: Math.max(SHORTEST_RETRY_MS, Math.ceil(lateMs)) })
   }
 
+  /** A model that will be there in time is worth waiting for; else the caller is told when to come back. */
+  private checkUnavailable (request: RoutedRequest, leftMs: number, context: AdmissionContext): Refusal | undefined {
+    const availableMs = context.estimateAvailableMs()
+    if (availableMs !== undefined && availableMs < leftMs) return undefined
+    const retryAfterMs = Math.max(SHORTEST_RETRY_MS, Math.ceil(availableMs ?? MODEL_RETRY_MS))
+    return Refusal.create('model_unavailable', `no runner holds ${request.model.name} now`, { retryAfterMs })
+  }
+
   override canTake (report: RunnerReport, request: RoutedRequest, context: AdmissionContext): boolean {
     if (request.kind.priority === 'batch') return context.table.countActive(report) < report.state.load.maxBatch * BATCH_PART
     // A caller who waits is sent on at once: the engine queues by priority, and holding back would only delay a refusal.
--- a/packages/figquay-routing/src/FigquayRoutingCompletions.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCompletions.ts
@@ -2,7 +2,7 @@
 import { hashText, Refusal, type Clock, type Logger } from 'figquay'
 import type { CompletionEvent, EngineClient, EngineFailure } from 'figquay-upstreams'
 import type { CompletionReport, CompletionSink, RoutedRequest } from './FigquayRoutingTypes.js'
-import type { CrashGuard } from './FigquayRoutingCrashGuard.js'
+import type { CrashCharge, CrashGuard } from './FigquayRoutingCrashGuard.js'
 import type { Assignment, Dispatcher } from './FigquayRoutingDispatcher.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 import type { RetryBudget } from './FigquayRoutingRetryBudget.js'
@@ -25,8 +25,8 @@
   readonly traces: RequestTraces
   /** Asks a runner for its state; true when it is the same process as before. */
   readonly probeRunner: (runner: string) => Promise<boolean>
-  /** Tells all peers about a charge. */
-  readonly spreadCharge: (fingerprint: string, upstream: string) => void
+  /** Charges a request with a crash here and at all peers. */
+  readonly chargeRequest: (charge: CrashCharge) => void
   readonly loadAdapter: AdapterLoader
   /** Takes the permit that a request needs which was in flight at a crash. */
   readonly takePermit: (runner: string, requestId: string) => Promise<boolean>
@@ -45,6 +45,8 @@
   readonly signal: AbortSignal
   chunks: number
   retries: number
+  /** Attempts that no runner took. */
+  untaken: number
   firstTokenMs: number | undefined
   isFinished: boolean
   /** When the current attempt was sent. */
@@ -56,6 +58,7 @@
 type AttemptResult = 'done' | 'cancelled' | 'waiting' | EngineFailure
 
 const MOST_RETRIES = 4
+const MOST_UNTAKEN = 10
 const UNREACHED_PAUSE_MS = 50
 const PERMIT_PAUSE_MS = 100
 const FAILED_RETRY_AFTER_MS = 1_000
@@ -80,7 +83,7 @@
    */
   async serveRequest (request: RoutedRequest, sink: CompletionSink, signal: AbortSignal): Promise<CompletionReport | Refusal> {
     this.options.retries.noteRequest()
-    const progress: Progress = { request, sink, signal, chunks: 0, retries: 0, firstTokenMs: undefined, isFinished: false, sentAtMs: 0, maySent: false }
+    const progress: Progress = { request, sink, signal, chunks: 0, retries: 0, untaken: 0, firstTokenMs: undefined, isFinished: false, sentAtMs: 0, maySent: false }
     while (!signal.aborted) {
       const result = await this.runAttempt(progress)
       if (result === 'done') return this.makeReport(progress)
@@ -105,7 +108,7 @@
       this.options.traces.addEvent(request.requestId, 'refused', `${assignment.code}: ${assignment.message}`)
       return assignment
     }
-    return assignment.entry.isCharged ? await this.runSuspect(progress, assignment) : await this.runAssigned(progress, assignment)
+    return assignment.isCharged ? await this.runSuspect(progress, assignment) : await this.runUnsuspected(progress, assignment)
   }
 
   /** A request that was in flight at a crash runs while no other such request does, or waits for its turn. */
@@ -124,6 +127,17 @@
     }
   }
 
+  private async runUnsuspected (progress: Progress, assignment: Assignment): Promise<AttemptResult> {
+    const { request: { fingerprint, requestId } } = progress
+    try {
+      return await this.runAssigned(progress, assignment)
+    } finally {
+      // Another copy of the request was charged meanwhile, so this one was noted as running.
+      const isCharged = this.options.crashes.isCharged(fingerprint, this.options.clock.readMonotonicMs())
+      if (isCharged) this.options.returnPermit(assignment.report.runner, requestId)
+    }
+  }
+
   private async runAssigned (progress: Progress, assignment: Assignment): Promise<AttemptResult> {
     const { request } = progress
     const startedAtMs = this.options.clock.readMonotonicMs()
@@ -191,12 +205,10 @@
     if (typeof result === 'string' || result.reason === 'invalid') return result
     if (result.sent === 'maybe') progress.maySent = true
     this.options.traces.addEvent(progress.request.requestId, 'failed', `${report.runner}: ${result.reason}, ${result.message}`)
-    if (result.reason === 'refused' || result.reason === 'silent') {
-      if (result.reason === 'refused') this.options.table.restRunner(report.runner)
-      return result
-    }
+    if (result.reason === 'silent') return result
     this.options.table.restRunner(report.runner)
     const isSame = await this.options.probeRunner(report.runner)
+    if (result.reason === 'refused') return result
     if (!isSame && result.sent === 'maybe') this.chargeCrash(progress.request, report)
     return result
   }
@@ -204,26 +216,33 @@
   private chargeCrash (request: RoutedRequest, report: RunnerReport): void {
     const upstream = `${report.runner}/${report.state.bootId}`
     this.options.logger.warn('upstream crashed with a request in flight', { upstream, request: request.requestId })
-    this.options.crashes.addCharge({ fingerprint: request.fingerprint, upstream }, this.options.clock.readMonotonicMs())
-    this.options.spreadCharge(request.fingerprint, upstream)
+    this.options.chargeRequest({ fingerprint: request.fingerprint, upstream })
   }
 
   /** Undefined when another attempt may be made; else the final answer. */
   private async planRetry (progress: Progress, failure: EngineFailure): Promise<Refusal | undefined> {
     const execution = progress.maySent || failure.sent === 'maybe' ? 'unknown' : 'not-run'
     if (failure.reason === 'invalid') return Refusal.create('bad_request', failure.message, { execution: 'not-run' })
-    progress.retries += 1
-    const isSpent = progress.retries > MOST_RETRIES
-    // A runner that did not take the request costs nothing, so it does not use up the budget.
-    if (isSpent || (failure.sent === 'maybe' && !this.options.retries.spendRetry())) {
+    if (!this.spendAttempt(progress, failure)) {
       return Refusal.create('upstream_failed', `${failure.reason}: ${failure.message}`, { execution, retryAfterMs: FAILED_RETRY_AFTER_MS })
     }
     if (failure.sent === 'never') await this.options.clock.waitFor(UNREACHED_PAUSE_MS, progress.signal)
     return undefined
   }
 
+  /** A runner that did not take the request costs nothing, so it does not use up the budget. */
+  private spendAttempt (progress: Progress, failure: EngineFailure): boolean {
+    if (failure.sent === 'never') {
+      progress.untaken += 1
+      return progress.untaken <= MOST_UNTAKEN
+    }
+    progress.retries += 1
+    return progress.retries <= MOST_RETRIES && this.options.retries.spendRetry()
+  }
+
   private makeReport (progress: Progress): CompletionReport {
     const totalMs = this.options.clock.readMonotonicMs() - progress.request.arrivedAtMs
+    this.options.crashes.clearRequest(progress.request.fingerprint)
     this.options.traces.addEvent(progress.request.requestId, 'answered', `${progress.chunks} chunks in ${Math.round(totalMs)} ms`)
     return { firstTokenMs: progress.firstTokenMs ?? totalMs, totalMs, chunks: progress.chunks, retries: progress.retries }
   }
--- a/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -14,6 +14,8 @@
 }
 
 const CHARGES_TO_QUARANTINE = 2
+/** After this time every daemon knows of a charge, in milliseconds. */
+const SPREAD_MS = 250
 const FORGET_AFTER_MS = 600_000
 
 /** Charges by fingerprint. */
@@ -62,6 +64,28 @@
     return this.countCharges(fingerprint, nowMs) > 0
   }
 
+  /**
+   * Whether a charge is so fresh that copies of the request which crashed the upstream may still run unsuspected
+   * elsewhere. What was in flight beside it waits until they are known, or it would be charged with their next crash.
+   *
+   * @example
+   * if (guard.isSpreading(request.fingerprint, nowMs)) return undefined
+   */
+  isSpreading (fingerprint: string, nowMs: number): boolean {
+    const chargedAtMs = this.entries.get(fingerprint)?.chargedAtMs ?? Number.NEGATIVE_INFINITY
+    return nowMs - chargedAtMs < SPREAD_MS
+  }
+
+  /**
+   * Takes all charges off a request that was answered whole.
+   *
+   * @example
+   * guard.clearRequest(request.fingerprint)
+   */
+  clearRequest (fingerprint: string): void {
+    this.entries.delete(fingerprint)
+  }
+
   /** Whether a request is no longer sent to any upstream. */
   isQuarantined (fingerprint: string, nowMs: number): boolean {
     return this.countCharges(fingerprint, nowMs) >= CHARGES_TO_QUARANTINE
--- a/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
+++ b/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
@@ -3,6 +3,7 @@
 import type { RoutedRequest } from './FigquayRoutingTypes.js'
 import type { AdmissionContext, AdmissionPolicy } from './FigquayRoutingAdmission.js'
 import type { CrashGuard } from './FigquayRoutingCrashGuard.js'
+import type { LoadWatch } from './FigquayRoutingLoadWatch.js'
 import type { ModelDemand } from './FigquayRoutingModelDemand.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 import { FairQueue, type QueueEntry } from './FigquayRoutingQueue.js'
@@ -18,12 +19,17 @@
   readonly admission: AdmissionPolicy
   readonly crashes: CrashGuard
   readonly demand: ModelDemand
+  readonly loads: LoadWatch
+  /** Asks the runners of a pool whose last report is older than a time; true when there are none. */
+  readonly refreshRunners: (pool: string, sinceMs: number) => boolean
 }
 
 /** A runner set aside for one request. */
 export interface Assignment {
   readonly report: RunnerReport
   readonly entry: InFlight
+  /** The request was in flight at a crash before. */
+  readonly isCharged: boolean
   /** Ends the assignment. */
   readonly release: () => void
 }
@@ -57,7 +63,7 @@
 
   /**
    * @example
-   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes, demand })
+   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes, demand, loads, refreshRunners })
    */
   static create (options: DispatcherOptions): Dispatcher {
     return new Dispatcher(options)
@@ -128,12 +134,33 @@
     const { crashes, admission, table, predictor } = this.options
     if (crashes.isQuarantined(request.fingerprint, nowMs)) return Refusal.create('quarantined', 'the request was in flight at two crashes of upstreams', { execution: 'unknown' })
     const holders = this.listHolders(payload.dispatch.modelIds)
-    const context: AdmissionContext = { table, predictor, nowMs, queuedTokens, queueLength: this.queue.length, estimatePeerWorkMs: (report) => this.options.demand.estimatePeerWorkMs(report) }
+    const context: AdmissionContext = {
+      table,
+      predictor,
+      nowMs,
+      queuedTokens,
+      queueLength: this.queue.length,
+      estimatePeerWorkMs: (report) => this.options.demand.estimatePeerWorkMs(report),
+      estimateAvailableMs: () => this.estimateAvailableMs(payload.dispatch)
+    }
     const refusal = payload.dispatch.hasStarted ? this.checkOverdue(request, nowMs) : admission.checkRequest(request, holders, context)
     if (refusal !== undefined) return refusal
+    if (crashes.isSpreading(request.fingerprint, nowMs)) return undefined
     return this.selectFor(payload.dispatch, holders, context)
   }
 
+  /**
+   * Milliseconds until a model that no runner can serve now is likely to be there; undefined when nothing says so.
+   * Reports older than the request do not count: the model may have come since.
+   */
+  private estimateAvailableMs ({ request, modelIds }: DispatchRequest): number | undefined {
+    if (!this.options.refreshRunners(request.model.pool, request.arrivedAtMs)) return 0
+    const rests = modelIds.flatMap((modelId) => this.options.table.listHolders(modelId)).map((report) => this.options.table.measureRestMs(report))
+    const loads = modelIds.map((modelId) => this.options.loads.estimateReadyMs(modelId))
+    const known = [...rests, ...loads].filter((waitMs) => waitMs !== undefined)
+    return known.length === 0 ? undefined : Math.min(...known)
+  }
+
   /** What was begun is finished even when it is late, but not for ever. */
   private checkOverdue (request: RoutedRequest, nowMs: number): Refusal | undefined {
     const overdueMs = nowMs - request.arrivedAtMs - request.kind.answerWithin
@@ -144,7 +171,7 @@
     const { crashes, admission, table, predictor, selector } = this.options
     const isCharged = crashes.isCharged(request.fingerprint, context.nowMs)
     // An answer that has begun is finished wherever it can be, late or not.
-    const canTake = (report: RunnerReport): boolean => (hasStarted || admission.canTake(report, request, context)) && !(isCharged && hasCharged(table, report))
+    const canTake = (report: RunnerReport): boolean => (hasStarted || admission.canTake(report, request, context)) && !(isCharged && this.hasCharged(report, context.nowMs))
     const report = selector.selectRunner({ request, isCharged, canTake }, holders, { table, predictor })
     if (report === undefined) return undefined
     const entry: InFlight = {
@@ -152,7 +179,6 @@
       fingerprint: request.fingerprint,
       promptTokens: predictor.estimatePrompt(report.runner, request),
       isBatch: request.kind.priority === 'batch',
-      isCharged,
       predictedMs: predictor.predictFirstTokenMs(report, request, 0),
       hasFirstToken: false
     }
@@ -161,7 +187,7 @@
       unregister()
       this.planPass()
     }
-    return { report, entry, release }
+    return { report, entry, isCharged, release }
   }
 
   /** Holders of the current version, or of an older one while the current is not ready anywhere. */
@@ -172,9 +198,9 @@
     }
     return []
   }
-}
 
-/** Requests that were in flight at a crash are kept apart, so that an innocent one is not charged twice. */
-function hasCharged (table: RunnerTable, report: RunnerReport): boolean {
-  return table.listInFlight(report.runner).some((entry) => entry.isCharged)
+  /** Requests that were in flight at a crash are kept apart, so that an innocent one is not charged twice. */
+  private hasCharged (report: RunnerReport, nowMs: number): boolean {
+    return this.options.table.listInFlight(report.runner).some((entry) => this.options.crashes.isCharged(entry.fingerprint, nowMs))
+  }
 }
--- a/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -23,6 +23,9 @@
 /** Keeps the runner table up to date. */
 export class EngineMonitor {
   private readonly watched = new Set<string>()
+  private readonly refreshing = new Set<string>()
+  /** When the last poll that has ended was begun, by runner. */
+  private readonly askedAtMs = new Map<string, number>()
 
   private constructor (private readonly options: EngineMonitorOptions) {}
 
@@ -56,11 +59,28 @@
     const before = this.options.table.findReport(runner)?.state.bootId
     if (vm === undefined) return false
     const failure = await this.pollRunner(vm)
-    if (failure === 'connect') this.options.table.markDown(runner)
     // No answer right after a broken exchange is taken for a crash until the same process reports again.
+    if (failure !== undefined) this.options.table.markDown(runner)
     return failure === undefined && this.options.table.findReport(runner)?.state.bootId === before
   }
 
+  /**
+   * Asks the runners of a pool whose last answer is older than a time, each once at a time.
+   * True when there are none: what the table says of the pool is newer.
+   *
+   * @example
+   * if (!monitor.refreshRunners('manual', request.arrivedAtMs)) return
+   */
+  refreshRunners (pool: string, sinceMs: number): boolean {
+    const older = this.options.membership.listVms('engine').filter((vm) => vm.group === pool && (this.askedAtMs.get(vm.id) ?? 0) < sinceMs)
+    for (const vm of older) {
+      if (this.refreshing.has(vm.id)) continue
+      this.refreshing.add(vm.id)
+      this.pollRunner(vm).finally(() => this.refreshing.delete(vm.id))
+    }
+    return older.length === 0
+  }
+
   private watchListed (tasks: TaskGroup): void {
     const listed = this.options.membership.listVms('engine')
     this.options.table.keepOnly(new Set(listed.map((vm) => vm.id)))
@@ -97,6 +117,7 @@
   private async pollRunner (vm: Vm): Promise<string | undefined> {
     const requestedAtMs = this.options.clock.readMonotonicMs()
     const state = await this.options.engines.readState(vm.url)
+    this.askedAtMs.set(vm.id, requestedAtMs)
     if (!state.ok) return state.error.reason
     if (state.value.leaving) this.options.membership.markLeaving(vm.id, 'vm')
     const report: RunnerReport = {
--- a/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
+++ b/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
@@ -10,8 +10,6 @@
   readonly promptTokens: number
   /** Engines put batch work behind all other, so nobody waits for it. */
   readonly isBatch: boolean
-  /** The request was in flight at a crash before. */
-  readonly isCharged: boolean
   /** Predicted time from sending to the first token, in milliseconds. */
   readonly predictedMs: number
   hasFirstToken: boolean
@@ -123,6 +121,13 @@
       now >= (this.restUntilMs.get(report.runner) ?? 0) && this.options.readLeavingMs(report.runner) < LAST_RESORT_MS
   }
 
+  /** Milliseconds until a runner that was given a rest may be tried again; undefined when it is out of use for another reason. */
+  measureRestMs (report: RunnerReport): number | undefined {
+    const restMs = (this.restUntilMs.get(report.runner) ?? 0) - this.options.clock.readMonotonicMs()
+    const isResting = restMs > 0 && report.downSinceMs === undefined
+    return isResting ? restMs : undefined
+  }
+
   /** Whether a runner stays: its copies count for placement. */
   isStaying (report: RunnerReport): boolean {
     return this.options.readLeavingMs(report.runner) === 0 && this.isUsable(report)
@@ -137,6 +142,12 @@
     }
   }
 
+  /** Own copies of a request by the runner that they are at. */
+  listRunning (fingerprint: string): Array<{ readonly runner: string, readonly requestId: string }> {
+    return [...this.inFlight].flatMap(([runner, entries]) =>
+      [...entries.values()].filter((entry) => entry.fingerprint === fingerprint).map(({ requestId }) => ({ runner, requestId })))
+  }
+
   /** Own requests at a runner. */
   listInFlight (runner: string): InFlight[] {
     return [...(this.inFlight.get(runner)?.values() ?? [])]
--- a/packages/figquay-routing/src/FigquayRoutingSuspects.ts
+++ b/packages/figquay-routing/src/FigquayRoutingSuspects.ts
@@ -1,16 +1,12 @@
 /** Permits for requests that were in flight at a crash: one at a time on each runner, over all daemons. */
 
-interface Permit {
-  readonly requestId: string
-  readonly expiresAtMs: number
-}
-
 /** A permit that is not given back lapses after this time, in milliseconds. */
 const PERMIT_LIFE_MS = 15_000
 
 /** Permits that the daemon gives out which holds the lease on a runner. */
 export class SuspectPermits {
-  private readonly permits = new Map<string, Permit>()
+  /** Time at which a permit lapses, by runner and request. */
+  private readonly permits = new Map<string, Map<string, number>>()
 
   /**
    * @example
@@ -27,14 +23,30 @@
    * if (!permits.takePermit('engine-2', requestId, nowMs)) return
    */
   takePermit (runner: string, requestId: string, nowMs: number): boolean {
-    const current = this.permits.get(runner)
-    const isTaken = current !== undefined && current.expiresAtMs > nowMs && current.requestId !== requestId
-    if (!isTaken) this.permits.set(runner, { requestId, expiresAtMs: nowMs + PERMIT_LIFE_MS })
+    const held = this.listUnexpired(runner, nowMs)
+    const isTaken = [...held.keys()].some((other) => other !== requestId)
+    if (!isTaken) held.set(requestId, nowMs + PERMIT_LIFE_MS)
     return !isTaken
   }
 
+  /**
+   * Notes a request that runs already and has come under suspicion since.
+   *
+   * @example
+   * permits.noteRunning('engine-2', requestId, nowMs)
+   */
+  noteRunning (runner: string, requestId: string, nowMs: number): void {
+    this.listUnexpired(runner, nowMs).set(requestId, nowMs + PERMIT_LIFE_MS)
+  }
+
   /** Gives a permit back. */
   returnPermit (runner: string, requestId: string): void {
-    if (this.permits.get(runner)?.requestId === requestId) this.permits.delete(runner)
+    this.permits.get(runner)?.delete(requestId)
+  }
+
+  private listUnexpired (runner: string, nowMs: number): Map<string, number> {
+    const held = new Map([...this.permits.get(runner) ?? []].filter(([, expiresAtMs]) => expiresAtMs > nowMs))
+    this.permits.set(runner, held)
+    return held
   }
 }
--- a/packages/figquay-routing/src/index.ts
+++ b/packages/figquay-routing/src/index.ts
@@ -1,3 +1,4 @@
+export { LoadWatch } from './FigquayRoutingLoadWatch.js'
 export { PRIORITY_RANK, type CompletionReport, type CompletionSink, type RoutedRequest } from './FigquayRoutingTypes.js'
 export { RateMeter, RateTable } from './FigquayRoutingRateMeter.js'
 export { CustomerLimits, type LimitsOptions } from './FigquayRoutingLimits.js'
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -9,7 +9,7 @@
 import { HintSender, HintTable, PeerMesh, selectNeighbours, type HintParts, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
 import { LeaseKeeper, makeModelId, OrderBook, PlacementController } from 'figquay-placement'
 import { BurnTracker, Metrics, type DaemonStatus } from 'figquay-report'
-import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type RunnerReport } from 'figquay-routing'
+import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, LoadWatch, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type RunnerReport } from 'figquay-routing'
 import { makeOperatorMethods } from './FigquaydOperatorMethods.js'
 import type { ChosenPlugins } from './FigquaydPlugins.js'
 import type { Settings } from './FigquaydSettings.js'
@@ -30,6 +30,7 @@
   private readonly metrics = Metrics.create()
   private readonly crashes = CrashGuard.create()
   private readonly suspects = SuspectPermits.create()
+  private readonly loads = LoadWatch.create(this.clock)
   private readonly predictor: FirstTokenPredictor
   private readonly burn: BurnTracker
   private readonly traces: RequestTraces
@@ -75,7 +76,7 @@
     this.table = RunnerTable.create({ clock, hints: this.hints, readLeavingMs: (runner) => this.membership.readLeavingMs(runner) })
     this.modelDemand = ModelDemand.create({ clock, hints: this.hints, table: this.table })
     this.predictor = FirstTokenPredictor.create(this.table)
-    this.dispatcher = Dispatcher.create({ clock, table: this.table, predictor: this.predictor, selector: plugins.selector, admission: plugins.admission, crashes: this.crashes, demand: this.modelDemand })
+    this.dispatcher = Dispatcher.create({ clock, table: this.table, predictor: this.predictor, selector: plugins.selector, admission: plugins.admission, crashes: this.crashes, demand: this.modelDemand, loads: this.loads, refreshRunners: (pool, sinceMs) => this.monitor.refreshRunners(pool, sinceMs) })
     this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, onReport: (report) => this.takeReport(report) })
     this.limits = CustomerLimits.create({ clock, hints: this.hints, countDaemons: () => this.countServingDaemons() })
     this.leases = LeaseKeeper.create({ holder: this.holder, stream: this.streams.placement, appender: this.streams.placementAppender, membership: this.membership, clock, logger: this.logger })
@@ -204,18 +205,20 @@
 
   private takeReport (report: RunnerReport): void {
     this.crashes.clearUpstream(`${report.runner}/${report.state.bootId}`, report.requestedAtMs)
+    this.loads.noteReport(report)
     this.dispatcher.planPass()
   }
 
   private makePeerMethods (): PeerMethods {
     return {
       'hints.put': (parts: Partial<HintParts> & { readonly daemon: string }) => this.takeHints(parts),
-      'crash.charge': (charge: CrashCharge) => this.crashes.addCharge(charge, this.clock.readMonotonicMs()),
+      'crash.charge': (charge: CrashCharge) => this.takeCharge(charge),
       'log.read': (params: { stream: string, from: number }): readonly LogRecord[] | null => this.streams.findStream(params.stream)?.listRecent(params.from) ?? null,
       'log.snapshot': (params: { stream: string }): SnapshotData | null => this.streams.findStream(params.stream)?.exportSnapshot() ?? null,
       'config.position': () => this.streams.configuration.position,
       'placement.loadAdapter': (params: { runner: string, model: string, adapter: string }) => this.placement.loadAdapter(params.runner, params.model, params.adapter),
       'suspect.take': (params: { runner: string, requestId: string }) => this.suspects.takePermit(params.runner, params.requestId, this.clock.readMonotonicMs()),
+      'suspect.running': (params: { runner: string, requestId: string }) => this.suspects.noteRunning(params.runner, params.requestId, this.clock.readMonotonicMs()),
       'suspect.return': (params: { runner: string, requestId: string }) => this.suspects.returnPermit(params.runner, params.requestId),
       'status.get': () => this.readStatus(),
       'burn.list': () => this.burn.listBuckets(),
@@ -261,7 +264,7 @@
       crashes: this.crashes,
       traces: this.traces,
       probeRunner: (runner) => this.monitor.probeRunner(runner),
-      spreadCharge: (fingerprint, upstream) => this.mesh.sendToAll('crash.charge', { fingerprint, upstream }),
+      chargeRequest: (charge) => this.chargeRequest(charge),
       loadAdapter: (runner, model, adapter) => this.loadAdapter(runner, model, adapter),
       takePermit: (runner, requestId) => this.takePermit(runner, requestId),
       returnPermit: (runner, requestId) => this.returnPermit(runner, requestId),
@@ -295,6 +298,22 @@
     return reply.ok ? reply.value : this.suspects.takePermit(runner, requestId, this.clock.readMonotonicMs())
   }
 
+  private chargeRequest (charge: CrashCharge): void {
+    this.takeCharge(charge)
+    this.mesh.sendToAll('crash.charge', charge)
+  }
+
+  /** Copies of the request that run elsewhere are suspects from now on: the holders of their runners must know. */
+  private takeCharge (charge: CrashCharge): void {
+    this.crashes.addCharge(charge, this.clock.readMonotonicMs())
+    for (const running of this.table.listRunning(charge.fingerprint)) {
+      if (charge.upstream.startsWith(`${running.runner}/`)) continue
+      this.suspects.noteRunning(running.runner, running.requestId, this.clock.readMonotonicMs())
+      const holder = this.findHolder(running.runner)
+      if (holder !== undefined && holder !== this.settings.id) this.mesh.sendTo(holder, 'suspect.running', running)
+    }
+  }
+
   private returnPermit (runner: string, requestId: string): void {
     this.suspects.returnPermit(runner, requestId)
     const holder = this.findHolder(runner)
