Add a threshold baseline, and trials with another number of runners

Cause: the naive baseline that loads on demand made no moves at all, since all models fit, so the aim on moves could not be compared; and attainment per accelerator could only be compared on equal numbers of runners. The threshold baseline adds copies like a common autoscaler and evicts the least wanted; `--runners` sets how many there are. The baselines are in a file of their own.

--- a/packages/figquay-measure/src/FigquayMeasureExperiment.ts
+++ b/packages/figquay-measure/src/FigquayMeasureExperiment.ts
@@ -16,9 +16,11 @@
   figquay: { admission: 'predicted', selector: 'affinity', placement: 'gain' },
   'naive-round-robin': { admission: 'open', selector: 'round-robin', placement: 'recent-use' },
   'naive-least-reported': { admission: 'open', selector: 'least-reported', placement: 'recent-use' },
+  'naive-threshold': { admission: 'open', selector: 'least-reported', placement: 'threshold' },
   'open-admission': { admission: 'open', selector: 'affinity', placement: 'gain' },
   'reported-selector': { admission: 'predicted', selector: 'least-reported', placement: 'gain' },
-  'recent-use-placement': { admission: 'predicted', selector: 'affinity', placement: 'recent-use' }
+  'recent-use-placement': { admission: 'predicted', selector: 'affinity', placement: 'recent-use' },
+  'threshold-placement': { admission: 'predicted', selector: 'affinity', placement: 'threshold' }
 }
 
 /** Faults that a trial may bring about. */
@@ -32,6 +34,8 @@
   readonly durationMs: number
   readonly load: number
   readonly daemons: number
+  /** Runners in place of the deployment's own number. */
+  readonly runners: number | undefined
   readonly fault: TrialFault
 }
 
@@ -133,7 +137,7 @@
     kinds: Object.fromEntries(load.kinds),
     attainment: all.met / Math.max(1, all.total),
     waitingAttainment: waiting.met / Math.max(1, waiting.total),
-    metPerAccelerator: all.met / seconds / DEPLOYMENTS[options.deployment].runners,
+    metPerAccelerator: all.met / seconds / (options.runners ?? DEPLOYMENTS[options.deployment].runners),
     firstTokenMs: { p50: load.firstTokenMs.getValueAtPercentile(50), p95: load.firstTokenMs.getValueAtPercentile(95), p99: load.firstTokenMs.getValueAtPercentile(99) },
     tokenGapMs: { p50: load.tokenGapMs.getValueAtPercentile(50), p95: load.tokenGapMs.getValueAtPercentile(95) },
     refusalMs: { p50: load.refusalMs.getValueAtPercentile(50), p99: load.refusalMs.getValueAtPercentile(99) },
@@ -146,13 +150,13 @@
  * Runs one trial from an empty machine to a result.
  *
  * @example
- * const result = await runTrial({ deployment: 'guild', policy: 'figquay', seed: 1, durationMs: 60_000, load: 1, daemons: 8, fault: 'none' })
+ * const result = await runTrial({ deployment: 'guild', policy: 'figquay', seed: 1, durationMs: 60_000, load: 1, daemons: 8, runners: undefined, fault: 'none' })
  */
 export async function runTrial (options: TrialOptions): Promise<TrialResult> {
   const policies = POLICIES[options.policy]
   if (policies === undefined) throw new Error(`unknown policy "${options.policy}"; expected one of ${Object.keys(POLICIES).join(', ')}`)
   // Both kinds of placement start from the same: every model loaded once, which the gain policy does.
-  const cluster = LocalCluster.create({ deployment: options.deployment, daemons: options.daemons, storeScale: FAST_STORE, policies, restartMs: AWAY_MS, logLevel: 'warn', waitForModels: policies.placement === 'gain' })
+  const cluster = LocalCluster.create({ deployment: options.deployment, daemons: options.daemons, ...(options.runners === undefined ? {} : { size: { runners: options.runners } }), storeScale: FAST_STORE, policies, restartMs: AWAY_MS, logLevel: 'warn', waitForModels: policies.placement === 'gain' })
   try {
     await cluster.start()
     if (policies.placement !== 'gain') await warmModels(cluster, options)
--- a/packages/figquay-measure/src/main.ts
+++ b/packages/figquay-measure/src/main.ts
@@ -16,6 +16,7 @@
     minutes: option({ type: number, long: 'minutes', defaultValue: () => 1 }),
     load: option({ type: number, long: 'load', defaultValue: () => 1, description: 'multiplies every rate' }),
     daemons: option({ type: number, long: 'daemons', defaultValue: () => 8 }),
+    runners: option({ type: optional(number), long: 'runners', description: "instead of the deployment's own number" }),
     fault: option({ type: oneOf(['none', 'capacity-loss'] as const), long: 'fault', defaultValue: (): TrialFault => 'none' }),
     json: option({ type: optional(string), long: 'json', description: 'write all results to this file' })
   },
@@ -24,10 +25,10 @@
     for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
       for (const policy of options.policy.split(',')) {
         process.stderr.write(`seed ${seed}, ${policy}\n`)
-        results.push(await runTrial({ deployment: options.deployment, policy, seed, durationMs: options.minutes * 60_000, load: options.load, daemons: options.daemons, fault: options.fault }))
+        results.push(await runTrial({ deployment: options.deployment, policy, seed, durationMs: options.minutes * 60_000, load: options.load, daemons: options.daemons, runners: options.runners, fault: options.fault }))
       }
     }
-    process.stdout.write(`${options.deployment}, load ${options.load}, ${options.minutes} min, ${options.daemons} daemons, fault ${options.fault}, seeds ${options.seed} to ${options.seed + options.seeds - 1}: median (lowest-highest)\n${formatTrials(results)}\n`)
+    process.stdout.write(`${options.deployment}, load ${options.load}, ${options.minutes} min, ${options.daemons} daemons, ${options.runners ?? 'all'} runners, fault ${options.fault}, seeds ${options.seed} to ${options.seed + options.seeds - 1}: median (lowest-highest)\n${formatTrials(results)}\n`)
     if (options.json !== undefined) await writeFile(options.json, JSON.stringify(results, null, 2))
   }
 })
--- a/packages/figquay-placement/src/FigquayPlacementGain.ts
+++ b/packages/figquay-placement/src/FigquayPlacementGain.ts
@@ -1,5 +1,4 @@
 /** Placement by gain: every model one copy first, then moves that win more than their price. */
-import type { PluginRegistry } from 'figquay'
 import { listReady, listServing, PlacementPolicy, type PlannedModel, type PlannedMove, type PlannedRunner, type PlanView } from './FigquayPlacementPolicy.js'
 
 /** Utilisation of a runner above which requests miss their contract. */
@@ -209,7 +208,7 @@
   return busyRunners / model.workPerRequest * SECONDS_PER_MINUTE
 }
 
-function hasSubject (runner: PlannedRunner, subject: string): boolean {
+export function hasSubject (runner: PlannedRunner, subject: string): boolean {
   return runner.copies.some((copy) => copy.id === subject)
 }
 
@@ -218,54 +217,10 @@
   return listReady(view, modelId).some((other) => other.id !== runner.id)
 }
 
-function makeLoad (runner: PlannedRunner, model: PlannedModel, reason: string): PlannedMove {
+export function makeLoad (runner: PlannedRunner, model: PlannedModel, reason: string): PlannedMove {
   return { action: 'load-model', runner: runner.id, subject: model.id, bytes: model.bytes, reason }
 }
 
-function makeUnload (runner: PlannedRunner, subject: string, bytes: number, reason: string): PlannedMove {
+export function makeUnload (runner: PlannedRunner, subject: string, bytes: number, reason: string): PlannedMove {
   return { action: 'unload-model', runner: runner.id, subject, bytes, reason }
 }
-
-/** Naive baseline: load what is asked for, evict what was asked for least recently. */
-export class RecentUsePlacement extends PlacementPolicy {
-  /**
-   * @example
-   * const policy = RecentUsePlacement.create()
-   */
-  static create (): RecentUsePlacement {
-    return new RecentUsePlacement()
-  }
-
-  override planMoves (view: PlanView): PlannedMove[] {
-    const wanted = view.models.filter((model) => model.demand > 0 && listServing(view, model.id).length === 0).sort((a, b) => b.demand - a.demand)
-    const moves: PlannedMove[] = []
-    const used = new Set<string>()
-    for (const model of wanted) {
-      const target = view.runners.filter((runner) => runner.isUsable && !used.has(runner.id) && !hasSubject(runner, model.id)).sort((a, b) => b.freeBytes - a.freeBytes)[0]
-      if (target === undefined) break
-      used.add(target.id)
-      moves.push(target.freeBytes >= model.bytes ? makeLoad(target, model, 'asked for') : this.evictOldest(view, target))
-    }
-    return moves.filter((move) => move.subject !== '').slice(0, view.loadsLeft)
-  }
-
-  private evictOldest (view: PlanView, runner: PlannedRunner): PlannedMove {
-    const readDemand = (id: string): number => view.models.find((model) => model.id === id)?.demand ?? 0
-    const oldest = runner.copies.filter((copy) => copy.phase === 'ready').sort((a, b) => readDemand(a.id) - readDemand(b.id))[0]
-    return makeUnload(runner, oldest?.id ?? '', oldest?.bytes ?? 0, 'least recently used')
-  }
-}
-
-/**
- * Makes the ways of placing models available by name.
- *
- * @example
- * const undo = registerPlacementPolicies(registry)
- */
-export function registerPlacementPolicies (registry: PluginRegistry): () => void {
-  const undos = [
-    registry.registerPlugin('placement-policy', 'gain', GainPlacement.create),
-    registry.registerPlugin('placement-policy', 'recent-use', RecentUsePlacement.create)
-  ]
-  return () => undos.forEach((undo) => undo())
-}
--- a/packages/figquay-placement/src/index.ts
+++ b/packages/figquay-placement/src/index.ts
@@ -2,6 +2,7 @@
 export { LEASE_TTL_MS, LeaseKeeper, readDaemonOf, type LeaseKeeperOptions } from './FigquayPlacementLeaseKeeper.js'
 export { RunnerLedger, type CountedCopy, type MemoryArea, type OpenOrder } from './FigquayPlacementLedger.js'
 export { listReady, listServing, PlacementPolicy, type PlannedModel, type PlannedMove, type PlannedRunner, type PlanView } from './FigquayPlacementPolicy.js'
-export { GainPlacement, RecentUsePlacement, registerPlacementPolicies } from './FigquayPlacementGain.js'
+export { GainPlacement } from './FigquayPlacementGain.js'
+export { RecentUsePlacement, registerPlacementPolicies, ThresholdPlacement } from './FigquayPlacementBaselines.js'
 export { ORDER_LIFE_MS, OrderBook, type OrderBookOptions, type OrderRequest } from './FigquayPlacementOrders.js'
 export { makeModelId, PlacementController, type MoveRecord, type PlacementControllerOptions } from './FigquayPlacementController.js'
