Reserve room on runners with the daemon that orders them

Daemons that are no neighbours (more than 16 of them) now open a connection on demand, which orders of adapters and permits needed too; crash charges are passed on, so that they reach everyone.

--- a/packages/figquay-peers/src/FigquayPeerMesh.ts
+++ b/packages/figquay-peers/src/FigquayPeerMesh.ts
@@ -26,6 +26,10 @@
 const NEIGHBOURS_ELSEWHERE = 2
 const RECONNECT_PAUSE_MS = 200
 const CONNECT_TIMEOUT_MS = 1_000
+/** A connection to a daemon that is no neighbour is kept for this long after its last use, in milliseconds. */
+const VISIT_IDLE_MS = 30_000
+const VISIT_POLL_MS = 5
+const CALL_TIMEOUT_MS = 1_000
 
 /** The next daemons after oneself on a ring ordered by hash. */
 function takeSuccessors (self: PeerAddress, others: readonly PeerAddress[], count: number): PeerAddress[] {
@@ -54,7 +58,13 @@
 export class PeerMesh {
   private readonly outgoing = new Map<string, PeerConnection>()
   private readonly incoming = new Set<PeerConnection>()
+  /** Neighbours. */
   private readonly addresses = new Map<string, PeerAddress>()
+  /** All daemons, neighbours or not. */
+  private known: ReadonlyMap<string, PeerAddress> = new Map()
+  private readonly visitedAtMs = new Map<string, number>()
+  private readonly visiting = new Set<string>()
+  private tasks: TaskGroup | undefined
   private server: Server | undefined
   private closedBytes = 0
 
@@ -94,12 +104,18 @@
   }
 
   /**
-   * Replaces the set of neighbours; new ones get a task, those gone are dropped.
+   * Replaces the set of daemons; new neighbours get a task, those gone are dropped.
    *
    * @example
-   * mesh.setNeighbours(selectNeighbours(self, daemons), tasks)
+   * mesh.setDaemons(daemons, tasks)
    */
-  setNeighbours (neighbours: readonly PeerAddress[], tasks: TaskGroup): void {
+  setDaemons (daemons: readonly PeerAddress[], tasks: TaskGroup): void {
+    this.tasks = tasks
+    this.known = new Map(daemons.filter((peer) => peer.id !== this.options.self.id).map((peer) => [peer.id, peer]))
+    this.setNeighbours(selectNeighbours(this.options.self, daemons), tasks)
+  }
+
+  private setNeighbours (neighbours: readonly PeerAddress[], tasks: TaskGroup): void {
     const wanted = new Map(neighbours.map((peer) => [peer.id, peer]))
     for (const id of [...this.addresses.keys()]) {
       if (wanted.get(id)?.address === this.addresses.get(id)?.address) continue
@@ -114,18 +130,20 @@
   }
 
   /**
-   * Calls one peer.
+   * Calls one daemon; a connection is opened if it is no neighbour.
    *
    * @example
    * await mesh.callPeer<LogRecord[]>('daemon-2', 'log.read', { stream: 'config', from: 12 })
    */
-  callPeer<T> (id: string, method: string, params: unknown, timeoutMs?: number): Promise<Outcome<T, string>> {
-    const connection = this.outgoing.get(id)
-    return connection === undefined ? Promise.resolve(makeFailure('not connected')) : connection.callMethod<T>(method, params, timeoutMs)
+  async callPeer<T> (id: string, method: string, params: unknown, timeoutMs = CALL_TIMEOUT_MS): Promise<Outcome<T, string>> {
+    const connection = this.outgoing.get(id) ?? await this.visitPeer(id, timeoutMs)
+    if (connection === undefined) return makeFailure('not connected')
+    this.visitedAtMs.set(id, this.options.clock.readMonotonicMs())
+    return await connection.callMethod<T>(method, params, timeoutMs)
   }
 
   /**
-   * Sends a notice to one peer.
+   * Sends a notice to one daemon, if there is a connection.
    *
    * @example
    * mesh.sendTo('daemon-2', 'suspect.return', { runner, requestId })
@@ -141,7 +159,7 @@
    * mesh.sendToAll('hints.put', hints)
    */
   sendToAll (method: string, params: unknown): void {
-    for (const connection of this.outgoing.values()) connection.sendNotice(method, params)
+    for (const id of this.addresses.keys()) this.outgoing.get(id)?.sendNotice(method, params)
   }
 
   /** Stops listening and ends every connection. */
@@ -164,6 +182,34 @@
     })
   }
 
+  /** Opens a connection to a daemon that is no neighbour; undefined when it is not there in time. */
+  private async visitPeer (id: string, timeoutMs: number): Promise<PeerConnection | undefined> {
+    const peer = this.known.get(id)
+    const { clock } = this.options
+    // The task of a neighbour connects again by itself.
+    if (peer === undefined || this.addresses.has(id)) return undefined
+    this.visitedAtMs.set(id, clock.readMonotonicMs())
+    if (!this.visiting.has(id)) {
+      this.visiting.add(id)
+      this.tasks?.startTask(`visit ${id}`, (signal) => this.serveVisit(peer, signal))
+    }
+    const deadline = clock.readMonotonicMs() + timeoutMs
+    while (!this.outgoing.has(id) && clock.readMonotonicMs() < deadline) await clock.waitFor(VISIT_POLL_MS)
+    return this.outgoing.get(id)
+  }
+
+  /** Keeps a connection for as long as it is used. */
+  private async serveVisit (peer: PeerAddress, signal: AbortSignal): Promise<void> {
+    const ended = new AbortController()
+    signal.addEventListener('abort', () => ended.abort(), { once: true })
+    const idle = setInterval(() => {
+      if (this.options.clock.readMonotonicMs() - this.visitedAtMs.get(peer.id)! > VISIT_IDLE_MS) ended.abort()
+    }, VISIT_IDLE_MS / 2)
+    await this.holdConnection(peer, ended.signal)
+    clearInterval(idle)
+    this.visiting.delete(peer.id)
+  }
+
   /** Keeps one connection to one peer until it is no longer wanted. */
   private async servePeer (peer: PeerAddress, signal: AbortSignal): Promise<void> {
     while (!signal.aborted && this.addresses.get(peer.id) === peer) {
--- a/packages/figquay-routing/src/FigquayRoutingAdmission.ts
+++ b/packages/figquay-routing/src/FigquayRoutingAdmission.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request can still meet its contract, and when a runner may take it. */
 import { Refusal, type PluginRegistry } from 'figquay'
 import { PRIORITY_RANK, type RoutedRequest } from './FigquayRoutingTypes.js'
+import type { RunnerRoom } from './FigquayRoutingReservations.js'
 import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 
@@ -24,6 +25,11 @@
   abstract checkRequest (request: RoutedRequest, holders: readonly RunnerReport[], context: AdmissionContext): Refusal | undefined
   /** Whether a runner may take the request now; else the request waits. */
   abstract canTake (report: RunnerReport, request: RoutedRequest, context: AdmissionContext): boolean
+  /** Room that a request needs on a runner; undefined when this way of admission reserves none. */
+  measureRoom (_report: RunnerReport, _request: RoutedRequest, _context: Pick<AdmissionContext, 'predictor' | 'nowMs'>): RunnerRoom | undefined {
+    return undefined
+  }
+
   /** Rank that the engine is told; the lower goes first. */
   abstract readRank (request: RoutedRequest): number
 }
@@ -33,6 +39,8 @@
 const LONGEST_QUEUE = 2_000
 const MODEL_RETRY_MS = 2_000
 const SHORTEST_RETRY_MS = 200
+/** Prompts up to this length are as good as free to process. */
+const SHORT_PROMPT_TOKENS = 256
 /** Part of the time that a prediction may fill. */
 const PREDICTION_PART = 1
 
@@ -76,8 +84,22 @@
     return this.measureLateness(report, request, 0, context) <= 0
   }
 
+  override measureRoom (report: RunnerReport, request: RoutedRequest, { predictor, nowMs }: Pick<AdmissionContext, 'predictor' | 'nowMs'>): RunnerRoom | undefined {
+    if (request.kind.priority === 'batch') return undefined
+    const left = this.readLeftMs(request, nowMs)
+    const firstTokenMs = Math.min(left.firstTokenMs, left.answerMs - predictor.predictDecodeMs(report, request))
+    return {
+      runner: report.runner,
+      promptTokens: predictor.estimatePrompt(report.runner, request),
+      mostPendingTokens: predictor.countTokensWithin(report, firstTokenMs)
+    }
+  }
+
   override readRank (request: RoutedRequest): number {
-    return PRIORITY_RANK[request.kind.priority]
+    const { priority } = request.kind
+    // A short prompt hardly delays anybody, and would wait long behind the manuals of others.
+    const isShort = request.promptTokens <= SHORT_PROMPT_TOKENS
+    return priority === 'standard' && isShort ? PRIORITY_RANK.interactive : PRIORITY_RANK[priority]
   }
 
   /** Milliseconds by which the contract would be missed on a runner; not above 0 when it is met. */
--- a/packages/figquay-routing/src/FigquayRoutingCompletions.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCompletions.ts
@@ -180,7 +180,8 @@
   }
 
   /** Passes one event on; returns the result once the exchange is over. */
-  private async takeEvent (event: CompletionEvent, progress: Progress, { entry, report }: Assignment): Promise<AttemptResult | undefined> {
+  private async takeEvent (event: CompletionEvent, progress: Progress, assignment: Assignment): Promise<AttemptResult | undefined> {
+    const { entry, report } = assignment
     if (event.type === 'alive') {
       progress.maySent = true
       return undefined
@@ -189,10 +190,9 @@
     if (event.type === 'done') return progress.isFinished ? 'done' : { sent: 'maybe', reason: 'truncated', message: 'the answer ended without a finish reason' }
     if (progress.firstTokenMs === undefined) progress.firstTokenMs = this.options.clock.readMonotonicMs() - progress.request.arrivedAtMs
     if (!entry.hasFirstToken) {
-      entry.hasFirstToken = true
+      assignment.noteFirstToken()
       if (!entry.isBatch) this.options.predictor.noteFirstToken(entry.predictedMs, this.options.clock.readMonotonicMs() - progress.sentAtMs)
       this.options.predictor.notePrefix(report.runner, progress.request.prefixKey)
-      this.options.dispatcher.planPass()
     }
     progress.chunks += 1
     progress.isFinished = hasFinishReason(event.data)
--- a/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -31,14 +31,17 @@
   }
 
   /**
-   * Charges a request with a crash; the same crash counts once.
+   * Charges a request with a crash; the same crash counts once, and is no news the second time.
    *
    * @example
    * guard.addCharge({ fingerprint, upstream: 'engine-2/boot-7' }, nowMs)
    */
-  addCharge (charge: CrashCharge, nowMs: number): void {
-    const upstreams = new Map(this.entries.get(charge.fingerprint)?.upstreams).set(charge.upstream, nowMs)
-    this.entries.set(charge.fingerprint, { upstreams, chargedAtMs: nowMs })
+  addCharge (charge: CrashCharge, nowMs: number): boolean {
+    const known = this.entries.get(charge.fingerprint)?.upstreams
+    const isNew = known?.has(charge.upstream) !== true
+    const chargedAtMs = isNew ? nowMs : this.entries.get(charge.fingerprint)!.chargedAtMs
+    this.entries.set(charge.fingerprint, { upstreams: new Map(known).set(charge.upstream, nowMs), chargedAtMs })
+    return isNew
   }
 
   /**
--- a/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
+++ b/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
@@ -7,6 +7,7 @@
 import type { ModelDemand } from './FigquayRoutingModelDemand.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 import { FairQueue, type QueueEntry } from './FigquayRoutingQueue.js'
+import type { ReservationReply, ReservationRequest, RunnerOption } from './FigquayRoutingReservations.js'
 import type { InFlight, RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
 import type { RunnerSelector } from './FigquayRoutingSelector.js'
 
@@ -22,6 +23,10 @@
   readonly loads: LoadWatch
   /** Asks the runners of a pool whose last report is older than a time; true when there are none. */
   readonly refreshRunners: (pool: string, sinceMs: number) => boolean
+  /** Asks the daemon that orders the runners for room; undefined when it cannot be asked. */
+  readonly reserveRunner: (request: ReservationRequest) => Promise<ReservationReply | undefined>
+  /** Says that a reservation is no longer needed. */
+  readonly endReservation: (runner: string, requestId: string) => void
 }
 
 /** A runner set aside for one request. */
@@ -30,6 +35,8 @@
   readonly entry: InFlight
   /** The request was in flight at a crash before. */
   readonly isCharged: boolean
+  /** The prompt has been processed. */
+  readonly noteFirstToken: () => void
   /** Ends the assignment. */
   readonly release: () => void
 }
@@ -53,6 +60,7 @@
 const SWEEP_MS = 25
 /** What was begun may be this much later than its contract, in milliseconds. */
 const LATEST_MS = 2_000
+const SHORTEST_RETRY_MS = 200
 
 /** The queue and the passes over it. */
 export class Dispatcher {
@@ -63,7 +71,7 @@
 
   /**
    * @example
-   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes, demand, loads, refreshRunners })
+   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes, demand, loads, refreshRunners, reserveRunner, endReservation })
    */
   static create (options: DispatcherOptions): Dispatcher {
     return new Dispatcher(options)
@@ -92,7 +100,47 @@
    * @example
    * const result = await dispatcher.assignRunner({ request, modelIds, hasStarted: false, signal })
    */
-  assignRunner (dispatch: DispatchRequest): Promise<Assignment | Refusal> {
+  async assignRunner (dispatch: DispatchRequest): Promise<Assignment | Refusal> {
+    return await this.reserveRunner(dispatch) ?? await this.enqueueRequest(dispatch)
+  }
+
+  /**
+   * A caller who waits is given room by the daemon that orders the runners, or is refused by it.
+   * Undefined when that daemon has no say: the request goes by what this daemon knows itself.
+   */
+  private async reserveRunner (dispatch: DispatchRequest): Promise<Assignment | Refusal | undefined> {
+    const { request } = dispatch
+    const { predictor, table } = this.options
+    const options = this.listOptions(dispatch)
+    if (options.length === 0) return undefined
+    const reply = await this.options.reserveRunner({ requestId: request.requestId, options })
+    if (reply === undefined) return undefined
+    const report = table.findReport(reply.type === 'reserved' ? reply.runner : options[0]!.runner)
+    if (report === undefined) return undefined
+    if (reply.type === 'full') {
+      const lateMs = Math.ceil(predictor.predictPendingMs(report, reply.excessTokens))
+      return Refusal.create('deadline_unreachable', `predicted to be ${lateMs} ms late`, { retryAfterMs: Math.max(SHORTEST_RETRY_MS, lateMs) })
+    }
+    const endReservation = (): void => this.options.endReservation(report.runner, request.requestId)
+    return this.makeAssignment(report, request, false, predictor.predictPendingMs(report, reply.pendingTokens), endReservation)
+  }
+
+  /** Runners to ask for room: none for what was begun or was in flight at a crash, which is not refused for being late. */
+  private listOptions ({ request, modelIds, hasStarted }: DispatchRequest): RunnerOption[] {
+    const { selector, admission, predictor, table, crashes, clock } = this.options
+    const nowMs = clock.readMonotonicMs()
+    if (hasStarted || crashes.isCharged(request.fingerprint, nowMs)) return []
+    const holders = this.listHolders(modelIds)
+    // Runners that crashed of late stay among the preferred, so that a crashing request does not reach a third.
+    const preferred = selector.listPreferred(request, holders)
+    if (preferred === undefined) return []
+    return holders.filter((report) => table.isUsable(report)).flatMap((report) => {
+      const room = admission.measureRoom(report, request, { predictor, nowMs })
+      return room === undefined ? [] : [{ ...room, isPreferred: preferred.includes(report) }]
+    })
+  }
+
+  private enqueueRequest (dispatch: DispatchRequest): Promise<Assignment | Refusal> {
     return new Promise((resolve) => {
       const entry: QueueEntry<Waiter> = this.queue.addRequest(dispatch.request, { dispatch, settle: resolve })
       dispatch.signal.addEventListener('abort', () => {
@@ -174,20 +222,31 @@
     const canTake = (report: RunnerReport): boolean => (hasStarted || admission.canTake(report, request, context)) && !(isCharged && this.hasCharged(report, context.nowMs))
     const report = selector.selectRunner({ request, isCharged, canTake }, holders, { table, predictor })
     if (report === undefined) return undefined
+    return this.makeAssignment(report, request, isCharged, predictor.predictFirstTokenMs(report, request, 0), () => {})
+  }
+
+  private makeAssignment (report: RunnerReport, request: RoutedRequest, isCharged: boolean, predictedMs: number, endReservation: () => void): Assignment {
     const entry: InFlight = {
       requestId: request.requestId,
       fingerprint: request.fingerprint,
-      promptTokens: predictor.estimatePrompt(report.runner, request),
+      promptTokens: this.options.predictor.estimatePrompt(report.runner, request),
       isBatch: request.kind.priority === 'batch',
-      predictedMs: predictor.predictFirstTokenMs(report, request, 0),
+      predictedMs,
       hasFirstToken: false
     }
-    const unregister = table.registerInFlight(report.runner, entry)
+    this.options.demand.notePrompt(request.model.name, entry.promptTokens / Math.max(1, request.promptTokens))
+    const unregister = this.options.table.registerInFlight(report.runner, entry)
     const release = (): void => {
+      if (!entry.hasFirstToken) endReservation()
       unregister()
       this.planPass()
     }
-    return { report, entry, isCharged, release }
+    const noteFirstToken = (): void => {
+      entry.hasFirstToken = true
+      endReservation()
+      this.planPass()
+    }
+    return { report, entry, isCharged, noteFirstToken, release }
   }
 
   /** Holders of the current version, or of an older one while the current is not ready anywhere. */
--- a/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
+++ b/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
@@ -23,6 +23,7 @@
 const HINT_AGE_MS = 150
 const FIRST_WORK_SECONDS = 0.2
 const WORK_WEIGHT = 0.05
+const PROMPT_WEIGHT = 0.1
 /** Batch work can wait, so it hardly calls for more copies. */
 const BATCH_WEIGHT = 0.15
 
@@ -30,6 +31,8 @@
 export class ModelDemand {
   private readonly work = RateTable.create()
   private readonly workPerRequest = new Map<string, number>()
+  /** Part of the prompts that runners had to process, by model. */
+  private readonly processedPart = new Map<string, number>()
 
   private constructor (private readonly options: ModelDemandOptions) {}
 
@@ -56,6 +59,17 @@
     this.work.countEvents(name, seconds * weight, this.options.clock.readMonotonicMs())
   }
 
+  /**
+   * Learns how much of a prompt its runner has to process: the rest is cached there.
+   *
+   * @example
+   * demand.notePrompt('manual-3', 0.3)
+   */
+  notePrompt (model: string, part: number): void {
+    const mean = this.processedPart.get(model) ?? part
+    this.processedPart.set(model, mean + PROMPT_WEIGHT * (part - mean))
+  }
+
   /** Own demand by model, for the hints to peers. */
   listOwn (): Record<string, number> {
     return this.work.listRates(this.options.clock.readMonotonicMs())
@@ -85,6 +99,7 @@
     const load = this.options.table.listReports()[0]?.state.load
     if (load === undefined) return FIRST_WORK_SECONDS
     const decodeSeconds = request.outputTokens * load.stepMs / 1_000 / load.maxBatch
-    return request.promptTokens / load.prefillTokensPerSecond + decodeSeconds
+    const promptTokens = request.promptTokens * (this.processedPart.get(request.model.name) ?? 1)
+    return promptTokens / load.prefillTokensPerSecond + decodeSeconds
   }
 }
--- a/packages/figquay-routing/src/FigquayRoutingPredictor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingPredictor.ts
@@ -16,6 +16,7 @@
 const HIGHEST_CORRECTION = 3
 /** Steps between the end of the prompt and the first token at the caller. */
 const STEPS_TO_FIRST_TOKEN = 2
+const MS_PER_SECOND = 1_000
 
 /** Predictions from reports, own requests and prefixes seen. */
 export class FirstTokenPredictor {
@@ -42,12 +43,37 @@
    * predictor.predictFirstTokenMs(report, request, 0)
    */
   predictFirstTokenMs (report: RunnerReport, request: RoutedRequest, queuedTokens: number): number {
+    return this.predictPendingMs(report, this.table.sumPendingPromptTokens(report) + queuedTokens + this.estimatePrompt(report.runner, request))
+  }
+
+  /**
+   * Milliseconds until a runner has processed so many prompt tokens and given the token after them.
+   *
+   * @example
+   * predictor.predictPendingMs(report, 12_000)
+   */
+  predictPendingMs (report: RunnerReport, pendingTokens: number): number {
+    const processingMs = pendingTokens * MS_PER_SECOND / report.state.load.prefillTokensPerSecond
+    return this.correction * (processingMs + this.estimateOverheadMs(report))
+  }
+
+  /**
+   * Prompt tokens that may be pending on a runner for the first token to come within a time.
+   *
+   * @example
+   * predictor.countTokensWithin(report, 1_200)
+   */
+  countTokensWithin (report: RunnerReport, firstTokenMs: number): number {
+    const processingMs = firstTokenMs / this.correction - this.estimateOverheadMs(report)
+    return Math.floor(processingMs * report.state.load.prefillTokensPerSecond / MS_PER_SECOND)
+  }
+
+  /** Waiting for a place in the batch, and the steps that follow the prompt. */
+  private estimateOverheadMs (report: RunnerReport): number {
     const { load } = report.state
-    const pending = this.table.sumPendingPromptTokens(report) + queuedTokens + this.estimatePrompt(report.runner, request)
-    const active = this.table.countActive(report)
-    const excess = Math.max(0, active - load.maxBatch + 1)
+    const excess = Math.max(0, this.table.countActive(report) - load.maxBatch + 1)
     const slotMs = excess * this.meanServiceMs / load.maxBatch
-    return this.correction * (pending * 1_000 / load.prefillTokensPerSecond + slotMs + load.stepMs * STEPS_TO_FIRST_TOKEN)
+    return slotMs + load.stepMs * STEPS_TO_FIRST_TOKEN
   }
 
   /**
--- a/packages/figquay-routing/src/FigquayRoutingSelector.ts
+++ b/packages/figquay-routing/src/FigquayRoutingSelector.ts
@@ -23,6 +23,11 @@
 export abstract class RunnerSelector {
   /** The runner to use, or undefined when none may take the request now. */
   abstract selectRunner (selection: SelectionRequest, holders: readonly RunnerReport[], context: SelectionContext): RunnerReport | undefined
+
+  /** Holders that are preferred when room is asked for; undefined when this way of choosing reserves none. */
+  listPreferred (_request: RoutedRequest, _holders: readonly RunnerReport[]): RunnerReport[] | undefined {
+    return undefined
+  }
 }
 
 /** Candidates of one prefix; also the most upstreams that one crashing request reaches. */
@@ -55,6 +60,10 @@
     return this.selectBest(selection, ranked.slice(CANDIDATES), context)
   }
 
+  override listPreferred (request: RoutedRequest, holders: readonly RunnerReport[]): RunnerReport[] {
+    return rankByHash(request.prefixKey, holders).slice(0, CANDIDATES)
+  }
+
   private selectBest (selection: SelectionRequest, reports: readonly RunnerReport[], { table, predictor }: SelectionContext): RunnerReport | undefined {
     let best: { report: RunnerReport, cost: number } | undefined
     for (const report of reports) {
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -6,12 +6,13 @@
 import { IdempotencyRunner } from 'figquay-idempotency'
 import type { LogRecord, SnapshotData } from 'figquay-log'
 import { Membership } from 'figquay-membership'
-import { HintSender, HintTable, PeerMesh, selectNeighbours, type HintParts, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
+import { HintSender, HintTable, PeerMesh, type HintParts, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
 import { LeaseKeeper, makeModelId, OrderBook, PlacementController } from 'figquay-placement'
 import { BurnTracker, Metrics, type DaemonStatus } from 'figquay-report'
-import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, LoadWatch, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type RunnerReport } from 'figquay-routing'
+import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, LoadWatch, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type ReservationRequest, type RunnerReport } from 'figquay-routing'
 import { makeOperatorMethods } from './FigquaydOperatorMethods.js'
 import type { ChosenPlugins } from './FigquaydPlugins.js'
+import { Reservations, type EndedReservations } from './FigquaydReservations.js'
 import type { Settings } from './FigquaydSettings.js'
 import { DaemonStreams } from './FigquaydStreams.js'
 
@@ -38,6 +39,7 @@
   private readonly membership: Membership
   private readonly streams: DaemonStreams
   private readonly mesh: PeerMesh
+  private readonly reservations: Reservations
   private readonly table: RunnerTable
   private readonly dispatcher: Dispatcher
   private readonly monitor: EngineMonitor
@@ -73,10 +75,11 @@
       snapshotRecords: settings.snapshots.records
     })
     this.mesh = PeerMesh.create({ self: this.ownAddress, secrets: settings.peerSecrets, methods: this.makePeerMethods(), clock, logger: this.logger })
+    this.reservations = Reservations.create({ daemon: settings.id, clock, mesh: this.mesh, findHolder: (runner) => this.findHolder(runner) })
     this.table = RunnerTable.create({ clock, hints: this.hints, readLeavingMs: (runner) => this.membership.readLeavingMs(runner) })
     this.modelDemand = ModelDemand.create({ clock, hints: this.hints, table: this.table })
     this.predictor = FirstTokenPredictor.create(this.table)
-    this.dispatcher = Dispatcher.create({ clock, table: this.table, predictor: this.predictor, selector: plugins.selector, admission: plugins.admission, crashes: this.crashes, demand: this.modelDemand, loads: this.loads, refreshRunners: (pool, sinceMs) => this.monitor.refreshRunners(pool, sinceMs) })
+    this.dispatcher = Dispatcher.create({ clock, table: this.table, predictor: this.predictor, selector: plugins.selector, admission: plugins.admission, crashes: this.crashes, demand: this.modelDemand, loads: this.loads, refreshRunners: (pool, sinceMs) => this.monitor.refreshRunners(pool, sinceMs), reserveRunner: (request) => this.reservations.reserveRunner(request), endReservation: (runner, requestId) => this.reservations.endReservation(runner, requestId) })
     this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, onReport: (report) => this.takeReport(report) })
     this.limits = CustomerLimits.create({ clock, hints: this.hints, countDaemons: () => this.countServingDaemons() })
     this.leases = LeaseKeeper.create({ holder: this.holder, stream: this.streams.placement, appender: this.streams.placementAppender, membership: this.membership, clock, logger: this.logger })
@@ -179,7 +182,7 @@
 
   private connectPeers (): void {
     const daemons = this.membership.listVms('daemon').map((vm) => ({ id: vm.id, zone: vm.zone, address: vm.peer }))
-    this.mesh.setNeighbours(selectNeighbours(this.ownAddress, daemons), this.tasks)
+    this.mesh.setDaemons(daemons, this.tasks)
   }
 
   private sendHints (): void {
@@ -219,6 +222,8 @@
       'placement.loadAdapter': (params: { runner: string, model: string, adapter: string }) => this.placement.loadAdapter(params.runner, params.model, params.adapter),
       'suspect.take': (params: { runner: string, requestId: string }) => this.suspects.takePermit(params.runner, params.requestId, this.clock.readMonotonicMs()),
       'suspect.running': (params: { runner: string, requestId: string }) => this.suspects.noteRunning(params.runner, params.requestId, this.clock.readMonotonicMs()),
+      'reservation.take': (request: ReservationRequest) => this.reservations.takeRequest(request),
+      'reservation.end': (ended: EndedReservations) => this.reservations.takeEnded(ended),
       'suspect.return': (params: { runner: string, requestId: string }) => this.suspects.returnPermit(params.runner, params.requestId),
       'status.get': () => this.readStatus(),
       'burn.list': () => this.burn.listBuckets(),
@@ -264,7 +269,7 @@
       crashes: this.crashes,
       traces: this.traces,
       probeRunner: (runner) => this.monitor.probeRunner(runner),
-      chargeRequest: (charge) => this.chargeRequest(charge),
+      chargeRequest: (charge) => this.takeCharge(charge),
       loadAdapter: (runner, model, adapter) => this.loadAdapter(runner, model, adapter),
       takePermit: (runner, requestId) => this.takePermit(runner, requestId),
       returnPermit: (runner, requestId) => this.returnPermit(runner, requestId),
@@ -298,14 +303,16 @@
     return reply.ok ? reply.value : this.suspects.takePermit(runner, requestId, this.clock.readMonotonicMs())
   }
 
-  private chargeRequest (charge: CrashCharge): void {
-    this.takeCharge(charge)
+  /** Passes a charge on when it is new: so it reaches every daemon, neighbour or not. */
+  private takeCharge (charge: CrashCharge): void {
+    const isNew = this.crashes.addCharge(charge, this.clock.readMonotonicMs())
+    if (!isNew) return
     this.mesh.sendToAll('crash.charge', charge)
+    this.noteSuspects(charge)
   }
 
   /** Copies of the request that run elsewhere are suspects from now on: the holders of their runners must know. */
-  private takeCharge (charge: CrashCharge): void {
-    this.crashes.addCharge(charge, this.clock.readMonotonicMs())
+  private noteSuspects (charge: CrashCharge): void {
     for (const running of this.table.listRunning(charge.fingerprint)) {
       if (charge.upstream.startsWith(`${running.runner}/`)) continue
       this.suspects.noteRunning(running.runner, running.requestId, this.clock.readMonotonicMs())
