One daemon asks a runner and shares what changes; fewer wake-ups and hints

Now the lease holder of a cell asks its runners, hints carry a version for each cell, and peers read only reports that changed; a cell whose holder is not heard is watched by everybody, and a runner that was found gone by whoever found it. Orders go only by reports that the holder asked for itself (a shared one could be older than a settled order). A holder that hears from a process takes back charges everywhere. A desk estimates cached prompts for all daemons. The event loop's delay is sampled every 250 ms in place of 10, waiting requests are swept only while there are any, hints go once a second and at once when a cell or a leaving VM is news.

Also: an outcome was lost for other daemons when the log was away for more than 20 tries (6 s); it is now tried until the log is back, and a stop waits 15 s for it. Test: Idempotency, long outage; fails with the 20 tries (scripts/prove.mjs). The daemon's file gave up its peer methods, suspects and reports.

--- a/packages/figquay-idempotency/src/FigquayIdempotencyRunner.ts
+++ b/packages/figquay-idempotency/src/FigquayIdempotencyRunner.ts
@@ -35,8 +35,9 @@
 const LOG_RETRY_AFTER_MS = 1_000
 /** How long a claim without a reply from the log is looked for, in milliseconds. */
 const LOOK_UP_MS = 600
-const OUTCOME_ATTEMPTS = 20
 const OUTCOME_PAUSE_MS = 300
+/** A graceful stop waits this long for a log that does not answer, in milliseconds. */
+const FLUSH_MS = 15_000
 const OWNER_CHECK_MS = 200
 
 const NOT_RUN: CallResult = { execution: 'not-run', status: 0, contentType: '', body: '' }
@@ -47,6 +48,7 @@
 export class IdempotencyRunner {
   /** Outcome records on their way to the log; a graceful stop waits for them. */
   private readonly unsettled = new Set<Promise<void>>()
+  private flushingSinceMs: number | undefined
 
   private constructor (private readonly options: IdempotencyRunnerOptions) {}
 
@@ -103,9 +105,15 @@
 
   /** Waits for outcome records that are still on their way to the log. */
   async flush (): Promise<void> {
+    this.flushingSinceMs ??= this.options.clock.readMonotonicMs()
     await Promise.all(this.unsettled)
   }
 
+  private get isFlushOver (): boolean {
+    const { flushingSinceMs } = this
+    return flushingSinceMs !== undefined && this.options.clock.readMonotonicMs() - flushingSinceMs > FLUSH_MS
+  }
+
   private findPartition (key: string): ClaimPartition {
     const index = Number.parseInt(key.slice(0, 8), 16) % this.options.partitions.length
     return this.options.partitions[index]!
@@ -154,7 +162,7 @@
 
   private async appendOutcome (partition: ClaimPartition, key: string, claimId: string, result: CallResult): Promise<void> {
     const data: OutcomeData = { type: 'outcome', key, claimId, result }
-    for (let attempt = 0; attempt < OUTCOME_ATTEMPTS; attempt++) {
+    while (!this.isFlushOver) {
       const appended = await partition.appender.appendRecord({ id: `${claimId}-outcome`, data })
       if (appended.ok) return
       await this.options.clock.waitFor(OUTCOME_PAUSE_MS)
--- a/packages/figquay-measure/src/__tests__/integration/Idempotency.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/Idempotency.test.ts
@@ -6,6 +6,7 @@
 const KEY = 'key-workshop-cairo'
 const PATH = '/services/ledger/orders'
 const REFUSAL_MS = 1_000
+const LONG_OUTAGE_MS = 9_000
 
 describe('calls that must not repeat', () => {
   const cluster = LocalCluster.create({
@@ -112,6 +113,19 @@
     expect(await countRuns('log-down')).toEqual(1)
   })
 
+  test('an outcome that falls into a long outage of the log is known everywhere after it', async () => {
+    for (const service of cluster.services) await cluster.controlUpstream(service, { mode: 'slow' })
+    const pending = order(0, 'outage')
+    await new Promise((resolve) => setTimeout(resolve, 400))
+    await cluster.controlLog({ mode: 'down' })
+    expect((await pending).status).toEqual(201)
+    for (const service of cluster.services) await cluster.controlUpstream(service, { mode: 'up' })
+    await new Promise((resolve) => setTimeout(resolve, LONG_OUTAGE_MS))
+    await cluster.controlLog({ mode: 'up' })
+    await cluster.waitUntil('the outcome is known', async () => (await order(1, 'outage')).status === 201, 10_000)
+    expect(await countRuns('outage')).toEqual(1)
+  })
+
   test('a key is known after its records have expired, also to a daemon that was replaced', async () => {
     await cluster.controlLog({ retainRecords: 4 })
     await cluster.waitUntil('claims expire', async () => {
--- a/packages/figquay-measure/src/__tests__/integration/WholePath.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/WholePath.test.ts
@@ -4,6 +4,8 @@
 import { Caller, LocalCluster } from 'figquay-measure'
 
 const KEY = 'key-workshop-cairo'
+const SETTLE_MS = 3_000
+const WATCH_SECONDS = 4
 
 describe('whole path', () => {
   const cluster = LocalCluster.create({ deployment: 'guild', daemons: 3, storeScale: 0.02 })
@@ -43,4 +45,19 @@
     const reply = await caller.callService(cluster.daemons[0]!.callerUrl, KEY, 'GET', '/services/ledger/stock/hinge-7')
     expect(reply.status).toEqual(200)
   })
+
+  test('one daemon asks the runners for their state, and all know them', async () => {
+    const countReads = async (): Promise<number[]> => (await Promise.all(cluster.engines.map((engine) => cluster.readFacts<{ stateReads: number }>(engine)))).map((facts) => facts.stateReads)
+    // Adapters are still on their way at first, and runners on which something moves are asked more often.
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS))
+    const before = await countReads()
+    await new Promise((resolve) => setTimeout(resolve, WATCH_SECONDS * 1_000))
+    const reads = (await countReads()).map((count, index) => count - before[index]!)
+    expect(reads.filter((count) => count === 0)).toEqual([])
+    expect(reads.filter((count) => count > WATCH_SECONDS + 1)).toEqual([])
+    for (const daemon of cluster.daemons) {
+      const result = await caller.complete({ url: daemon.callerUrl, key: KEY, model: 'shop-4', nonce: `w-${daemon.id}`, prompt: 'Open on Friday?', outputTokens: 3 })
+      expect(result.answer).toEqual('whole')
+    }
+  })
 })
--- a/packages/figquay-peers/src/FigquayPeerMesh.ts
+++ b/packages/figquay-peers/src/FigquayPeerMesh.ts
@@ -22,7 +22,8 @@
 
 /** Up to this many daemons everybody is everybody's neighbour. */
 const FULL_MESH_LIMIT = 16
-const NEIGHBOURS_IN_ZONE = 6
+/** Daemons of one data centre are told of the runners there by those that watch them. */
+const NEIGHBOURS_IN_ZONE = 15
 const NEIGHBOURS_ELSEWHERE = 2
 const RECONNECT_PAUSE_MS = 200
 const CONNECT_TIMEOUT_MS = 1_000
@@ -83,6 +84,11 @@
     return [...this.outgoing].filter(([, connection]) => connection.isUsable).map(([id]) => id)
   }
 
+  /** Whether a daemon can be called now. */
+  isConnected (id: string): boolean {
+    return this.outgoing.get(id)?.isUsable === true
+  }
+
   /** Bytes carried over all connections so far, both ways. */
   get byteCount (): number {
     const open = [...this.outgoing.values(), ...this.incoming]
--- a/packages/figquay-peers/src/FigquayPeersHintSender.ts
+++ b/packages/figquay-peers/src/FigquayPeersHintSender.ts
@@ -3,18 +3,19 @@
 
 /** How often a part may be sent at most, in milliseconds. */
 const SHORTEST_INTERVAL_MS: Readonly<Record<keyof HintParts, number>> = {
-  positions: 0,
-  inFlight: 0,
-  pendingPromptTokens: 0,
-  customerDemand: 1_000,
-  modelDemand: 1_000,
+  positions: 900,
+  inFlight: 900,
+  pendingPromptTokens: 900,
+  customerDemand: 900,
+  modelDemand: 1_900,
+  cells: 0,
   leaving: 0
 }
 
 /** Every part is sent at least this often, for peers that have missed some, in milliseconds. */
 const REFRESH_MS = 4_000
 /** Something is sent at least this often, so that peers know that the rest still holds, in milliseconds. */
-const SIGN_OF_LIFE_MS = 1_000
+const SIGN_OF_LIFE_MS = 900
 
 interface SentPart {
   readonly text: string
--- a/packages/figquay-peers/src/FigquayPeersHints.ts
+++ b/packages/figquay-peers/src/FigquayPeersHints.ts
@@ -12,6 +12,8 @@
   readonly customerDemand: Readonly<Record<string, number>>
   /** Requests per second of each model. */
   readonly modelDemand: Readonly<Record<string, number>>
+  /** Version of the reports of each cell whose runners this daemon orders and watches for all. */
+  readonly cells: Readonly<Record<string, number>>
   /** VMs known to be leaving. */
   readonly leaving: readonly string[]
 }
@@ -22,7 +24,7 @@
   readonly daemon: string
 }
 
-const NO_HINTS: HintParts = { positions: {}, inFlight: {}, pendingPromptTokens: {}, customerDemand: {}, modelDemand: {}, leaving: [] }
+const NO_HINTS: HintParts = { positions: {}, inFlight: {}, pendingPromptTokens: {}, customerDemand: {}, modelDemand: {}, cells: {}, leaving: [] }
 
 /** Hints with the time at which they came in. */
 export interface ReceivedHints {
--- a/packages/figquay-placement/src/FigquayPlacementController.ts
+++ b/packages/figquay-placement/src/FigquayPlacementController.ts
@@ -37,7 +37,7 @@
 
 const ROUND_MS = 250
 const KEPT_MOVES = 500
-/** A runner whose report is older than this gets no orders, in milliseconds. */
+/** A runner gets no orders when its last report to this daemon itself is older than this, in milliseconds. */
 const REPORT_EXPIRES_MS = 2_000
 const FIRST_REPORTS_MS = 3_000
 const ADAPTER_WAIT_MS = 800
@@ -165,7 +165,7 @@
   }
 
   private isFresh (report: RunnerReport): boolean {
-    return report.downSinceMs === undefined && this.options.clock.readMonotonicMs() - report.receivedAtMs < REPORT_EXPIRES_MS
+    return report.downSinceMs === undefined && this.options.clock.readMonotonicMs() - report.requestedAtMs < REPORT_EXPIRES_MS
   }
 
   private makeView (pool: Pool, configuration: Configuration, prepared: ReadonlyArray<{ vm: Vm, report: RunnerReport | undefined, isReady: boolean }>): PlanView {
--- a/packages/figquay-report/src/FigquayReportMetrics.ts
+++ b/packages/figquay-report/src/FigquayReportMetrics.ts
@@ -1,6 +1,8 @@
 /** Metrics of one daemon, in Prometheus' format. Times are in seconds. */
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
 
+/** The delay of the event loop is sampled this often, in milliseconds: each sample wakes the process. */
+const LOOP_PRECISION_MS = 250
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2, 4, 8, 15, 30, 60]
 
 /** How a request ended, for counters. */
@@ -16,7 +18,7 @@
   private readonly retries = new Counter({ name: 'figquay_retries_total', help: 'Attempts after the first', registers: [this.registry] })
 
   private constructor () {
-    collectDefaultMetrics({ register: this.registry })
+    collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: LOOP_PRECISION_MS })
   }
 
   /**
--- a/packages/figquay-routing/src/FigquayRoutingAdmission.ts
+++ b/packages/figquay-routing/src/FigquayRoutingAdmission.ts
@@ -1,7 +1,6 @@
 /** Decides whether a request can still meet its contract, and when a runner may take it. */
 import { Refusal, type PluginRegistry } from 'figquay'
 import { PRIORITY_RANK, type RoutedRequest } from './FigquayRoutingTypes.js'
-import type { RunnerRoom } from './FigquayRoutingReservations.js'
 import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 
@@ -25,8 +24,8 @@
   abstract checkRequest (request: RoutedRequest, holders: readonly RunnerReport[], context: AdmissionContext): Refusal | undefined
   /** Whether a runner may take the request now; else the request waits. */
   abstract canTake (report: RunnerReport, request: RoutedRequest, context: AdmissionContext): boolean
-  /** Room that a request needs on a runner; undefined when this way of admission reserves none. */
-  measureRoom (_report: RunnerReport, _request: RoutedRequest, _context: Pick<AdmissionContext, 'predictor' | 'nowMs'>): RunnerRoom | undefined {
+  /** Prompt tokens that may be pending on a runner for the contract to hold; undefined when this way of admission reserves no room. */
+  countMostPending (_report: RunnerReport, _request: RoutedRequest, _context: Pick<AdmissionContext, 'predictor' | 'nowMs'>): number | undefined {
     return undefined
   }
 
@@ -84,15 +83,11 @@
     return this.measureLateness(report, request, 0, context) <= 0
   }
 
-  override measureRoom (report: RunnerReport, request: RoutedRequest, { predictor, nowMs }: Pick<AdmissionContext, 'predictor' | 'nowMs'>): RunnerRoom | undefined {
+  override countMostPending (report: RunnerReport, request: RoutedRequest, { predictor, nowMs }: Pick<AdmissionContext, 'predictor' | 'nowMs'>): number | undefined {
     if (request.kind.priority === 'batch') return undefined
     const left = this.readLeftMs(request, nowMs)
     const firstTokenMs = Math.min(left.firstTokenMs, left.answerMs - predictor.predictDecodeMs(report, request))
-    return {
-      runner: report.runner,
-      promptTokens: predictor.estimatePrompt(report.runner, request),
-      mostPendingTokens: predictor.countTokensWithin(report, firstTokenMs)
-    }
+    return predictor.countTokensWithin(report, firstTokenMs)
   }
 
   override readRank (request: RoutedRequest): number {
--- a/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -46,20 +46,24 @@
 
   /**
    * Takes charges back when the same process turns out to be alive: only its connections had broken.
+   * True when there were some.
    *
    * @param requestedAtMs When its report was asked for; later charges stand.
    * @example
    * guard.clearUpstream('engine-2/boot-7', report.requestedAtMs)
    */
-  clearUpstream (upstream: string, requestedAtMs: number): void {
+  clearUpstream (upstream: string, requestedAtMs: number): boolean {
+    let hasCleared = false
     for (const [fingerprint, entry] of this.entries) {
       const chargedAtMs = entry.upstreams.get(upstream)
       if (chargedAtMs === undefined || chargedAtMs >= requestedAtMs) continue
+      hasCleared = true
       const upstreams = new Map(entry.upstreams)
       upstreams.delete(upstream)
       if (upstreams.size === 0) this.entries.delete(fingerprint)
       else this.entries.set(fingerprint, { ...entry, upstreams })
     }
+    return hasCleared
   }
 
   /** Whether a request was in flight at a crash. */
--- a/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
+++ b/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
@@ -1,5 +1,5 @@
 /** Matches waiting requests with runners. */
-import { Refusal, type Clock, type TaskGroup } from 'figquay'
+import { Refusal, type Clock } from 'figquay'
 import type { RoutedRequest } from './FigquayRoutingTypes.js'
 import type { AdmissionContext, AdmissionPolicy } from './FigquayRoutingAdmission.js'
 import type { CrashGuard } from './FigquayRoutingCrashGuard.js'
@@ -51,6 +51,17 @@
   readonly signal: AbortSignal
 }
 
+/** A choice, before it is noted in the table. */
+interface ChosenRunner {
+  readonly report: RunnerReport
+  readonly request: RoutedRequest
+  readonly isCharged: boolean
+  /** What the runner has to process of the prompt. */
+  readonly promptTokens: number
+  readonly predictedMs: number
+  readonly endReservation: () => void
+}
+
 interface Waiter {
   readonly dispatch: DispatchRequest
   readonly settle: (result: Assignment | Refusal) => void
@@ -66,6 +77,7 @@
 export class Dispatcher {
   private readonly queue = FairQueue.create<Waiter>()
   private passPlanned = false
+  private sweepPlanned = false
 
   private constructor (private readonly options: DispatcherOptions) {}
 
@@ -82,18 +94,6 @@
     return this.queue.length
   }
 
-  /**
-   * Starts the task that looks after waiting requests.
-   *
-   * @example
-   * dispatcher.start(tasks)
-   */
-  start (tasks: TaskGroup): void {
-    tasks.startLoop('dispatch', SWEEP_MS, async () => {
-      if (this.queue.length > 0) this.runPass()
-    })
-  }
-
   /**
    * Waits for a runner; or the final refusal, as soon as it is known.
    *
@@ -113,7 +113,8 @@
     const { predictor, table } = this.options
     const options = this.listOptions(dispatch)
     if (options.length === 0) return undefined
-    const reply = await this.options.reserveRunner({ requestId: request.requestId, options })
+    const { requestId, prefixKey, promptTokens } = request
+    const reply = await this.options.reserveRunner({ requestId, prefixKey, promptTokens, options })
     if (reply === undefined) return undefined
     const report = table.findReport(reply.type === 'reserved' ? reply.runner : options[0]!.runner)
     if (report === undefined) return undefined
@@ -121,8 +122,8 @@
       const lateMs = Math.ceil(predictor.predictPendingMs(report, reply.excessTokens))
       return Refusal.create('deadline_unreachable', `predicted to be ${lateMs} ms late`, { retryAfterMs: Math.max(SHORTEST_RETRY_MS, lateMs) })
     }
-    const endReservation = (): void => this.options.endReservation(report.runner, request.requestId)
-    return this.makeAssignment(report, request, false, predictor.predictPendingMs(report, reply.pendingTokens), endReservation)
+    const endReservation = (): void => this.options.endReservation(report.runner, requestId)
+    return this.makeAssignment({ report, request, isCharged: false, promptTokens: reply.promptTokens, predictedMs: predictor.predictPendingMs(report, reply.pendingTokens), endReservation })
   }
 
   /** Runners to ask for room: none for what was begun or was in flight at a crash, which is not refused for being late. */
@@ -135,8 +136,8 @@
     const preferred = selector.listPreferred(request, holders)
     if (preferred === undefined) return []
     return holders.filter((report) => table.isUsable(report)).flatMap((report) => {
-      const room = admission.measureRoom(report, request, { predictor, nowMs })
-      return room === undefined ? [] : [{ ...room, isPreferred: preferred.includes(report) }]
+      const mostPendingTokens = admission.countMostPending(report, request, { predictor, nowMs })
+      return mostPendingTokens === undefined ? [] : [{ runner: report.runner, mostPendingTokens, isPreferred: preferred.includes(report) }]
     })
   }
 
@@ -175,6 +176,17 @@
       this.queue.removeEntry(entry, !(result instanceof Refusal))
       entry.payload.settle(result)
     }
+    if (this.queue.length > 0) this.planSweep()
+  }
+
+  /** Time alone may change the answer to a waiting request. */
+  private planSweep (): void {
+    if (this.sweepPlanned) return
+    this.sweepPlanned = true
+    this.options.clock.waitFor(SWEEP_MS).then(() => {
+      this.sweepPlanned = false
+      this.planPass()
+    })
   }
 
   /** An assignment, a refusal, or undefined when the request has to wait. */
@@ -222,19 +234,20 @@
     const canTake = (report: RunnerReport): boolean => (hasStarted || admission.canTake(report, request, context)) && !(isCharged && this.hasCharged(report, context.nowMs))
     const report = selector.selectRunner({ request, isCharged, canTake }, holders, { table, predictor })
     if (report === undefined) return undefined
-    return this.makeAssignment(report, request, isCharged, predictor.predictFirstTokenMs(report, request, 0), () => {})
+    const promptTokens = predictor.estimatePrompt(report.runner, request.prefixKey, request.promptTokens)
+    return this.makeAssignment({ report, request, isCharged, promptTokens, predictedMs: predictor.predictFirstTokenMs(report, request, 0), endReservation: () => {} })
   }
 
-  private makeAssignment (report: RunnerReport, request: RoutedRequest, isCharged: boolean, predictedMs: number, endReservation: () => void): Assignment {
+  private makeAssignment ({ report, request, isCharged, promptTokens, predictedMs, endReservation }: ChosenRunner): Assignment {
     const entry: InFlight = {
       requestId: request.requestId,
       fingerprint: request.fingerprint,
-      promptTokens: this.options.predictor.estimatePrompt(report.runner, request),
+      promptTokens,
       isBatch: request.kind.priority === 'batch',
       predictedMs,
       hasFirstToken: false
     }
-    this.options.demand.notePrompt(request.model.name, entry.promptTokens / Math.max(1, request.promptTokens))
+    this.options.demand.notePrompt(request.model.name, promptTokens / Math.max(1, request.promptTokens))
     const unregister = this.options.table.registerInFlight(report.runner, entry)
     const release = (): void => {
       if (!entry.hasFirstToken) endReservation()
--- a/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -1,4 +1,4 @@
-/** Asks every runner for its state, one task for each. */
+/** Asks runners for their state, one task for each that this daemon watches. */
 import type { Clock, Logger, TaskGroup } from 'figquay'
 import type { Membership, Vm } from 'figquay-membership'
 import type { EngineClient } from 'figquay-upstreams'
@@ -11,6 +11,8 @@
   readonly membership: Membership
   readonly engines: EngineClient
   readonly table: RunnerTable
+  /** Whether this daemon has to ask a runner itself; of others it is told. */
+  readonly isWatched: (vm: Vm) => boolean
   /** Called after each report. */
   readonly onReport: (report: RunnerReport) => void
 }
@@ -18,6 +20,10 @@
 const BUSY_POLL_MS = 300
 /** A runner on which nothing goes on is asked less often. */
 const IDLE_POLL_MS = 1_000
+/** How often it is looked whether other runners have to be watched, in milliseconds. */
+const REVIEW_MS = 400
+/** A runner is asked again by a request that needs it no sooner than this, in milliseconds. */
+const REFRESH_PAUSE_MS = 200
 const FAILURES_TO_DOWN = 3
 
 /** Keeps the runner table up to date. */
@@ -38,13 +44,13 @@
   }
 
   /**
-   * Starts a task for every runner on the roster, now and as they come.
+   * Starts a task for every runner to be watched, now and as they come.
    *
    * @example
    * monitor.start(tasks)
    */
   start (tasks: TaskGroup): void {
-    this.watchListed(tasks)
+    tasks.startLoop('review runners', REVIEW_MS, async () => this.watchListed(tasks))
     this.options.membership.registerListener(() => this.watchListed(tasks))
   }
 
@@ -76,16 +82,21 @@
     for (const vm of older) {
       if (this.refreshing.has(vm.id)) continue
       this.refreshing.add(vm.id)
-      this.pollRunner(vm).finally(() => this.refreshing.delete(vm.id))
+      this.refreshRunner(vm).finally(() => this.refreshing.delete(vm.id))
     }
     return older.length === 0
   }
 
+  private async refreshRunner (vm: Vm): Promise<void> {
+    await this.pollRunner(vm)
+    await this.options.clock.waitFor(REFRESH_PAUSE_MS)
+  }
+
   private watchListed (tasks: TaskGroup): void {
     const listed = this.options.membership.listVms('engine')
     this.options.table.keepOnly(new Set(listed.map((vm) => vm.id)))
     for (const vm of listed) {
-      if (this.watched.has(vm.id)) continue
+      if (this.watched.has(vm.id) || !this.options.isWatched(vm)) continue
       this.watched.add(vm.id)
       tasks.startTask(`runner ${vm.id}`, (signal) => this.watchRunner(vm.id, signal))
     }
@@ -95,7 +106,7 @@
     let failures = 0
     while (!signal.aborted) {
       const vm = this.options.membership.findVm(runner)
-      if (vm === undefined) break
+      if (vm === undefined || !this.options.isWatched(vm)) break
       const failure = await this.pollRunner(vm)
       failures = failure === undefined ? 0 : failures + 1
       if (failures >= FAILURES_TO_DOWN) this.options.table.markDown(runner)
--- a/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
+++ b/packages/figquay-routing/src/FigquayRoutingModelDemand.ts
@@ -20,7 +20,7 @@
 }
 
 /** Mean age of the latest hints, in milliseconds. */
-const HINT_AGE_MS = 150
+const HINT_AGE_MS = 500
 const FIRST_WORK_SECONDS = 0.2
 const WORK_WEIGHT = 0.05
 const PROMPT_WEIGHT = 0.1
--- a/packages/figquay-routing/src/FigquayRoutingPredictor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingPredictor.ts
@@ -1,5 +1,6 @@
 /** Predicts when a runner would give the first token of a request. */
 import type { RoutedRequest } from './FigquayRoutingTypes.js'
+import type { PromptEstimator } from './FigquayRoutingReservations.js'
 import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
 
 /** Part of a prompt that a runner still has to process when it has seen its beginning before. */
@@ -19,7 +20,7 @@
 const MS_PER_SECOND = 1_000
 
 /** Predictions from reports, own requests and prefixes seen. */
-export class FirstTokenPredictor {
+export class FirstTokenPredictor implements PromptEstimator {
   private readonly prefixes = new Map<string, true>()
   private meanServiceMs = FIRST_SERVICE_MS
   /** Factor on the formula under which most of what was seen stays. */
@@ -43,7 +44,7 @@
    * predictor.predictFirstTokenMs(report, request, 0)
    */
   predictFirstTokenMs (report: RunnerReport, request: RoutedRequest, queuedTokens: number): number {
-    return this.predictPendingMs(report, this.table.sumPendingPromptTokens(report) + queuedTokens + this.estimatePrompt(report.runner, request))
+    return this.predictPendingMs(report, this.table.sumPendingPromptTokens(report) + queuedTokens + this.estimatePrompt(report.runner, request.prefixKey, request.promptTokens))
   }
 
   /**
@@ -96,9 +97,9 @@
   }
 
   /** Prompt tokens that a runner would have to process. */
-  estimatePrompt (runner: string, request: RoutedRequest): number {
-    const cached = this.prefixes.has(`${runner}/${request.prefixKey}`) || this.isReportedCached(runner, request.prefixKey)
-    return Math.ceil(request.promptTokens * (cached ? UNCACHED_PART : 1))
+  estimatePrompt (runner: string, prefixKey: string, promptTokens: number): number {
+    const cached = this.prefixes.has(`${runner}/${prefixKey}`) || this.isReportedCached(runner, prefixKey)
+    return Math.ceil(promptTokens * (cached ? UNCACHED_PART : 1))
   }
 
   /** Requests of other daemons fill the cache too: the engine's own events tell. */
--- a/packages/figquay-routing/src/FigquayRoutingReservations.ts
+++ b/packages/figquay-routing/src/FigquayRoutingReservations.ts
@@ -1,16 +1,10 @@
 /** Reservations of prompt work: the daemon that orders a runner keeps account of what all daemons send to it. */
 
-/** What a request needs on a runner. */
-export interface RunnerRoom {
+/** A runner that would do for a request. */
+export interface RunnerOption {
   readonly runner: string
-  /** Prompt tokens that the runner would have to process for the request. */
-  readonly promptTokens: number
   /** Prompt tokens, those of the request included, that may be pending there for its contract to hold. */
   readonly mostPendingTokens: number
-}
-
-/** A runner that would do for a request. */
-export interface RunnerOption extends RunnerRoom {
   /** Runners that are not preferred are used only when those that are have no room. */
   readonly isPreferred: boolean
 }
@@ -18,21 +12,33 @@
 /** Asks for room on one of several runners. */
 export interface ReservationRequest {
   readonly requestId: string
+  readonly prefixKey: string
+  readonly promptTokens: number
   readonly options: readonly RunnerOption[]
 }
 
 /** Room on a runner, or how much is wanting. */
 export type ReservationReply =
-  | { readonly type: 'reserved', readonly runner: string, /** Own tokens included. */ readonly pendingTokens: number }
+  | { readonly type: 'reserved', readonly runner: string, /** What the runner has to process of the prompt. */ readonly promptTokens: number, /** That included. */ readonly pendingTokens: number }
   | { readonly type: 'full', readonly excessTokens: number }
 
+/** What the runners have cached. */
+export interface PromptEstimator {
+  /** Prompt tokens that a runner would have to process. */
+  estimatePrompt (runner: string, prefixKey: string, promptTokens: number): number
+  /** Notes that a runner has processed a prompt. */
+  notePrefix (runner: string, prefixKey: string): void
+}
+
 interface Reservation {
+  readonly prefixKey: string
   readonly tokens: number
   readonly expiresAtMs: number
 }
 
 interface WeighedOption {
   readonly option: RunnerOption
+  readonly promptTokens: number
   readonly pendingTokens: number
 }
 
@@ -43,30 +49,32 @@
 export class ReservationDesk {
   private readonly accounts = new Map<string, Map<string, Reservation>>()
 
+  private constructor (private readonly estimator: PromptEstimator) {}
+
   /**
    * @example
-   * const desk = ReservationDesk.create()
+   * const desk = ReservationDesk.create(predictor)
    */
-  static create (): ReservationDesk {
-    return new ReservationDesk()
+  static create (estimator: PromptEstimator): ReservationDesk {
+    return new ReservationDesk(estimator)
   }
 
   /**
    * Reserves room on the preferred runner that is least busy; on another one only when those are full.
    *
    * @example
-   * const reply = desk.reserveRunner({ requestId, options }, nowMs)
+   * const reply = desk.reserveRunner({ requestId, prefixKey, promptTokens, options }, nowMs)
    */
-  reserveRunner ({ requestId, options }: ReservationRequest, nowMs: number): ReservationReply {
-    const weighed = options.map((option) => ({ option, pendingTokens: this.sumPending(option.runner, nowMs) + option.promptTokens }))
+  reserveRunner (request: ReservationRequest, nowMs: number): ReservationReply {
+    const weighed = request.options.map((option) => this.weighOption(option, request, nowMs))
     const best = findLeastBusy(weighed.filter(({ option }) => option.isPreferred)) ?? findLeastBusy(weighed)
     if (best === undefined) {
       const excess = weighed.map(({ option, pendingTokens }) => pendingTokens - option.mostPendingTokens)
       return { type: 'full', excessTokens: Math.min(...excess) }
     }
-    const { runner, promptTokens } = best.option
-    this.findAccount(runner).set(requestId, { tokens: promptTokens, expiresAtMs: nowMs + RESERVATION_LIFE_MS })
-    return { type: 'reserved', runner, pendingTokens: best.pendingTokens }
+    const { option: { runner }, promptTokens, pendingTokens } = best
+    this.findAccount(runner).set(request.requestId, { prefixKey: request.prefixKey, tokens: promptTokens, expiresAtMs: nowMs + RESERVATION_LIFE_MS })
+    return { type: 'reserved', runner, promptTokens, pendingTokens }
   }
 
   /**
@@ -76,7 +84,17 @@
    * desk.endReservations('engine-2', [requestId])
    */
   endReservations (runner: string, requestIds: readonly string[]): void {
-    for (const requestId of requestIds) this.accounts.get(runner)?.delete(requestId)
+    const account = this.findAccount(runner)
+    for (const requestId of requestIds) {
+      const reservation = account.get(requestId)
+      if (reservation !== undefined) this.estimator.notePrefix(runner, reservation.prefixKey)
+      account.delete(requestId)
+    }
+  }
+
+  private weighOption (option: RunnerOption, { prefixKey, promptTokens: wholeTokens }: ReservationRequest, nowMs: number): WeighedOption {
+    const promptTokens = this.estimator.estimatePrompt(option.runner, prefixKey, wholeTokens)
+    return { option, promptTokens, pendingTokens: this.sumPending(option.runner, nowMs) + promptTokens }
   }
 
   private findAccount (runner: string): Map<string, Reservation> {
--- a/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
+++ b/packages/figquay-routing/src/FigquayRoutingRunnerTable.ts
@@ -21,7 +21,7 @@
   readonly url: string
   readonly zone: string
   readonly state: EngineState
-  /** When the report was asked for: whatever was answered before is in it. */
+  /** When this daemon asked for the report: whatever was answered before is in it. 0 when a peer asked. */
   readonly requestedAtMs: number
   readonly receivedAtMs: number
   /** When the runner was found gone; undefined while it answers. */
@@ -50,6 +50,7 @@
   private reports: ReadonlyMap<string, RunnerReport> = new Map()
   private readonly inFlight = new Map<string, Map<string, InFlight>>()
   private readonly restUntilMs = new Map<string, number>()
+  private readonly listeners = new Set<(report: RunnerReport) => void>()
 
   private constructor (private readonly options: RunnerTableOptions) {}
 
@@ -69,6 +70,32 @@
    */
   putReport (report: RunnerReport): void {
     this.reports = new Map(this.reports).set(report.runner, report)
+    for (const listener of [...this.listeners]) listener(report)
+  }
+
+  /**
+   * Calls `listener` after each report; returns the function that ends it.
+   *
+   * @example
+   * const undo = table.registerListener((report) => share(report))
+   */
+  registerListener (listener: (report: RunnerReport) => void): () => void {
+    this.listeners.add(listener)
+    return () => {
+      this.listeners.delete(listener)
+    }
+  }
+
+  /**
+   * Notes that the last reports of some runners still hold; one that was found gone stays so.
+   *
+   * @example
+   * table.confirmReports(['engine-1', 'engine-2'])
+   */
+  confirmReports (runners: readonly string[]): void {
+    const receivedAtMs = this.options.clock.readMonotonicMs()
+    const confirmed = runners.map((runner) => this.reports.get(runner)).filter((report) => report !== undefined && report.downSinceMs === undefined)
+    this.reports = new Map([...this.reports, ...confirmed.map((report): [string, RunnerReport] => [report!.runner, { ...report!, receivedAtMs }])])
   }
 
   /** Notes that a runner is gone; its models stay known for a while. */
--- a/packages/figquay-routing/src/index.ts
+++ b/packages/figquay-routing/src/index.ts
@@ -1,4 +1,4 @@
-export { ReservationDesk, type ReservationReply, type ReservationRequest, type RunnerOption, type RunnerRoom } from './FigquayRoutingReservations.js'
+export { ReservationDesk, type PromptEstimator, type ReservationReply, type ReservationRequest, type RunnerOption } from './FigquayRoutingReservations.js'
 export { LoadWatch } from './FigquayRoutingLoadWatch.js'
 export { PRIORITY_RANK, type CompletionReport, type CompletionSink, type RoutedRequest } from './FigquayRoutingTypes.js'
 export { RateMeter, RateTable } from './FigquayRoutingRateMeter.js'
--- a/packages/figquay-standins/src/FigquayStandinsEngine.ts
+++ b/packages/figquay-standins/src/FigquayStandinsEngine.ts
@@ -58,6 +58,8 @@
   /** Completions that arrived, with the time in milliseconds since the epoch. */
   lastStartedAt: number
   peakBytes: number
+  /** How often the state was asked for. */
+  stateReads: number
 }
 
 /** A prompt with this word crashes the engine that runs it. */
@@ -81,7 +83,7 @@
   private readonly store = JsonClient.create()
   private readonly batch: SequenceBatch
   private loads: LoadSample[] = []
-  private readonly facts: EngineFacts = { violations: [], orders: [], staleOrders: 0, crashes: 0, started: 0, cancelled: 0, lastStartedAt: 0, peakBytes: 0 }
+  private readonly facts: EngineFacts = { violations: [], orders: [], staleOrders: 0, crashes: 0, started: 0, cancelled: 0, lastStartedAt: 0, peakBytes: 0, stateReads: 0 }
 
   private constructor (private readonly options: StandinEngineOptions, private readonly clock: Clock) {
     this.batch = SequenceBatch.create(options.batching, clock)
@@ -115,6 +117,7 @@
   }
 
   private readState () {
+    this.facts.stateReads += 1
     return {
       bootId: this.bootId,
       leaving: this.isLeaving,
--- a/packages/figquay-standins/src/FigquayStandinsService.ts
+++ b/packages/figquay-standins/src/FigquayStandinsService.ts
@@ -13,10 +13,13 @@
 /** How the service behaves; changed over `POST /standin/control`. */
 export interface ServiceBehaviour {
   leaving: boolean
-  /** `refuse`: says that it did not run the call. `hang`: takes the call and does not answer. `lose`: runs it, then drops the connection. */
-  mode: 'up' | 'refuse' | 'hang' | 'lose'
+  /** `refuse`: says that it did not run the call. `hang`: takes the call and does not answer. `slow`: takes its time. `lose`: runs it, then drops the connection. */
+  mode: 'up' | 'refuse' | 'hang' | 'slow' | 'lose'
 }
 
+/** An answer of a slow service takes this long, in milliseconds. */
+const SLOW_MS = 1_200
+
 /** One service. */
 export class StandinService {
   private readonly executions = new Map<string, number>()
@@ -58,7 +61,7 @@
     const key = request.headers['idempotency-key']
     if (typeof key === 'string') this.executions.set(key, (this.executions.get(key) ?? 0) + 1)
     if (this.behaviour.mode === 'hang') return undefined
-    await this.clock.waitFor(this.options.serviceMs)
+    await this.clock.waitFor(this.behaviour.mode === 'slow' ? SLOW_MS : this.options.serviceMs)
     if (this.behaviour.mode === 'lose') {
       response.destroy()
       return undefined
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -4,19 +4,23 @@
 import type { Configuration } from 'figquay-contracts'
 import { OperatorGateway, registerCallerGateway, type GatewayContext } from 'figquay-gateway'
 import { IdempotencyRunner } from 'figquay-idempotency'
-import type { LogRecord, SnapshotData } from 'figquay-log'
 import { Membership } from 'figquay-membership'
 import { HintSender, HintTable, PeerMesh, type HintParts, type Hints, type PeerAddress, type PeerMethods } from 'figquay-peers'
 import { LeaseKeeper, makeModelId, OrderBook, PlacementController } from 'figquay-placement'
 import { BurnTracker, Metrics, type DaemonStatus } from 'figquay-report'
-import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, LoadWatch, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, SuspectPermits, type CrashCharge, type ReservationRequest, type RunnerReport } from 'figquay-routing'
+import { CompletionRouter, CrashGuard, CustomerLimits, Dispatcher, EngineMonitor, FirstTokenPredictor, LoadWatch, ModelDemand, RequestTraces, RetryBudget, RunnerTable, ServiceRouter, type RunnerReport } from 'figquay-routing'
 import { makeOperatorMethods } from './FigquaydOperatorMethods.js'
+import { makePeerMethods } from './FigquaydPeerMethods.js'
 import type { ChosenPlugins } from './FigquaydPlugins.js'
-import { Reservations, type EndedReservations } from './FigquaydReservations.js'
+import { Reservations } from './FigquaydReservations.js'
 import type { Settings } from './FigquaydSettings.js'
+import { SharedReports } from './FigquaydSharedReports.js'
 import { DaemonStreams } from './FigquaydStreams.js'
+import { Suspects } from './FigquaydSuspects.js'
 
-const HINT_INTERVAL_MS = 250
+const HINT_INTERVAL_MS = 1_000
+/** News for peers are gathered for this long, in milliseconds. */
+const NEWS_DELAY_MS = 20
 const DRAIN_POLL_MS = 50
 const SETTLE_ORDERS_MS = 8_000
 const ADAPTER_CALL_MS = 1_000
@@ -30,7 +34,6 @@
   private readonly hintSender = HintSender.create()
   private readonly metrics = Metrics.create()
   private readonly crashes = CrashGuard.create()
-  private readonly suspects = SuspectPermits.create()
   private readonly loads = LoadWatch.create(this.clock)
   private readonly predictor: FirstTokenPredictor
   private readonly burn: BurnTracker
@@ -40,6 +43,8 @@
   private readonly streams: DaemonStreams
   private readonly mesh: PeerMesh
   private readonly reservations: Reservations
+  private readonly suspects: Suspects
+  private readonly reports: SharedReports
   private readonly table: RunnerTable
   private readonly dispatcher: Dispatcher
   private readonly monitor: EngineMonitor
@@ -55,6 +60,7 @@
   private readonly holder: string
   private undoCallers: (() => Promise<void>) | undefined
   private draining = false
+  private hintsPlanned = false
   private stopping: Promise<void> | undefined
 
   private constructor (private readonly settings: Settings, private readonly plugins: ChosenPlugins) {
@@ -74,13 +80,15 @@
       snapshotEveryMs: settings.snapshots.every,
       snapshotRecords: settings.snapshots.records
     })
-    this.mesh = PeerMesh.create({ self: this.ownAddress, secrets: settings.peerSecrets, methods: this.makePeerMethods(), clock, logger: this.logger })
-    this.reservations = Reservations.create({ daemon: settings.id, clock, mesh: this.mesh, findHolder: (runner) => this.findHolder(runner) })
+    this.mesh = PeerMesh.create({ self: this.ownAddress, secrets: settings.peerSecrets, methods: this.makeMethods(), clock, logger: this.logger })
     this.table = RunnerTable.create({ clock, hints: this.hints, readLeavingMs: (runner) => this.membership.readLeavingMs(runner) })
+    this.reports = this.makeReports()
+    this.suspects = Suspects.create({ daemon: settings.id, clock, mesh: this.mesh, table: this.table, crashes: this.crashes, findHolder: (runner) => this.findHolder(runner) })
     this.modelDemand = ModelDemand.create({ clock, hints: this.hints, table: this.table })
     this.predictor = FirstTokenPredictor.create(this.table)
-    this.dispatcher = Dispatcher.create({ clock, table: this.table, predictor: this.predictor, selector: plugins.selector, admission: plugins.admission, crashes: this.crashes, demand: this.modelDemand, loads: this.loads, refreshRunners: (pool, sinceMs) => this.monitor.refreshRunners(pool, sinceMs), reserveRunner: (request) => this.reservations.reserveRunner(request), endReservation: (runner, requestId) => this.reservations.endReservation(runner, requestId) })
-    this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, onReport: (report) => this.takeReport(report) })
+    this.reservations = Reservations.create({ daemon: settings.id, clock, mesh: this.mesh, estimator: this.predictor, findHolder: (runner) => this.findHolder(runner) })
+    this.dispatcher = this.makeDispatcher()
+    this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, isWatched: (vm) => this.reports.isWatched(vm), onReport: (report) => this.takeOwnReport(report) })
     this.limits = CustomerLimits.create({ clock, hints: this.hints, countDaemons: () => this.countServingDaemons() })
     this.leases = LeaseKeeper.create({ holder: this.holder, stream: this.streams.placement, appender: this.streams.placementAppender, membership: this.membership, clock, logger: this.logger })
     this.placement = this.makePlacement()
@@ -108,10 +116,10 @@
     await this.operators.listen(listen.operators.host, listen.operators.port)
     this.membership.start(this.tasks)
     this.membership.registerListener(() => this.connectPeers())
+    this.membership.registerListener(() => this.planHints())
     this.connectPeers()
     this.streams.start(this.tasks, this.mesh)
     this.monitor.start(this.tasks)
-    this.dispatcher.start(this.tasks)
     this.services.start(this.tasks)
     this.placement.start(this.tasks)
     this.tasks.startLoop('hints', HINT_INTERVAL_MS, async () => this.sendHints())
@@ -185,6 +193,16 @@
     this.mesh.setDaemons(daemons, this.tasks)
   }
 
+  /** Sends hints soon, without waiting for their turn. */
+  private planHints (): void {
+    if (this.hintsPlanned) return
+    this.hintsPlanned = true
+    setTimeout(() => {
+      this.hintsPlanned = false
+      this.sendHints()
+    }, NEWS_DELAY_MS)
+  }
+
   private sendHints (): void {
     this.hints.dropExpired(this.clock.readMonotonicMs())
     const hints: Hints = {
@@ -193,6 +211,7 @@
       ...this.table.exportInFlight(),
       customerDemand: this.limits.listDemand(),
       modelDemand: this.modelDemand.listOwn(),
+      cells: this.reports.listVersions(),
       leaving: this.membership.listLeaving()
     }
     const parts = this.hintSender.selectParts(hints, this.clock.readMonotonicMs())
@@ -204,32 +223,61 @@
     for (const vm of hints.leaving) this.membership.markLeaving(vm, 'peer')
     this.dispatcher.planPass()
     this.streams.catchUp(this.mesh, hints)
+    this.reports.takeHints(hints)
+  }
+
+  private takeOwnReport (report: RunnerReport): void {
+    this.suspects.clearUpstream(`${report.runner}/${report.state.bootId}`, report.requestedAtMs)
+    this.takeReport(report)
   }
 
   private takeReport (report: RunnerReport): void {
-    this.crashes.clearUpstream(`${report.runner}/${report.state.bootId}`, report.requestedAtMs)
     this.loads.noteReport(report)
     this.dispatcher.planPass()
   }
 
-  private makePeerMethods (): PeerMethods {
-    return {
-      'hints.put': (parts: Partial<HintParts> & { readonly daemon: string }) => this.takeHints(parts),
-      'crash.charge': (charge: CrashCharge) => this.takeCharge(charge),
-      'log.read': (params: { stream: string, from: number }): readonly LogRecord[] | null => this.streams.findStream(params.stream)?.listRecent(params.from) ?? null,
-      'log.snapshot': (params: { stream: string }): SnapshotData | null => this.streams.findStream(params.stream)?.exportSnapshot() ?? null,
-      'config.position': () => this.streams.configuration.position,
-      'placement.loadAdapter': (params: { runner: string, model: string, adapter: string }) => this.placement.loadAdapter(params.runner, params.model, params.adapter),
-      'suspect.take': (params: { runner: string, requestId: string }) => this.suspects.takePermit(params.runner, params.requestId, this.clock.readMonotonicMs()),
-      'suspect.running': (params: { runner: string, requestId: string }) => this.suspects.noteRunning(params.runner, params.requestId, this.clock.readMonotonicMs()),
-      'reservation.take': (request: ReservationRequest) => this.reservations.takeRequest(request),
-      'reservation.end': (ended: EndedReservations) => this.reservations.takeEnded(ended),
-      'suspect.return': (params: { runner: string, requestId: string }) => this.suspects.returnPermit(params.runner, params.requestId),
-      'status.get': () => this.readStatus(),
-      'burn.list': () => this.burn.listBuckets(),
-      'moves.list': () => this.placement.history,
-      'explain.get': (params: { requestId: string }) => this.traces.listEvents(params.requestId)
-    }
+  private makeMethods (): PeerMethods {
+    return makePeerMethods({
+      streams: this.streams,
+      burn: this.burn,
+      traces: this.traces,
+      readPlacement: () => this.placement,
+      readSuspects: () => this.suspects,
+      readReservations: () => this.reservations,
+      readReports: () => this.reports,
+      readStatus: () => this.readStatus(),
+      takeHints: (parts) => this.takeHints(parts)
+    })
+  }
+
+  private makeReports (): SharedReports {
+    return SharedReports.create({
+      daemon: this.settings.id,
+      clock: this.clock,
+      mesh: this.mesh,
+      membership: this.membership,
+      table: this.table,
+      findCell: (vm) => this.placement.findCell(vm),
+      findHolder: (cell) => this.leases.findHolder(cell),
+      onNews: () => this.planHints(),
+      onReport: (report) => this.takeReport(report)
+    })
+  }
+
+  private makeDispatcher (): Dispatcher {
+    return Dispatcher.create({
+      clock: this.clock,
+      table: this.table,
+      predictor: this.predictor,
+      selector: this.plugins.selector,
+      admission: this.plugins.admission,
+      crashes: this.crashes,
+      demand: this.modelDemand,
+      loads: this.loads,
+      refreshRunners: (pool, sinceMs) => this.monitor.refreshRunners(pool, sinceMs),
+      reserveRunner: (request) => this.reservations.reserveRunner(request),
+      endReservation: (runner, requestId) => this.reservations.endReservation(runner, requestId)
+    })
   }
 
   private makePlacement (): PlacementController {
@@ -269,10 +317,10 @@
       crashes: this.crashes,
       traces: this.traces,
       probeRunner: (runner) => this.monitor.probeRunner(runner),
-      chargeRequest: (charge) => this.takeCharge(charge),
+      chargeRequest: (charge) => this.suspects.takeCharge(charge),
       loadAdapter: (runner, model, adapter) => this.loadAdapter(runner, model, adapter),
-      takePermit: (runner, requestId) => this.takePermit(runner, requestId),
-      returnPermit: (runner, requestId) => this.returnPermit(runner, requestId),
+      takePermit: (runner, requestId) => this.suspects.takePermit(runner, requestId),
+      returnPermit: (runner, requestId) => this.suspects.returnPermit(runner, requestId),
       readRank: (request) => this.plugins.admission.readRank(request),
       listModelIds: (model) => this.listModelIds(model)
     })
@@ -295,38 +343,6 @@
     return reply.ok && reply.value
   }
 
-  /** The holder of a runner's cell keeps its permit; when it cannot be asked, only this daemon's own requests are kept apart. */
-  private async takePermit (runner: string, requestId: string): Promise<boolean> {
-    const holder = this.findHolder(runner)
-    if (holder === undefined || holder === this.settings.id) return this.suspects.takePermit(runner, requestId, this.clock.readMonotonicMs())
-    const reply = await this.mesh.callPeer<boolean>(holder, 'suspect.take', { runner, requestId })
-    return reply.ok ? reply.value : this.suspects.takePermit(runner, requestId, this.clock.readMonotonicMs())
-  }
-
-  /** Passes a charge on when it is new: so it reaches every daemon, neighbour or not. */
-  private takeCharge (charge: CrashCharge): void {
-    const isNew = this.crashes.addCharge(charge, this.clock.readMonotonicMs())
-    if (!isNew) return
-    this.mesh.sendToAll('crash.charge', charge)
-    this.noteSuspects(charge)
-  }
-
-  /** Copies of the request that run elsewhere are suspects from now on: the holders of their runners must know. */
-  private noteSuspects (charge: CrashCharge): void {
-    for (const running of this.table.listRunning(charge.fingerprint)) {
-      if (charge.upstream.startsWith(`${running.runner}/`)) continue
-      this.suspects.noteRunning(running.runner, running.requestId, this.clock.readMonotonicMs())
-      const holder = this.findHolder(running.runner)
-      if (holder !== undefined && holder !== this.settings.id) this.mesh.sendTo(holder, 'suspect.running', running)
-    }
-  }
-
-  private returnPermit (runner: string, requestId: string): void {
-    this.suspects.returnPermit(runner, requestId)
-    const holder = this.findHolder(runner)
-    if (holder !== undefined && holder !== this.settings.id) this.mesh.sendTo(holder, 'suspect.return', { runner, requestId })
-  }
-
   private findHolder (runner: string): string | undefined {
     const vm = this.membership.findVm(runner)
     return vm === undefined ? undefined : this.leases.findHolder(this.placement.findCell(vm))
--- a/packages/figquayd/src/FigquaydReservations.ts
+++ b/packages/figquayd/src/FigquaydReservations.ts
@@ -1,13 +1,14 @@
 /** Asks the holders of cells for room on their runners, and tells them when it is no longer needed. */
 import type { Clock } from 'figquay'
 import type { PeerMesh } from 'figquay-peers'
-import { ReservationDesk, type ReservationReply, type ReservationRequest, type RunnerOption } from 'figquay-routing'
+import { ReservationDesk, type PromptEstimator, type ReservationReply, type ReservationRequest, type RunnerOption } from 'figquay-routing'
 
 /** What reservations need. */
 export interface ReservationsOptions {
   readonly daemon: string
   readonly clock: Clock
   readonly mesh: PeerMesh
+  readonly estimator: PromptEstimator
   /** Daemon that orders a runner; undefined while nobody does. */
   readonly findHolder: (runner: string) => string | undefined
 }
@@ -24,15 +25,17 @@
 
 /** Both sides of reservations: the desk for the runners that this daemon orders, and requests to other desks. */
 export class Reservations {
-  private readonly desk = ReservationDesk.create()
+  private readonly desk: ReservationDesk
   /** Runner and request of reservations that have ended, by holder. */
   private readonly ended = new Map<string, Record<string, string[]>>()
 
-  private constructor (private readonly options: ReservationsOptions) {}
+  private constructor (private readonly options: ReservationsOptions) {
+    this.desk = ReservationDesk.create(options.estimator)
+  }
 
   /**
    * @example
-   * const reservations = Reservations.create({ daemon, clock, mesh, findHolder })
+   * const reservations = Reservations.create({ daemon, clock, mesh, estimator, findHolder })
    */
   static create (options: ReservationsOptions): Reservations {
     return new Reservations(options)
@@ -42,12 +45,12 @@
    * Asks for room; undefined when no holder could be asked.
    *
    * @example
-   * const reply = await reservations.reserveRunner({ requestId, options })
+   * const reply = await reservations.reserveRunner({ requestId, prefixKey, promptTokens, options })
    */
-  async reserveRunner ({ requestId, options }: ReservationRequest): Promise<ReservationReply | undefined> {
+  async reserveRunner (request: ReservationRequest): Promise<ReservationReply | undefined> {
     let full: ReservationReply | undefined
-    for (const [holder, own] of [...this.groupByHolder(options)].slice(0, MOST_HOLDERS)) {
-      const reply = await this.askHolder(holder, { requestId, options: own })
+    for (const [holder, own] of [...this.groupByHolder(request.options)].slice(0, MOST_HOLDERS)) {
+      const reply = await this.askHolder(holder, { ...request, options: own })
       if (reply?.type === 'reserved') return reply
       full ??= reply
     }
--- a/scripts/prove.mjs
+++ b/scripts/prove.mjs
@@ -35,6 +35,22 @@
     test: 'Idempotency',
     pattern: 'when the answer of the upstream is lost'
   },
+  {
+    name: '5 outcomes outlive a long outage of the log',
+    file: 'packages/figquay-idempotency/dist/FigquayIdempotencyRunner.js',
+    from: 'while (!this.isFlushOver)',
+    to: 'for (let attempt = 0; attempt < 20; attempt++)',
+    test: 'Idempotency',
+    pattern: 'an outcome that falls into a long outage'
+  },
+  {
+    name: '9 a request that crashes an upstream marks it down',
+    file: 'packages/figquay-routing/dist/FigquayRoutingEngineMonitor.js',
+    from: 'if (failure !== undefined)\n            this.options.table.markDown(runner);',
+    to: '',
+    test: 'Answers',
+    pattern: 'crashes engines'
+  },
   {
     name: '6 a leaving upstream gets no new work',
     file: 'packages/figquay-membership/dist/FigquayMembership.js',
@@ -76,6 +92,14 @@
     test: 'Answers',
     pattern: 'connections that go silent'
   },
+  {
+    name: 'size: one daemon asks a runner, not all',
+    file: 'packages/figquayd/dist/FigquaydSharedReports.js',
+    from: 'return isDown || !this.isCovered(cell);',
+    to: 'return true;',
+    test: 'WholePath',
+    pattern: 'one daemon asks the runners'
+  },
   {
     name: '11 limits over all daemons',
     file: 'packages/figquay-routing/dist/FigquayRoutingLimits.js',
