Publish JSON Schemas; ask calm runners less; test reservations without their holder

The holder asks a runner every second and every 300 ms only while something moves there or it does not answer: what is sent to it is known from reservations. A prefix that was processed more than 2 s ago counts as cached only by the engine's own word: the holder knows all prompts now, evicted ones too.

Tests: reservations while the holder is frozen and after it was killed; leaving with one daemon cut off from the roster (new proxy in front of the roster). The controller of placement gave up the adapters; the search for the holder of a cell stands once.

--- a/packages/figquay-measure/src/FigquayMeasureCluster.ts
+++ b/packages/figquay-measure/src/FigquayMeasureCluster.ts
@@ -18,7 +18,7 @@
   readonly size?: Partial<DeploymentSize>
   readonly fencing?: 'checked' | 'ignored'
   /** Links that run through a fault-injecting proxy. */
-  readonly proxied?: { readonly log?: boolean, readonly engines?: boolean, readonly services?: boolean, readonly peers?: boolean }
+  readonly proxied?: { readonly log?: boolean, readonly roster?: boolean, readonly engines?: boolean, readonly services?: boolean, readonly peers?: boolean }
   readonly policies?: { readonly admission?: string, readonly selector?: string, readonly placement?: string }
   /** Multiplies every duration of the weight store; below 1 loads are faster. */
   readonly storeScale?: number
@@ -55,6 +55,11 @@
   readonly proxyUrl: string | undefined
 }
 
+/** What the status says of cells. */
+interface CellHolders {
+  readonly daemons: ReadonlyArray<{ readonly daemon: string, readonly cells: readonly string[] }>
+}
+
 /** Operator key of every trial. */
 export const OPERATOR_KEY = 'trial-operator-key'
 const PEER_SECRET = 'trial-secret-between-daemons'
@@ -79,6 +84,7 @@
   private rosterUrl = ''
   private storeUrl = ''
   private readonly logProxies: string[] = []
+  private readonly rosterProxies: string[] = []
   private readonly peerProxies: string[] = []
   private storeScale: number
 
@@ -194,6 +200,11 @@
     await this.client.requestJson('POST', `${this.logProxies[index]!}/rule`, rule, CALL_TIMEOUT_MS)
   }
 
+  /** Sets the rule of one daemon's way to the roster. */
+  async setRosterRule (index: number, rule: Partial<FaultRule>): Promise<void> {
+    await this.client.requestJson('POST', `${this.rosterProxies[index]!}/rule`, rule, CALL_TIMEOUT_MS)
+  }
+
   /** Sets the rule of the peers' way to one daemon. */
   async setPeerRule (index: number, rule: Partial<FaultRule>): Promise<void> {
     await this.client.requestJson('POST', `${this.peerProxies[index]!}/rule`, rule, CALL_TIMEOUT_MS)
@@ -211,13 +222,14 @@
 
   /** Adds a daemon; it is on the list once `controlRoster` has put it there. */
   async addDaemon (index: number): Promise<ClusterDaemon> {
-    const [callers, operators, peers, ...rest] = await findPorts(7) as [number, number, number, number, number, number, number]
+    const [callers, operators, peers, ...rest] = await findPorts(9) as [number, number, number, ...number[]]
     const id = `daemon-${index + 1}`
     const zone = this.size.zones[index % this.size.zones.length]!
     const logUrl = await this.startProxy(`proxy-log-${id}`, this.options.proxied?.log === true, this.logUrl, rest[0]!, rest[1]!, this.logProxies)
+    const rosterUrl = await this.startProxy(`proxy-roster-${id}`, this.options.proxied?.roster === true, this.rosterUrl, rest[4]!, rest[5]!, this.rosterProxies)
     const peerUrl = await this.startProxy(`proxy-peer-${id}`, this.options.proxied?.peers === true, `http://127.0.0.1:${peers}`, rest[2]!, rest[3]!, this.peerProxies)
     const settingsFile = join(this.directory, `${id}.jsonc`)
-    writeFileSync(settingsFile, JSON.stringify(this.makeSettings(id, zone, { callers, operators, peers }, logUrl), null, 2))
+    writeFileSync(settingsFile, JSON.stringify(this.makeSettings(id, zone, { callers, operators, peers }, { logUrl, rosterUrl }), null, 2))
     const process = ManagedProcess.start(id, 'figquayd', ['--settings', settingsFile], this.directory)
     const operatorUrl = `http://127.0.0.1:${operators}`
     const vm: RosterVm = { id, kind: 'daemon', group: '', zone, url: operatorUrl, peer: peerUrl.slice('http://'.length), state: 'live' }
@@ -246,6 +258,16 @@
     throw new Error(`not within ${timeoutMs} ms: ${what} (logs in ${this.directory})`)
   }
 
+  /** The daemon that orders runners, by what any daemon other than `except` says. */
+  async findCellHolder (except?: ClusterDaemon): Promise<ClusterDaemon | undefined> {
+    for (const daemon of this.daemons.filter((candidate) => candidate !== except && !candidate.process.hasExited)) {
+      const status = await this.callOperator<CellHolders>(daemon, 'status.get', {})
+      const holder = status?.daemons.find((entry) => entry.cells.length > 0 && entry.daemon !== except?.id)
+      if (holder !== undefined) return this.daemons.find((candidate) => candidate.id === holder.daemon)
+    }
+    return undefined
+  }
+
   /** Whether every model of the contracts is ready on some engine. */
   async isEveryModelLoaded (): Promise<boolean> {
     const parsed = parseDeployment(await this.readContracts())
@@ -338,13 +360,13 @@
     return { id, directUrl, process, proxyUrl: controls[0], vm: { id, kind, group, zone, url, peer: '', state: 'live' } }
   }
 
-  private makeSettings (id: string, zone: string, ports: { callers: number, operators: number, peers: number }, logUrl: string): unknown {
+  private makeSettings (id: string, zone: string, ports: { callers: number, operators: number, peers: number }, { logUrl, rosterUrl }: { logUrl: string, rosterUrl: string }): unknown {
     return {
       id,
       zone,
       listen: { callers: `127.0.0.1:${ports.callers}`, operators: `127.0.0.1:${ports.operators}`, peers: `127.0.0.1:${ports.peers}` },
       log: { plugin: 'http', url: logUrl },
-      roster: { plugin: 'http', url: this.rosterUrl },
+      roster: { plugin: 'http', url: rosterUrl },
       peerSecrets: [PEER_SECRET],
       operatorKeys: [hashText(OPERATOR_KEY)],
       logLevel: this.options.logLevel ?? 'info',
--- a/packages/figquay-measure/src/__tests__/integration/Leaving.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/Leaving.test.ts
@@ -7,7 +7,7 @@
 const LEAVING_MS = 3_000
 
 describe('leaving and stopping', () => {
-  const cluster = LocalCluster.create({ deployment: 'guild', daemons: 8, storeScale: 0.02, size: { serviceUpstreams: 2 }, drainGrace: '1500ms' })
+  const cluster = LocalCluster.create({ deployment: 'guild', daemons: 8, storeScale: 0.02, size: { serviceUpstreams: 2 }, proxied: { roster: true }, drainGrace: '1500ms' })
   const caller = Caller.create()
   before(() => cluster.start())
   after(async () => {
@@ -60,6 +60,15 @@
     expect(lastMs < LEAVING_MS).toEqual(true)
   })
 
+  test('a daemon that is cut off from the roster learns it from its peers', async () => {
+    const engine = cluster.engines[1]!
+    const cutOff = cluster.daemons.length - 1
+    await cluster.setRosterRule(cutOff, { mode: 'black-hole' })
+    const lastMs = await measureLastWork(engine, () => cluster.controlRoster({ put: [{ ...engine.vm, state: 'leaving' }] }))
+    await cluster.setRosterRule(cutOff, { mode: 'pass', cutOpen: true })
+    expect(lastMs < LEAVING_MS).toEqual(true)
+  })
+
   test('an upstream that says itself that it is leaving, while the roster is down', async () => {
     await cluster.controlRoster({ mode: 'down' })
     const service = cluster.services[0]!
--- a/packages/figquay-measure/src/__tests__/integration/Memory.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/Memory.test.ts
@@ -40,19 +40,9 @@
       expect(facts.flatMap((fact) => fact.violations)).toEqual([])
     }
 
-    /** The daemon that orders the runners, as another daemon sees it. */
-    async function findHolder (except?: ClusterDaemon): Promise<ClusterDaemon | undefined> {
-      for (const daemon of cluster.daemons.filter((candidate) => candidate !== except && !candidate.process.hasExited)) {
-        const status = await cluster.callOperator<{ daemons: Array<{ daemon: string, cells: string[] }> }>(daemon, 'status.get', {})
-        const holder = status?.daemons.find((entry) => entry.cells.length > 0 && entry.daemon !== except?.id)
-        if (holder !== undefined) return cluster.daemons.find((candidate) => candidate.id === holder.daemon)
-      }
-      return undefined
-    }
-
     async function waitForHolder (except: ClusterDaemon): Promise<ClusterDaemon> {
       let holder: ClusterDaemon | undefined
-      await cluster.waitUntil('another daemon orders the runners', async () => (holder = await findHolder(except)) !== undefined, TAKEOVER_MS)
+      await cluster.waitUntil('another daemon orders the runners', async () => (holder = await cluster.findCellHolder(except)) !== undefined, TAKEOVER_MS)
       return holder!
     }
 
@@ -68,7 +58,7 @@
     })
 
     test('the holder is frozen past its lease, then woken', async () => {
-      const frozen = (await findHolder())!
+      const frozen = (await cluster.findCellHolder())!
       const other = cluster.daemons.find((daemon) => daemon !== frozen)!
       await changeVersions(other, 'v3')
       await new Promise((resolve) => setTimeout(resolve, 400))
@@ -81,7 +71,7 @@
     })
 
     test('the holder is killed between orders; another takes over within 10 s', async () => {
-      const killed = (await findHolder())!
+      const killed = (await cluster.findCellHolder())!
       const other = cluster.daemons.find((daemon) => daemon !== killed)!
       await changeVersions(other, 'v4')
       await new Promise((resolve) => setTimeout(resolve, 400))
--- a/packages/figquay-measure/src/capacity.ts
+++ b/packages/figquay-measure/src/capacity.ts
@@ -100,7 +100,7 @@
 }
 
 async function measureHop (): Promise<void> {
-  await runWithCluster({ ...BASE, daemons: 1 }, async (cluster) => {
+  await runWithCluster(BASE, async (cluster) => {
     const caller = Caller.create()
     const time = async (url: string, model: string): Promise<number[]> => {
       const times: number[] = []
@@ -109,11 +109,15 @@
     }
     const engines = await Promise.all(cluster.engines.map(async (engine) => ({ engine, state: await (await fetch(`${engine.directUrl}/engine/state`)).json() as { models: Array<{ id: string }> } })))
     const holder = engines.find(({ state }) => state.models.some((model) => model.id === 'manual-1@v1'))!.engine
-    await time(cluster.daemons[0]!.callerUrl, 'manual-1')
+    for (const daemon of cluster.daemons) await time(daemon.callerUrl, 'manual-1')
     const direct = await time(holder.directUrl, 'manual-1@v1')
-    const through = await time(cluster.daemons[0]!.callerUrl, 'manual-1')
+    const cellHolder = await cluster.findCellHolder()
     const at = (times: readonly number[], part: number): string => times[Math.floor(times.length * part)]!.toFixed(2)
-    process.stdout.write(`first token, 200 calls in turn: direct p50 ${at(direct, 0.5)} p99 ${at(direct, 0.99)} ms, through a daemon p50 ${at(through, 0.5)} p99 ${at(through, 0.99)} ms\n`)
+    process.stdout.write(`first token, 200 calls in turn: direct p50 ${at(direct, 0.5)} p99 ${at(direct, 0.99)} ms\n`)
+    for (const daemon of cluster.daemons) {
+      const through = await time(daemon.callerUrl, 'manual-1')
+      process.stdout.write(`  through the ${daemon === cellHolder ? 'holder of the cell' : 'other daemon'} p50 ${at(through, 0.5)} p99 ${at(through, 0.99)} ms\n`)
+    }
     caller.close()
   })
 }
--- a/packages/figquay-placement/src/FigquayPlacementController.ts
+++ b/packages/figquay-placement/src/FigquayPlacementController.ts
@@ -3,7 +3,9 @@
 import type { Configuration, Model, Pool } from 'figquay-contracts'
 import type { Membership, Vm } from 'figquay-membership'
 import type { RunnerReport, RunnerTable } from 'figquay-routing'
-import type { OrderAction } from 'figquay-upstreams'
+import type { MoveRecord } from './FigquayPlacementTypes.js'
+import { makeModelId } from './FigquayPlacementUtils.js'
+import { AdapterKeeper } from './FigquayPlacementAdapters.js'
 import type { LeaseKeeper } from './FigquayPlacementLeaseKeeper.js'
 import { RunnerLedger } from './FigquayPlacementLedger.js'
 import type { OrderBook } from './FigquayPlacementOrders.js'
@@ -25,46 +27,26 @@
   readonly onMove: (move: MoveRecord) => void
 }
 
-/** A move that was made, for people. */
-export interface MoveRecord {
-  readonly at: string
-  readonly action: OrderAction
-  readonly runner: string
-  readonly subject: string
-  readonly reason: string
-  readonly result: string
-}
-
 const ROUND_MS = 250
 const KEPT_MOVES = 500
 /** A runner gets no orders when its last report to this daemon itself is older than this, in milliseconds. */
 const REPORT_EXPIRES_MS = 2_000
 const FIRST_REPORTS_MS = 3_000
-const ADAPTER_WAIT_MS = 800
-const ADAPTER_POLL_MS = 20
-
-/**
- * Id under which engines know a version of a model.
- *
- * @example
- * makeModelId(model) // 'manual-3@v1'
- */
-export function makeModelId (model: Model): string {
-  return `${model.name}@${model.version}`
-}
 
 /** Places models and adapters on the runners of held cells. */
 export class PlacementController {
   private readonly lastMoveAtMs = new Map<string, number>()
-  private readonly adapterUsedAtMs = new Map<string, number>()
   private moves: readonly MoveRecord[] = []
   private loadCredit = 1
   private creditAtMs: number
   private readonly startedAtMs: number
+  private readonly adapters: AdapterKeeper
 
   private constructor (private readonly options: PlacementControllerOptions) {
     this.startedAtMs = options.clock.readMonotonicMs()
     this.creditAtMs = this.startedAtMs
+    const { orders, table, clock } = options
+    this.adapters = AdapterKeeper.create({ orders, table, clock, noteMove: (move) => this.noteMove(move) })
   }
 
   /**
@@ -110,17 +92,7 @@
     const vm = this.options.membership.findVm(runner)
     const pool = model === undefined ? undefined : configuration!.findPool(model.pool)
     if (adapter === undefined || vm === undefined || pool === undefined) return false
-    const id = `${modelName}:${adapterName}`
-    this.adapterUsedAtMs.set(`${runner}/${id}`, this.options.clock.readMonotonicMs())
-    const deadline = this.options.clock.readMonotonicMs() + ADAPTER_WAIT_MS
-    while (this.options.clock.readMonotonicMs() < deadline) {
-      const report = this.options.table.findReport(runner)
-      if (report === undefined) return false
-      if (report.state.adapters.some((candidate) => candidate.id === id && candidate.phase === 'ready')) return true
-      await this.orderAdapter(this.findCell(vm), pool, report, id, adapter.size)
-      await this.options.clock.waitFor(ADAPTER_POLL_MS)
-    }
-    return false
+    return await this.adapters.loadAdapter({ cell: this.findCell(vm), pool, runner }, { id: `${modelName}:${adapterName}`, bytes: adapter.size })
   }
 
   private listCells (): string[] {
@@ -161,7 +133,7 @@
     const view = this.makeView(pool, configuration, prepared)
     const moves = this.options.policy.planMoves(view)
     await Promise.all(moves.map((move) => this.makeMove(cell, pool, move)))
-    await this.keepAdapters(cell, pool, configuration, view)
+    await this.adapters.keepAdapters(cell, pool, configuration, view)
   }
 
   private isFresh (report: RunnerReport): boolean {
@@ -219,60 +191,4 @@
     this.options.logger.info('move', { ...record })
     this.options.onMove(record)
   }
-
-  /** Adapters are small: those of every model that a runner holds are kept there, as far as there is room. */
-  private async keepAdapters (cell: string, pool: Pool, configuration: Configuration, view: PlanView): Promise<void> {
-    const atOnce = configuration.deployment.policy.adaptersAtOnce
-    let left = atOnce
-    for (const runner of view.runners.filter((candidate) => candidate.isUsable)) {
-      const report = this.options.table.findReport(runner.id)
-      if (report === undefined) continue
-      left -= report.state.adapters.filter((adapter) => adapter.phase === 'loading').length
-      const wanted = configuration.deployment.models
-        .filter((model) => runner.copies.some((copy) => copy.id === makeModelId(model) && copy.phase === 'ready'))
-        .flatMap((model) => model.adapters.map((adapter) => ({ id: `${model.name}:${adapter.name}`, bytes: adapter.size })))
-      left = await this.keepRunnerAdapters(cell, pool, report, wanted, left)
-      if (left <= 0) return
-    }
-  }
-
-  private async keepRunnerAdapters (cell: string, pool: Pool, report: RunnerReport, wanted: ReadonlyArray<{ readonly id: string, readonly bytes: number }>, atMost: number): Promise<number> {
-    let left = atMost
-    let room = pool.adapterMemory - this.readLedger(report).sumBytes('adapters')
-    const orders: Array<Promise<boolean>> = []
-    for (const adapter of wanted) {
-      if (left <= 0 || adapter.bytes > room || this.isAdapterKnown(report, adapter.id)) continue
-      left -= 1
-      room -= adapter.bytes
-      orders.push(this.orderAdapter(cell, pool, report, adapter.id, adapter.bytes))
-    }
-    await Promise.all(orders)
-    return left
-  }
-
-  private readLedger (report: RunnerReport): RunnerLedger {
-    return RunnerLedger.create(report.state, this.options.orders.listOpen(report.runner))
-  }
-
-  private isAdapterKnown (report: RunnerReport, id: string): boolean {
-    return this.readLedger(report).listCopies('adapters').some((copy) => copy.id === id)
-  }
-
-  /** Orders an adapter if it is not there yet; makes room first by unloading the one that was used least recently. */
-  private async orderAdapter (cell: string, pool: Pool, report: RunnerReport, id: string, bytes: number): Promise<boolean> {
-    if (this.isAdapterKnown(report, id) || !await this.options.orders.prepareRunner(cell, pool, report)) return false
-    const ledger = this.readLedger(report)
-    const copies = ledger.listCopies('adapters')
-    if (ledger.sumBytes('adapters') + bytes <= pool.adapterMemory) {
-      const result = await this.options.orders.sendOrder({ cell, pool, report, action: 'load-adapter', subject: id, bytes })
-      this.noteMove({ action: 'load-adapter', runner: report.runner, subject: id, reason: 'kept with its model', result: result ?? 'unknown' })
-      return result === 'accepted'
-    }
-    const readUse = (copyId: string): number => this.adapterUsedAtMs.get(`${report.runner}/${copyId}`) ?? 0
-    const victim = copies.filter((copy) => copy.phase === 'ready' && !ledger.hasOpenOrder(copy.id)).sort((a, b) => readUse(a.id) - readUse(b.id))[0]
-    if (victim === undefined || copies.some((copy) => copy.phase === 'leaving')) return false
-    const result = await this.options.orders.sendOrder({ cell, pool, report, action: 'unload-adapter', subject: victim.id, bytes: victim.bytes })
-    this.noteMove({ action: 'unload-adapter', runner: report.runner, subject: victim.id, reason: 'makes room for another adapter', result: result ?? 'unknown' })
-    return false
-  }
 }
--- a/packages/figquay-placement/src/index.ts
+++ b/packages/figquay-placement/src/index.ts
@@ -5,4 +5,6 @@
 export { GainPlacement } from './FigquayPlacementGain.js'
 export { RecentUsePlacement, registerPlacementPolicies, ThresholdPlacement } from './FigquayPlacementBaselines.js'
 export { ORDER_LIFE_MS, OrderBook, type OrderBookOptions, type OrderRequest } from './FigquayPlacementOrders.js'
-export { makeModelId, PlacementController, type MoveRecord, type PlacementControllerOptions } from './FigquayPlacementController.js'
+export { PlacementController, type PlacementControllerOptions } from './FigquayPlacementController.js'
+export type { MoveRecord } from './FigquayPlacementTypes.js'
+export { makeModelId } from './FigquayPlacementUtils.js'
--- a/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -17,9 +17,10 @@
   readonly onReport: (report: RunnerReport) => void
 }
 
-const BUSY_POLL_MS = 300
-/** A runner on which nothing goes on is asked less often. */
-const IDLE_POLL_MS = 1_000
+/** How often a runner is asked on which something moves, or which does not answer, in milliseconds. */
+const ATTENTIVE_POLL_MS = 300
+/** How often any other runner is asked, in milliseconds: what is sent to it is known without asking. */
+const CALM_POLL_MS = 1_000
 /** How often it is looked whether other runners have to be watched, in milliseconds. */
 const REVIEW_MS = 400
 /** A runner is asked again by a request that needs it no sooner than this, in milliseconds. */
@@ -110,18 +111,16 @@
       const failure = await this.pollRunner(vm)
       failures = failure === undefined ? 0 : failures + 1
       if (failures >= FAILURES_TO_DOWN) this.options.table.markDown(runner)
-      await this.options.clock.waitFor(this.isBusy(runner) ? BUSY_POLL_MS : IDLE_POLL_MS, signal)
+      await this.options.clock.waitFor(failures > 0 || this.isMoving(runner) ? ATTENTIVE_POLL_MS : CALM_POLL_MS, signal)
     }
     this.watched.delete(runner)
   }
 
-  /** A runner that works, moves something, or does not answer is asked often. */
-  private isBusy (runner: string): boolean {
+  /** Whether models or adapters come or go on a runner, or nothing is known of it. */
+  private isMoving (runner: string): boolean {
     const report = this.options.table.findReport(runner)
     if (report === undefined || report.downSinceMs !== undefined) return true
-    const { models, adapters, load } = report.state
-    const isMoving = [...models, ...adapters].some((held) => held.phase !== 'ready')
-    return isMoving || load.running + load.waiting > 0 || this.options.table.countActive(report) > 0
+    return [...report.state.models, ...report.state.adapters].some((held) => held.phase !== 'ready')
   }
 
   /** Undefined when the runner answered, else why not. */
--- a/packages/figquay-routing/src/FigquayRoutingPredictor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingPredictor.ts
@@ -1,4 +1,5 @@
 /** Predicts when a runner would give the first token of a request. */
+import type { Clock } from 'figquay'
 import type { RoutedRequest } from './FigquayRoutingTypes.js'
 import type { PromptEstimator } from './FigquayRoutingReservations.js'
 import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
@@ -6,6 +7,8 @@
 /** Part of a prompt that a runner still has to process when it has seen its beginning before. */
 const UNCACHED_PART = 0.3
 const REMEMBERED_PREFIXES = 5_000
+/** A prefix that was cached is in the engine's reports after this time, in milliseconds. */
+const REPORT_LAG_MS = 2_000
 const FIRST_SERVICE_MS = 1_500
 const SERVICE_WEIGHT = 0.1
 const FIRST_CORRECTION = 1.3
@@ -21,19 +24,20 @@
 
 /** Predictions from reports, own requests and prefixes seen. */
 export class FirstTokenPredictor implements PromptEstimator {
-  private readonly prefixes = new Map<string, true>()
+  /** When a runner last processed a prefix. */
+  private readonly prefixes = new Map<string, number>()
   private meanServiceMs = FIRST_SERVICE_MS
   /** Factor on the formula under which most of what was seen stays. */
   private correction = FIRST_CORRECTION
 
-  private constructor (private readonly table: RunnerTable) {}
+  private constructor (private readonly table: RunnerTable, private readonly clock: Clock) {}
 
   /**
    * @example
-   * const predictor = FirstTokenPredictor.create(table)
+   * const predictor = FirstTokenPredictor.create(table, clock)
    */
-  static create (table: RunnerTable): FirstTokenPredictor {
-    return new FirstTokenPredictor(table)
+  static create (table: RunnerTable, clock: Clock): FirstTokenPredictor {
+    return new FirstTokenPredictor(table, clock)
   }
 
   /**
@@ -98,7 +102,10 @@
 
   /** Prompt tokens that a runner would have to process. */
   estimatePrompt (runner: string, prefixKey: string, promptTokens: number): number {
-    const cached = this.prefixes.has(`${runner}/${prefixKey}`) || this.isReportedCached(runner, prefixKey)
+    const processedAtMs = this.prefixes.get(`${runner}/${prefixKey}`) ?? Number.NEGATIVE_INFINITY
+    // What was processed longer ago may have been evicted: then only the engine's word counts.
+    const isRecent = this.clock.readMonotonicMs() - processedAtMs < REPORT_LAG_MS
+    const cached = isRecent || this.isReportedCached(runner, prefixKey)
     return Math.ceil(promptTokens * (cached ? UNCACHED_PART : 1))
   }
 
@@ -111,7 +118,7 @@
   notePrefix (runner: string, prefixKey: string): void {
     const key = `${runner}/${prefixKey}`
     this.prefixes.delete(key)
-    this.prefixes.set(key, true)
+    this.prefixes.set(key, this.clock.readMonotonicMs())
     if (this.prefixes.size > REMEMBERED_PREFIXES) this.prefixes.delete(this.prefixes.keys().next().value!)
   }
 
--- a/packages/figquay/src/FigquayUnits.ts
+++ b/packages/figquay/src/FigquayUnits.ts
@@ -24,7 +24,9 @@
 
 /** Schema of a quantity whose output is a number in the base unit. */
 function makeQuantitySchema (units: Readonly<Record<string, number>>, expected: string) {
-  return z.string({ error: `expected ${expected}` }).transform((text, context) => {
+  // The pattern is for editors that read the published schema; the transform checks.
+  const pattern = `^\\d+(\\.\\d+)?(${Object.keys(units).join('|')})$`
+  return z.string({ error: `expected ${expected}` }).meta({ pattern, description: expected }).transform((text, context) => {
     const value = parseQuantity(text, units)
     if (value !== undefined) return value
     context.addIssue({ code: 'custom', message: `expected ${expected}` })
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -85,7 +85,7 @@
     this.reports = this.makeReports()
     this.suspects = Suspects.create({ daemon: settings.id, clock, mesh: this.mesh, table: this.table, crashes: this.crashes, findHolder: (runner) => this.findHolder(runner) })
     this.modelDemand = ModelDemand.create({ clock, hints: this.hints, table: this.table })
-    this.predictor = FirstTokenPredictor.create(this.table)
+    this.predictor = FirstTokenPredictor.create(this.table, clock)
     this.reservations = Reservations.create({ daemon: settings.id, clock, mesh: this.mesh, estimator: this.predictor, findHolder: (runner) => this.findHolder(runner) })
     this.dispatcher = this.makeDispatcher()
     this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, isWatched: (vm) => this.reports.isWatched(vm), onReport: (report) => this.takeOwnReport(report) })
--- a/scripts/prove.mjs
+++ b/scripts/prove.mjs
@@ -92,6 +92,22 @@
     test: 'Answers',
     pattern: 'connections that go silent'
   },
+  {
+    name: '6 peers tell of what is leaving',
+    file: 'packages/figquayd/dist/FigquaydDaemon.js',
+    from: 'for (const vm of hints.leaving)',
+    to: 'for (const vm of [])',
+    test: 'Leaving',
+    pattern: 'cut off from the roster'
+  },
+  {
+    name: 'size: a holder that does not answer is passed over',
+    file: 'packages/figquayd/dist/FigquaydReservations.js',
+    from: 'RESERVE_TIMEOUT_MS = 100;',
+    to: 'RESERVE_TIMEOUT_MS = 5_000;',
+    test: 'Reservations',
+    pattern: 'the holder is frozen'
+  },
   {
     name: 'size: one daemon asks a runner, not all',
     file: 'packages/figquayd/dist/FigquaydSharedReports.js',
