--- a/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -13,6 +13,8 @@
   readonly table: RunnerTable
   /** Whether this daemon has to ask a runner itself; of others it is told. */
   readonly isWatched: (vm: Vm) => boolean
+  /** Whether the loads that runners report are used: then busy ones are asked often. */
+  readonly isLoadUsed: boolean
   /** Called after each report. */
   readonly onReport: (report: RunnerReport) => void
 }
@@ -111,11 +113,16 @@
       const failure = await this.pollRunner(vm)
       failures = failure === undefined ? 0 : failures + 1
       if (failures >= FAILURES_TO_DOWN) this.options.table.markDown(runner)
-      await this.options.clock.waitFor(failures > 0 || this.isMoving(runner) ? ATTENTIVE_POLL_MS : CALM_POLL_MS, signal)
+      await this.options.clock.waitFor(failures > 0 || this.isMoving(runner) || this.isLoadNeeded(runner) ? ATTENTIVE_POLL_MS : CALM_POLL_MS, signal)
     }
     this.watched.delete(runner)
   }
 
+  private isLoadNeeded (runner: string): boolean {
+    const load = this.options.table.findReport(runner)?.state.load
+    return this.options.isLoadUsed && load !== undefined && load.running + load.waiting > 0
+  }
+
   /** Whether models or adapters come or go on a runner, or nothing is known of it. */
   private isMoving (runner: string): boolean {
     const report = this.options.table.findReport(runner)
--- a/packages/figquay-routing/src/FigquayRoutingPredictor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingPredictor.ts
@@ -11,7 +11,8 @@
 const REPORT_LAG_MS = 2_000
 const FIRST_SERVICE_MS = 1_500
 const SERVICE_WEIGHT = 0.1
-const FIRST_CORRECTION = 1.3
+/** A daemon that has just started has learnt nothing, and should rather refuse than be late. */
+const FIRST_CORRECTION = 1.6
 const CORRECTION_STEP = 0.08
 /** Part of the requests whose first token comes no later than predicted. */
 const COVERED_PART = 0.9
--- a/packages/figquay-routing/src/FigquayRoutingSelector.ts
+++ b/packages/figquay-routing/src/FigquayRoutingSelector.ts
@@ -21,6 +21,9 @@
 
 /** Way of choosing a runner among those that hold the model. */
 export abstract class RunnerSelector {
+  /** Whether a choice rests on the loads that runners report: then every daemon asks them itself. */
+  readonly usesReportedLoad: boolean = false
+
   /** The runner to use, or undefined when none may take the request now. */
   abstract selectRunner (selection: SelectionRequest, holders: readonly RunnerReport[], context: SelectionContext): RunnerReport | undefined
 
@@ -96,6 +99,8 @@
 
 /** Naive baseline: the runner whose last report shows the least load. */
 export class LeastReportedSelector extends RunnerSelector {
+  override readonly usesReportedLoad = true
+
   /**
    * @example
    * const selector = LeastReportedSelector.create()
--- a/packages/figquayd/src/FigquaydDaemon.ts
+++ b/packages/figquayd/src/FigquaydDaemon.ts
@@ -88,7 +88,7 @@
     this.predictor = FirstTokenPredictor.create(this.table, clock)
     this.reservations = Reservations.create({ daemon: settings.id, clock, mesh: this.mesh, estimator: this.predictor, findHolder: (runner) => this.findHolder(runner) })
     this.dispatcher = this.makeDispatcher()
-    this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, isWatched: (vm) => this.reports.isWatched(vm), onReport: (report) => this.takeOwnReport(report) })
+    this.monitor = EngineMonitor.create({ clock, logger: this.logger, membership: this.membership, engines: plugins.engines, table: this.table, isWatched: (vm) => plugins.selector.usesReportedLoad || this.reports.isWatched(vm), isLoadUsed: plugins.selector.usesReportedLoad, onReport: (report) => this.takeOwnReport(report) })
     this.limits = CustomerLimits.create({ clock, hints: this.hints, countDaemons: () => this.countServingDaemons() })
     this.leases = LeaseKeeper.create({ holder: this.holder, stream: this.streams.placement, appender: this.streams.placementAppender, membership: this.membership, clock, logger: this.logger })
     this.placement = this.makePlacement()
