Split what had several jobs; follow a holder that counts anew

Names: ReservationTable for the desk, connections on demand for visits, fast and slow polls, declined attempts.

Fault found while reading: a holder of a cell that was replaced and whose clock had stepped back would have been asked for changes after a version that it never reaches, so its followers would have kept old reports.

--- a/packages/figquay-measure/src/FigquayMeasureCluster.ts
+++ b/packages/figquay-measure/src/FigquayMeasureCluster.ts
@@ -4,65 +4,19 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { hashText, JsonClient } from 'figquay'
+import { JsonClient } from 'figquay'
 import { listDocuments, parseDeployment, type DocumentChange } from 'figquay-contracts'
 import type { FaultRule, LogBehaviour, RosterControl, RosterVm, StandinEngineOptions } from 'figquay-standins'
-import { DEPLOYMENTS, type DeploymentName, type DeploymentSize } from './FigquayMeasureDeployments.js'
+import { makeDaemonSettings, OPERATOR_KEY } from './FigquayMeasureClusterSettings.js'
+import type { ClusterDaemon, ClusterOptions, ClusterUpstream } from './FigquayMeasureClusterTypes.js'
+import { DEPLOYMENTS, type DeploymentSize } from './FigquayMeasureDeployments.js'
 import { findPorts, ManagedProcess } from './FigquayMeasureProcesses.js'
 
-/** What to start. */
-export interface ClusterOptions {
-  readonly deployment: DeploymentName
-  readonly daemons: number
-  /** Replaces sizes of the deployment. */
-  readonly size?: Partial<DeploymentSize>
-  readonly fencing?: 'checked' | 'ignored'
-  /** Links that run through a fault-injecting proxy. */
-  readonly proxied?: { readonly log?: boolean, readonly roster?: boolean, readonly engines?: boolean, readonly services?: boolean, readonly peers?: boolean }
-  readonly policies?: { readonly admission?: string, readonly selector?: string, readonly placement?: string }
-  /** Multiplies every duration of the weight store; below 1 loads are faster. */
-  readonly storeScale?: number
-  readonly restartMs?: number
-  /** Engines that share a process, for many light ones; 1 unless said otherwise. */
-  readonly enginesPerProcess?: number
-  /** Whether to wait until every model is loaded; true unless said otherwise. */
-  readonly waitForModels?: boolean
-  readonly drainGrace?: string
-  readonly snapshots?: { readonly every: string, readonly records: number }
-  readonly logLevel?: string
-  /** Changes the contracts' text before it is published. */
-  readonly editContracts?: (text: string) => string
-}
-
-/** One daemon of the cluster. */
-export interface ClusterDaemon {
-  readonly id: string
-  readonly zone: string
-  readonly callerUrl: string
-  readonly operatorUrl: string
-  readonly vm: RosterVm
-  readonly settingsFile: string
-  process: ManagedProcess
-}
-
-/** One upstream of the cluster. */
-export interface ClusterUpstream {
-  readonly id: string
-  /** Where the stand-in itself listens, past any proxy. */
-  readonly directUrl: string
-  readonly vm: RosterVm
-  readonly process: ManagedProcess
-  readonly proxyUrl: string | undefined
-}
-
 /** What the status says of cells. */
 interface CellHolders {
   readonly daemons: ReadonlyArray<{ readonly daemon: string, readonly cells: readonly string[] }>
 }
 
-/** Operator key of every trial. */
-export const OPERATOR_KEY = 'trial-operator-key'
-const PEER_SECRET = 'trial-secret-between-daemons'
 const GIB = 2 ** 30
 const CALL_TIMEOUT_MS = 8_000
 const READY_TIMEOUT_MS = 60_000
@@ -229,7 +183,7 @@
     const rosterUrl = await this.startProxy(`proxy-roster-${id}`, this.options.proxied?.roster === true, this.rosterUrl, rest[4]!, rest[5]!, this.rosterProxies)
     const peerUrl = await this.startProxy(`proxy-peer-${id}`, this.options.proxied?.peers === true, `http://127.0.0.1:${peers}`, rest[2]!, rest[3]!, this.peerProxies)
     const settingsFile = join(this.directory, `${id}.jsonc`)
-    writeFileSync(settingsFile, JSON.stringify(this.makeSettings(id, zone, { callers, operators, peers }, { logUrl, rosterUrl }), null, 2))
+    writeFileSync(settingsFile, JSON.stringify(makeDaemonSettings(this.options, { id, zone, callers, operators, peers, logUrl, rosterUrl }), null, 2))
     const process = ManagedProcess.start(id, 'figquayd', ['--settings', settingsFile], this.directory)
     const operatorUrl = `http://127.0.0.1:${operators}`
     const vm: RosterVm = { id, kind: 'daemon', group: '', zone, url: operatorUrl, peer: peerUrl.slice('http://'.length), state: 'live' }
@@ -360,22 +314,6 @@
     return { id, directUrl, process, proxyUrl: controls[0], vm: { id, kind, group, zone, url, peer: '', state: 'live' } }
   }
 
-  private makeSettings (id: string, zone: string, ports: { callers: number, operators: number, peers: number }, { logUrl, rosterUrl }: { logUrl: string, rosterUrl: string }): unknown {
-    return {
-      id,
-      zone,
-      listen: { callers: `127.0.0.1:${ports.callers}`, operators: `127.0.0.1:${ports.operators}`, peers: `127.0.0.1:${ports.peers}` },
-      log: { plugin: 'http', url: logUrl },
-      roster: { plugin: 'http', url: rosterUrl },
-      peerSecrets: [PEER_SECRET],
-      operatorKeys: [hashText(OPERATOR_KEY)],
-      logLevel: this.options.logLevel ?? 'info',
-      policies: { admission: 'predicted', selector: 'affinity', placement: 'gain', ...this.options.policies },
-      snapshots: this.options.snapshots ?? { every: '30s', records: 1000 },
-      drainGrace: this.options.drainGrace ?? '1s'
-    }
-  }
-
   private async publishContracts (): Promise<void> {
     const parsed = parseDeployment(await this.readContracts())
     if (!parsed.ok) throw new Error(`the contracts are not valid: ${JSON.stringify(parsed.error)}`)
--- a/packages/figquay-measure/src/FigquayMeasureLoad.ts
+++ b/packages/figquay-measure/src/FigquayMeasureLoad.ts
@@ -2,7 +2,8 @@
 import { setMaxListeners } from 'node:events'
 import { build, type Histogram } from 'hdr-histogram-js'
 import { Caller } from './FigquayMeasureCaller.js'
-import type { ClusterDaemon, LocalCluster } from './FigquayMeasureCluster.js'
+import type { LocalCluster } from './FigquayMeasureCluster.js'
+import type { ClusterDaemon } from './FigquayMeasureClusterTypes.js'
 import { makePrompt, type Arrival, type TrafficKind } from './FigquayMeasureWorkload.js'
 
 /** Counts of one kind of request. */
--- a/packages/figquay-measure/src/capacity.ts
+++ b/packages/figquay-measure/src/capacity.ts
@@ -5,7 +5,8 @@
 import { IdempotencyFold } from 'figquay-idempotency'
 import { GainPlacement, type PlanView } from 'figquay-placement'
 import { Caller } from './FigquayMeasureCaller.js'
-import { LocalCluster, type ClusterOptions } from './FigquayMeasureCluster.js'
+import { LocalCluster } from './FigquayMeasureCluster.js'
+import type { ClusterOptions } from './FigquayMeasureClusterTypes.js'
 
 const SETTLE_MS = 4_000
 const WINDOW_MS = 10_000
--- a/packages/figquay-measure/src/demo.ts
+++ b/packages/figquay-measure/src/demo.ts
@@ -3,7 +3,8 @@
 import { mkdir, writeFile } from 'node:fs/promises'
 import { binary, command, flag, number, option, run } from 'cmd-ts'
 import { formatBurnHtml, formatBurnText, type BurnReport } from 'figquay-report'
-import { LocalCluster, OPERATOR_KEY } from './FigquayMeasureCluster.js'
+import { LocalCluster } from './FigquayMeasureCluster.js'
+import { OPERATOR_KEY } from './FigquayMeasureClusterSettings.js'
 import { LoadRun, type KindTally, type LoadResult } from './FigquayMeasureLoad.js'
 import { makeArrivals } from './FigquayMeasureWorkload.js'
 
--- a/packages/figquay-measure/src/index.ts
+++ b/packages/figquay-measure/src/index.ts
@@ -1,4 +1,6 @@
 export { Caller, type CallResult, type CompletionCall } from './FigquayMeasureCaller.js'
-export { LocalCluster, OPERATOR_KEY, type ClusterDaemon, type ClusterOptions, type ClusterUpstream } from './FigquayMeasureCluster.js'
+export { LocalCluster } from './FigquayMeasureCluster.js'
+export { makeDaemonSettings, OPERATOR_KEY, type DaemonPlace } from './FigquayMeasureClusterSettings.js'
+export type { ClusterDaemon, ClusterOptions, ClusterUpstream } from './FigquayMeasureClusterTypes.js'
 export { DEPLOYMENTS, type DeploymentName, type DeploymentSize } from './FigquayMeasureDeployments.js'
 export { findPorts, ManagedProcess } from './FigquayMeasureProcesses.js'
--- a/packages/figquay-peers/src/FigquayPeerMesh.ts
+++ b/packages/figquay-peers/src/FigquayPeerMesh.ts
@@ -28,8 +28,8 @@
 const RECONNECT_PAUSE_MS = 200
 const CONNECT_TIMEOUT_MS = 1_000
 /** A connection to a daemon that is no neighbour is kept for this long after its last use, in milliseconds. */
-const VISIT_IDLE_MS = 30_000
-const VISIT_POLL_MS = 5
+const ON_DEMAND_IDLE_MS = 30_000
+const ON_DEMAND_POLL_MS = 5
 const CALL_TIMEOUT_MS = 1_000
 
 /** The next daemons after oneself on a ring ordered by hash. */
@@ -63,8 +63,8 @@
   private readonly addresses = new Map<string, PeerAddress>()
   /** All daemons, neighbours or not. */
   private known: ReadonlyMap<string, PeerAddress> = new Map()
-  private readonly visitedAtMs = new Map<string, number>()
-  private readonly visiting = new Set<string>()
+  private readonly usedAtMs = new Map<string, number>()
+  private readonly openedOnDemand = new Set<string>()
   private tasks: TaskGroup | undefined
   private server: Server | undefined
   private closedBytes = 0
@@ -142,9 +142,9 @@
    * await mesh.callPeer<LogRecord[]>('daemon-2', 'log.read', { stream: 'config', from: 12 })
    */
   async callPeer<T> (id: string, method: string, params: unknown, timeoutMs = CALL_TIMEOUT_MS): Promise<Outcome<T, string>> {
-    const connection = this.outgoing.get(id) ?? await this.visitPeer(id, timeoutMs)
+    const connection = this.outgoing.get(id) ?? await this.connectOnDemand(id, timeoutMs)
     if (connection === undefined) return makeFailure('not connected')
-    this.visitedAtMs.set(id, this.options.clock.readMonotonicMs())
+    this.usedAtMs.set(id, this.options.clock.readMonotonicMs())
     return await connection.callMethod<T>(method, params, timeoutMs)
   }
 
@@ -189,31 +189,31 @@
   }
 
   /** Opens a connection to a daemon that is no neighbour; undefined when it is not there in time. */
-  private async visitPeer (id: string, timeoutMs: number): Promise<PeerConnection | undefined> {
+  private async connectOnDemand (id: string, timeoutMs: number): Promise<PeerConnection | undefined> {
     const peer = this.known.get(id)
     const { clock } = this.options
     // The task of a neighbour connects again by itself.
     if (peer === undefined || this.addresses.has(id)) return undefined
-    this.visitedAtMs.set(id, clock.readMonotonicMs())
-    if (!this.visiting.has(id)) {
-      this.visiting.add(id)
-      this.tasks?.startTask(`visit ${id}`, (signal) => this.serveVisit(peer, signal))
+    this.usedAtMs.set(id, clock.readMonotonicMs())
+    if (!this.openedOnDemand.has(id)) {
+      this.openedOnDemand.add(id)
+      this.tasks?.startTask(`peer ${id} on demand`, (signal) => this.serveOnDemand(peer, signal))
     }
     const deadline = clock.readMonotonicMs() + timeoutMs
-    while (!this.outgoing.has(id) && clock.readMonotonicMs() < deadline) await clock.waitFor(VISIT_POLL_MS)
+    while (!this.outgoing.has(id) && clock.readMonotonicMs() < deadline) await clock.waitFor(ON_DEMAND_POLL_MS)
     return this.outgoing.get(id)
   }
 
   /** Keeps a connection for as long as it is used. */
-  private async serveVisit (peer: PeerAddress, signal: AbortSignal): Promise<void> {
+  private async serveOnDemand (peer: PeerAddress, signal: AbortSignal): Promise<void> {
     const ended = new AbortController()
     signal.addEventListener('abort', () => ended.abort(), { once: true })
     const idle = setInterval(() => {
-      if (this.options.clock.readMonotonicMs() - this.visitedAtMs.get(peer.id)! > VISIT_IDLE_MS) ended.abort()
-    }, VISIT_IDLE_MS / 2)
+      if (this.options.clock.readMonotonicMs() - this.usedAtMs.get(peer.id)! > ON_DEMAND_IDLE_MS) ended.abort()
+    }, ON_DEMAND_IDLE_MS / 2)
     await this.holdConnection(peer, ended.signal)
     clearInterval(idle)
-    this.visiting.delete(peer.id)
+    this.openedOnDemand.delete(peer.id)
   }
 
   /** Keeps one connection to one peer until it is no longer wanted. */
--- a/packages/figquay-routing/src/FigquayRoutingCompletions.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCompletions.ts
@@ -3,7 +3,8 @@
 import type { CompletionEvent, EngineClient, EngineFailure } from 'figquay-upstreams'
 import type { CompletionReport, CompletionSink, RoutedRequest } from './FigquayRoutingTypes.js'
 import type { CrashCharge, CrashGuard } from './FigquayRoutingCrashGuard.js'
-import type { Assignment, Dispatcher } from './FigquayRoutingDispatcher.js'
+import type { Assignment } from './FigquayRoutingAssignments.js'
+import type { Dispatcher } from './FigquayRoutingDispatcher.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 import type { RetryBudget } from './FigquayRoutingRetryBudget.js'
 import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
@@ -46,7 +47,7 @@
   chunks: number
   retries: number
   /** Attempts that no runner took. */
-  untaken: number
+  declined: number
   firstTokenMs: number | undefined
   isFinished: boolean
   /** When the current attempt was sent. */
@@ -58,7 +59,7 @@
 type AttemptResult = 'done' | 'cancelled' | 'waiting' | EngineFailure
 
 const MOST_RETRIES = 4
-const MOST_UNTAKEN = 10
+const MOST_DECLINED = 10
 const UNREACHED_PAUSE_MS = 50
 const PERMIT_PAUSE_MS = 100
 const FAILED_RETRY_AFTER_MS = 1_000
@@ -83,7 +84,7 @@
    */
   async serveRequest (request: RoutedRequest, sink: CompletionSink, signal: AbortSignal): Promise<CompletionReport | Refusal> {
     this.options.retries.noteRequest()
-    const progress: Progress = { request, sink, signal, chunks: 0, retries: 0, untaken: 0, firstTokenMs: undefined, isFinished: false, sentAtMs: 0, maySent: false }
+    const progress: Progress = { request, sink, signal, chunks: 0, retries: 0, declined: 0, firstTokenMs: undefined, isFinished: false, sentAtMs: 0, maySent: false }
     while (!signal.aborted) {
       const result = await this.runAttempt(progress)
       if (result === 'done') return this.makeReport(progress)
@@ -233,8 +234,8 @@
   /** A runner that did not take the request costs nothing, so it does not use up the budget. */
   private spendAttempt (progress: Progress, failure: EngineFailure): boolean {
     if (failure.sent === 'never') {
-      progress.untaken += 1
-      return progress.untaken <= MOST_UNTAKEN
+      progress.declined += 1
+      return progress.declined <= MOST_DECLINED
     }
     progress.retries += 1
     return progress.retries <= MOST_RETRIES && this.options.retries.spendRetry()
--- a/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -15,7 +15,7 @@
 
 const CHARGES_TO_QUARANTINE = 2
 /** After this time every daemon knows of a charge, in milliseconds. */
-const SPREAD_MS = 250
+const PROPAGATION_MS = 250
 const FORGET_AFTER_MS = 600_000
 
 /** Charges by fingerprint. */
@@ -76,11 +76,11 @@
    * elsewhere. What was in flight beside it waits until they are known, or it would be charged with their next crash.
    *
    * @example
-   * if (guard.isSpreading(request.fingerprint, nowMs)) return undefined
+   * if (guard.isPropagating(request.fingerprint, nowMs)) return undefined
    */
-  isSpreading (fingerprint: string, nowMs: number): boolean {
+  isPropagating (fingerprint: string, nowMs: number): boolean {
     const chargedAtMs = this.entries.get(fingerprint)?.chargedAtMs ?? Number.NEGATIVE_INFINITY
-    return nowMs - chargedAtMs < SPREAD_MS
+    return nowMs - chargedAtMs < PROPAGATION_MS
   }
 
   /**
--- a/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
+++ b/packages/figquay-routing/src/FigquayRoutingDispatcher.ts
@@ -2,13 +2,15 @@
 import { Refusal, type Clock } from 'figquay'
 import type { RoutedRequest } from './FigquayRoutingTypes.js'
 import type { AdmissionContext, AdmissionPolicy } from './FigquayRoutingAdmission.js'
+import { AssignmentBook, type Assignment, type DispatchRequest } from './FigquayRoutingAssignments.js'
 import type { CrashGuard } from './FigquayRoutingCrashGuard.js'
 import type { LoadWatch } from './FigquayRoutingLoadWatch.js'
 import type { ModelDemand } from './FigquayRoutingModelDemand.js'
 import type { FirstTokenPredictor } from './FigquayRoutingPredictor.js'
 import { FairQueue, type QueueEntry } from './FigquayRoutingQueue.js'
-import type { ReservationReply, ReservationRequest, RunnerOption } from './FigquayRoutingReservations.js'
-import type { InFlight, RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
+import type { ReservationReply, ReservationRequest } from './FigquayRoutingReservations.js'
+import { RunnerReserver } from './FigquayRoutingReserver.js'
+import type { RunnerReport, RunnerTable } from './FigquayRoutingRunnerTable.js'
 import type { RunnerSelector } from './FigquayRoutingSelector.js'
 
 /** What the dispatcher needs. */
@@ -24,44 +26,11 @@
   /** Asks the runners of a pool whose last report is older than a time; true when there are none. */
   readonly refreshRunners: (pool: string, sinceMs: number) => boolean
   /** Asks the daemon that orders the runners for room; undefined when it cannot be asked. */
-  readonly reserveRunner: (request: ReservationRequest) => Promise<ReservationReply | undefined>
+  readonly reserveRoom: (request: ReservationRequest) => Promise<ReservationReply | undefined>
   /** Says that a reservation is no longer needed. */
   readonly endReservation: (runner: string, requestId: string) => void
 }
 
-/** A runner set aside for one request. */
-export interface Assignment {
-  readonly report: RunnerReport
-  readonly entry: InFlight
-  /** The request was in flight at a crash before. */
-  readonly isCharged: boolean
-  /** The prompt has been processed. */
-  readonly noteFirstToken: () => void
-  /** Ends the assignment. */
-  readonly release: () => void
-}
-
-/** What a request asks of the dispatcher. */
-export interface DispatchRequest {
-  readonly request: RoutedRequest
-  /** Model ids that will do, the best first. */
-  readonly modelIds: readonly string[]
-  /** An attempt was made already: such a request is no longer refused for being a little late. */
-  readonly hasStarted: boolean
-  readonly signal: AbortSignal
-}
-
-/** A choice, before it is noted in the table. */
-interface ChosenRunner {
-  readonly report: RunnerReport
-  readonly request: RoutedRequest
-  readonly isCharged: boolean
-  /** What the runner has to process of the prompt. */
-  readonly promptTokens: number
-  readonly predictedMs: number
-  readonly endReservation: () => void
-}
-
 interface Waiter {
   readonly dispatch: DispatchRequest
   readonly settle: (result: Assignment | Refusal) => void
@@ -71,7 +40,6 @@
 const SWEEP_MS = 25
 /** What was begun may be this much later than its contract, in milliseconds. */
 const LATEST_MS = 2_000
-const SHORTEST_RETRY_MS = 200
 
 /** The queue and the passes over it. */
 export class Dispatcher {
@@ -79,11 +47,18 @@
   private passPlanned = false
   private sweepPlanned = false
 
-  private constructor (private readonly options: DispatcherOptions) {}
+  private readonly assignments: AssignmentBook
+  private readonly reserver: RunnerReserver
+
+  private constructor (private readonly options: DispatcherOptions) {
+    const { table, demand } = options
+    this.assignments = AssignmentBook.create({ table, demand, onRoom: () => this.planPass() })
+    this.reserver = RunnerReserver.create({ ...options, assignments: this.assignments })
+  }
 
   /**
    * @example
-   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes, demand, loads, refreshRunners, reserveRunner, endReservation })
+   * const dispatcher = Dispatcher.create({ clock, table, predictor, selector, admission, crashes, demand, loads, refreshRunners, reserveRoom, endReservation })
    */
   static create (options: DispatcherOptions): Dispatcher {
     return new Dispatcher(options)
@@ -101,44 +76,7 @@
    * const result = await dispatcher.assignRunner({ request, modelIds, hasStarted: false, signal })
    */
   async assignRunner (dispatch: DispatchRequest): Promise<Assignment | Refusal> {
-    return await this.reserveRunner(dispatch) ?? await this.enqueueRequest(dispatch)
-  }
-
-  /**
-   * A caller who waits is given room by the daemon that orders the runners, or is refused by it.
-   * Undefined when that daemon has no say: the request goes by what this daemon knows itself.
-   */
-  private async reserveRunner (dispatch: DispatchRequest): Promise<Assignment | Refusal | undefined> {
-    const { request } = dispatch
-    const { predictor, table } = this.options
-    const options = this.listOptions(dispatch)
-    if (options.length === 0) return undefined
-    const { requestId, prefixKey, promptTokens } = request
-    const reply = await this.options.reserveRunner({ requestId, prefixKey, promptTokens, options })
-    if (reply === undefined) return undefined
-    const report = table.findReport(reply.type === 'reserved' ? reply.runner : options[0]!.runner)
-    if (report === undefined) return undefined
-    if (reply.type === 'full') {
-      const lateMs = Math.ceil(predictor.predictPendingMs(report, reply.excessTokens))
-      return Refusal.create('deadline_unreachable', `predicted to be ${lateMs} ms late`, { retryAfterMs: Math.max(SHORTEST_RETRY_MS, lateMs) })
-    }
-    const endReservation = (): void => this.options.endReservation(report.runner, requestId)
-    return this.makeAssignment({ report, request, isCharged: false, promptTokens: reply.promptTokens, predictedMs: predictor.predictPendingMs(report, reply.pendingTokens), endReservation })
-  }
-
-  /** Runners to ask for room: none for what was begun or was in flight at a crash, which is not refused for being late. */
-  private listOptions ({ request, modelIds, hasStarted }: DispatchRequest): RunnerOption[] {
-    const { selector, admission, predictor, table, crashes, clock } = this.options
-    const nowMs = clock.readMonotonicMs()
-    if (hasStarted || crashes.isCharged(request.fingerprint, nowMs)) return []
-    const holders = this.listHolders(modelIds)
-    // Runners that crashed of late stay among the preferred, so that a crashing request does not reach a third.
-    const preferred = selector.listPreferred(request, holders)
-    if (preferred === undefined) return []
-    return holders.filter((report) => table.isUsable(report)).flatMap((report) => {
-      const mostPendingTokens = admission.countMostPending(report, request, { predictor, nowMs })
-      return mostPendingTokens === undefined ? [] : [{ runner: report.runner, mostPendingTokens, isPreferred: preferred.includes(report) }]
-    })
+    return await this.reserver.reserveRunner(dispatch) ?? await this.enqueueRequest(dispatch)
   }
 
   private enqueueRequest (dispatch: DispatchRequest): Promise<Assignment | Refusal> {
@@ -193,7 +131,7 @@
   private tryEntry ({ request, payload }: QueueEntry<Waiter>, queuedTokens: number, nowMs: number): Assignment | Refusal | undefined {
     const { crashes, admission, table, predictor } = this.options
     if (crashes.isQuarantined(request.fingerprint, nowMs)) return Refusal.create('quarantined', 'the request was in flight at two crashes of upstreams', { execution: 'unknown' })
-    const holders = this.listHolders(payload.dispatch.modelIds)
+    const holders = this.assignments.listHolders(payload.dispatch.modelIds)
     const context: AdmissionContext = {
       table,
       predictor,
@@ -205,7 +143,7 @@
     }
     const refusal = payload.dispatch.hasStarted ? this.checkOverdue(request, nowMs) : admission.checkRequest(request, holders, context)
     if (refusal !== undefined) return refusal
-    if (crashes.isSpreading(request.fingerprint, nowMs)) return undefined
+    if (crashes.isPropagating(request.fingerprint, nowMs)) return undefined
     return this.selectFor(payload.dispatch, holders, context)
   }
 
@@ -235,40 +173,7 @@
     const report = selector.selectRunner({ request, isCharged, canTake }, holders, { table, predictor })
     if (report === undefined) return undefined
     const promptTokens = predictor.estimatePrompt(report.runner, request.prefixKey, request.promptTokens)
-    return this.makeAssignment({ report, request, isCharged, promptTokens, predictedMs: predictor.predictFirstTokenMs(report, request, 0), endReservation: () => {} })
-  }
-
-  private makeAssignment ({ report, request, isCharged, promptTokens, predictedMs, endReservation }: ChosenRunner): Assignment {
-    const entry: InFlight = {
-      requestId: request.requestId,
-      fingerprint: request.fingerprint,
-      promptTokens,
-      isBatch: request.kind.priority === 'batch',
-      predictedMs,
-      hasFirstToken: false
-    }
-    this.options.demand.notePrompt(request.model.name, promptTokens / Math.max(1, request.promptTokens))
-    const unregister = this.options.table.registerInFlight(report.runner, entry)
-    const release = (): void => {
-      if (!entry.hasFirstToken) endReservation()
-      unregister()
-      this.planPass()
-    }
-    const noteFirstToken = (): void => {
-      entry.hasFirstToken = true
-      endReservation()
-      this.planPass()
-    }
-    return { report, entry, isCharged, noteFirstToken, release }
-  }
-
-  /** Holders of the current version, or of an older one while the current is not ready anywhere. */
-  private listHolders (modelIds: readonly string[]): RunnerReport[] {
-    for (const modelId of modelIds) {
-      const holders = this.options.table.listHolders(modelId)
-      if (holders.some((report) => this.options.table.isUsable(report))) return holders
-    }
-    return []
+    return this.assignments.makeAssignment({ report, request, isCharged, promptTokens, predictedMs: predictor.predictFirstTokenMs(report, request, 0), endReservation: () => {} })
   }
 
   /** Requests that were in flight at a crash are kept apart, so that an innocent one is not charged twice. */
--- a/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
+++ b/packages/figquay-routing/src/FigquayRoutingEngineMonitor.ts
@@ -20,9 +20,9 @@
 }
 
 /** How often a runner is asked on which something moves, or which does not answer, in milliseconds. */
-const ATTENTIVE_POLL_MS = 300
+const FAST_POLL_MS = 300
 /** How often any other runner is asked, in milliseconds: what is sent to it is known without asking. */
-const CALM_POLL_MS = 1_000
+const SLOW_POLL_MS = 1_000
 /** How often it is looked whether other runners have to be watched, in milliseconds. */
 const REVIEW_MS = 400
 /** A runner is asked again by a request that needs it no sooner than this, in milliseconds. */
@@ -113,7 +113,7 @@
       const failure = await this.pollRunner(vm)
       failures = failure === undefined ? 0 : failures + 1
       if (failures >= FAILURES_TO_DOWN) this.options.table.markDown(runner)
-      await this.options.clock.waitFor(failures > 0 || this.isMoving(runner) || this.isLoadNeeded(runner) ? ATTENTIVE_POLL_MS : CALM_POLL_MS, signal)
+      await this.options.clock.waitFor(failures > 0 || this.isMoving(runner) || this.isLoadNeeded(runner) ? FAST_POLL_MS : SLOW_POLL_MS, signal)
     }
     this.watched.delete(runner)
   }
--- a/packages/figquay-routing/src/FigquayRoutingReservations.ts
+++ b/packages/figquay-routing/src/FigquayRoutingReservations.ts
@@ -46,24 +46,24 @@
 const RESERVATION_LIFE_MS = 10_000
 
 /** Prompt tokens pending on each runner, over all daemons. */
-export class ReservationDesk {
+export class ReservationTable {
   private readonly accounts = new Map<string, Map<string, Reservation>>()
 
   private constructor (private readonly estimator: PromptEstimator) {}
 
   /**
    * @example
-   * const desk = ReservationDesk.create(predictor)
+   * const table = ReservationTable.create(predictor)
    */
-  static create (estimator: PromptEstimator): ReservationDesk {
-    return new ReservationDesk(estimator)
+  static create (estimator: PromptEstimator): ReservationTable {
+    return new ReservationTable(estimator)
   }
 
   /**
    * Reserves room on the preferred runner that is least busy; on another one only when those are full.
    *
    * @example
-   * const reply = desk.reserveRunner({ requestId, prefixKey, promptTokens, options }, nowMs)
+   * const reply = table.reserveRunner({ requestId, prefixKey, promptTokens, options }, nowMs)
    */
   reserveRunner (request: ReservationRequest, nowMs: number): ReservationReply {
     const weighed = request.options.map((option) => this.weighOption(option, request, nowMs))
@@ -81,7 +81,7 @@
    * Ends reservations whose prompts have been processed or given up.
    *
    * @example
-   * desk.endReservations('engine-2', [requestId])
+   * table.endReservations('engine-2', [requestId])
    */
   endReservations (runner: string, requestIds: readonly string[]): void {
     const account = this.findAccount(runner)
--- a/packages/figquay-routing/src/__tests__/unit/Availability.test.ts
+++ b/packages/figquay-routing/src/__tests__/unit/Availability.test.ts
@@ -61,8 +61,8 @@
   test('wait until every daemon knows of the charge, and are cleared by a whole answer', () => {
     const guard = CrashGuard.create()
     guard.addCharge({ fingerprint: 'f', upstream: 'engine-1/boot-1' }, nowMs)
-    expect(guard.isSpreading('f', nowMs)).toEqual(true)
-    expect(guard.isSpreading('f', nowMs + 1_000)).toEqual(false)
+    expect(guard.isPropagating('f', nowMs)).toEqual(true)
+    expect(guard.isPropagating('f', nowMs + 1_000)).toEqual(false)
     guard.clearRequest('f')
     expect(guard.isCharged('f', nowMs)).toEqual(false)
   })
--- a/packages/figquay-routing/src/__tests__/unit/Reservations.test.ts
+++ b/packages/figquay-routing/src/__tests__/unit/Reservations.test.ts
@@ -2,7 +2,7 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import { ReservationDesk, type ReservationRequest, type RunnerOption } from 'figquay-routing'
+import { ReservationTable, type ReservationRequest, type RunnerOption } from 'figquay-routing'
 
 const SEED = 20261204
 const MOST = 9_000
@@ -16,10 +16,10 @@
   return { requestId, prefixKey, promptTokens, options }
 }
 
-/** A desk for runners that remember every prompt, of which a tenth has to be processed again. */
-function makeDesk (): ReservationDesk {
+/** A table for runners that remember every prompt, of which a tenth has to be processed again. */
+function makeTable (): ReservationTable {
   const cached = new Set<string>()
-  return ReservationDesk.create({
+  return ReservationTable.create({
     estimatePrompt: (runner, prefixKey, promptTokens) => cached.has(`${runner}/${prefixKey}`) ? promptTokens / 10 : promptTokens,
     notePrefix: (runner, prefixKey) => {
       cached.add(`${runner}/${prefixKey}`)
@@ -31,12 +31,12 @@
   test('like a plain sum over all that was reserved and has not ended', () => {
     const step = fc.record({ runners: fc.subarray(RUNNERS, { minLength: 1 }), tokens: fc.integer({ min: 1, max: 6_000 }), ends: fc.boolean() })
     fc.assert(fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-      const desk = makeDesk()
+      const table = makeTable()
       const open: Array<{ readonly runner: string, readonly requestId: string, readonly tokens: number }> = []
       const sum = (runner: string): number => open.filter((entry) => entry.runner === runner).reduce((total, entry) => total + entry.tokens, 0)
       for (const [index, { runners, tokens, ends }] of steps.entries()) {
         const requestId = `r${index}`
-        const reply = desk.reserveRunner(makeRequest(requestId, tokens, runners.map((runner) => makeOption(runner))), 0)
+        const reply = table.reserveRunner(makeRequest(requestId, tokens, runners.map((runner) => makeOption(runner))), 0)
         const least = Math.min(...runners.map(sum)) + tokens
         if (reply.type === 'full') expect(reply.excessTokens).toEqual(least - MOST)
         else {
@@ -46,32 +46,32 @@
         }
         if (!ends || open.length === 0) continue
         const ended = open.shift()!
-        desk.endReservations(ended.runner, [ended.requestId])
+        table.endReservations(ended.runner, [ended.requestId])
       }
     }), { seed: SEED, numRuns: 200 })
   })
 
   test('others are used only when the preferred have no room', () => {
-    const desk = makeDesk()
-    const reserve = (requestId: string) => desk.reserveRunner(makeRequest(requestId, 5_000, [makeOption('engine-1'), makeOption('engine-2', false)]), 0)
+    const table = makeTable()
+    const reserve = (requestId: string) => table.reserveRunner(makeRequest(requestId, 5_000, [makeOption('engine-1'), makeOption('engine-2', false)]), 0)
     expect(reserve('a')).toEqual({ type: 'reserved', runner: 'engine-1', promptTokens: 5_000, pendingTokens: 5_000 })
     expect(reserve('b')).toEqual({ type: 'reserved', runner: 'engine-2', promptTokens: 5_000, pendingTokens: 5_000 })
     expect(reserve('c')).toEqual({ type: 'full', excessTokens: 1_000 })
   })
 
   test('a prompt that was processed for one daemon is cached for all', () => {
-    const desk = makeDesk()
-    const reserve = (requestId: string) => desk.reserveRunner(makeRequest(requestId, 6_000, [makeOption('engine-1')], 'manual-3'), 0)
+    const table = makeTable()
+    const reserve = (requestId: string) => table.reserveRunner(makeRequest(requestId, 6_000, [makeOption('engine-1')], 'manual-3'), 0)
     expect(reserve('a').type).toEqual('reserved')
     expect(reserve('b').type).toEqual('full')
-    desk.endReservations('engine-1', ['a'])
+    table.endReservations('engine-1', ['a'])
     expect(reserve('c')).toEqual({ type: 'reserved', runner: 'engine-1', promptTokens: 600, pendingTokens: 600 })
   })
 
   test('those of a daemon that is gone lapse', () => {
-    const desk = makeDesk()
-    desk.reserveRunner(makeRequest('a', MOST, [makeOption('engine-1')]), 0)
-    const reserveLater = (nowMs: number) => desk.reserveRunner(makeRequest('b', MOST, [makeOption('engine-1')]), nowMs).type
+    const table = makeTable()
+    table.reserveRunner(makeRequest('a', MOST, [makeOption('engine-1')]), 0)
+    const reserveLater = (nowMs: number) => table.reserveRunner(makeRequest('b', MOST, [makeOption('engine-1')]), nowMs).type
     expect(reserveLater(5_000)).toEqual('full')
     expect(reserveLater(60_000)).toEqual('reserved')
   })
--- a/packages/figquayd/src/FigquaydReservations.ts
+++ b/packages/figquayd/src/FigquaydReservations.ts
@@ -1,7 +1,7 @@
 /** Asks the holders of cells for room on their runners, and tells them when it is no longer needed. */
 import type { Clock } from 'figquay'
 import type { PeerMesh } from 'figquay-peers'
-import { ReservationDesk, type PromptEstimator, type ReservationReply, type ReservationRequest, type RunnerOption } from 'figquay-routing'
+import { ReservationTable, type PromptEstimator, type ReservationReply, type ReservationRequest, type RunnerOption } from 'figquay-routing'
 
 /** What reservations need. */
 export interface ReservationsOptions {
@@ -23,14 +23,14 @@
 /** Holders asked for one request. */
 const MOST_HOLDERS = 2
 
-/** Both sides of reservations: the desk for the runners that this daemon orders, and requests to other desks. */
+/** Both sides of reservations: the table of the runners that this daemon orders, and requests to other holders. */
 export class Reservations {
-  private readonly desk: ReservationDesk
+  private readonly table: ReservationTable
   /** Runner and request of reservations that have ended, by holder. */
   private readonly ended = new Map<string, Record<string, string[]>>()
 
   private constructor (private readonly options: ReservationsOptions) {
-    this.desk = ReservationDesk.create(options.estimator)
+    this.table = ReservationTable.create(options.estimator)
   }
 
   /**
@@ -75,12 +75,12 @@
 
   /** Answers the request of any daemon. */
   takeRequest (request: ReservationRequest): ReservationReply {
-    return this.desk.reserveRunner(request, this.options.clock.readMonotonicMs())
+    return this.table.reserveRunner(request, this.options.clock.readMonotonicMs())
   }
 
   /** Takes what a daemon says of ended reservations. */
   takeEnded (ended: EndedReservations): void {
-    for (const [runner, requestIds] of Object.entries(ended)) this.desk.endReservations(runner, requestIds)
+    for (const [runner, requestIds] of Object.entries(ended)) this.table.endReservations(runner, requestIds)
   }
 
   private groupByHolder (options: readonly RunnerOption[]): Map<string, RunnerOption[]> {
--- a/packages/figquayd/src/FigquaydSharedReports.ts
+++ b/packages/figquayd/src/FigquaydSharedReports.ts
@@ -16,7 +16,7 @@
   /** Daemon that orders the runners of a cell; undefined while nobody does. */
   readonly findHolder: (cell: string) => string | undefined
   /** Tells peers of new versions without delay. */
-  readonly onNews: () => void
+  readonly onChange: () => void
   /** Called after each report that came from a peer. */
   readonly onReport: (report: RunnerReport) => void
 }
@@ -105,7 +105,7 @@
       if (this.options.findHolder(cell) !== hints.daemon) continue
       const known = this.followed.get(cell)
       if (known?.daemon === hints.daemon && known.version === version) this.confirmCell(cell, known)
-      else await this.readCell(cell, hints.daemon)
+      else await this.readCell(cell, hints.daemon, version)
     }
   }
 
@@ -134,7 +134,7 @@
     const version = Math.max(this.options.clock.now().getTime(), (this.versions.get(cell) ?? 0) + 1)
     this.versions.set(cell, version)
     this.published.set(report.runner, { version, digest })
-    if (this.options.findHolder(cell) === this.options.daemon) this.options.onNews()
+    if (this.options.findHolder(cell) === this.options.daemon) this.options.onChange()
   }
 
   private exportReport (runner: string, since: number): SharedReport[] {
@@ -144,11 +144,13 @@
     return [{ runner, state: { ...report.state, cachedPrefixes: [] }, isDown: report.downSinceMs !== undefined }]
   }
 
-  private async readCell (cell: string, daemon: string): Promise<void> {
+  private async readCell (cell: string, daemon: string, version: number): Promise<void> {
     if (this.reading.has(cell)) return
     this.reading.add(cell)
     const known = this.followed.get(cell)
-    const request: ReportsRequest = { cell, since: known?.daemon === daemon ? known.version : 0 }
+    // A holder that was replaced counts anew: its versions may be lower than those known.
+    const isLater = known?.daemon === daemon && known.version < version
+    const request: ReportsRequest = { cell, since: isLater ? known.version : 0 }
     const reply = await this.options.mesh.callPeer<ReportsReply>(daemon, 'reports.read', request)
     this.reading.delete(cell)
     if (!reply.ok) return
--- a/scripts/prove.mjs
+++ b/scripts/prove.mjs
@@ -62,9 +62,9 @@
   {
     name: '7 wait for what is in flight',
     file: 'packages/figquayd/dist/FigquaydDaemon.js',
-    from: 'while (this.activeExchanges.size > 0)',
+    from: 'while (activeExchanges.size > 0)',
     // Closing the HTTP server waits too, so both are taken out.
-    to: 'process.exit(0); while (this.activeExchanges.size > 0)',
+    to: 'process.exit(0); while (activeExchanges.size > 0)',
     test: 'Leaving',
     pattern: 'SIGTERM during a long stream'
   },
@@ -94,7 +94,7 @@
   },
   {
     name: '6 peers tell of what is leaving',
-    file: 'packages/figquayd/dist/FigquaydDaemon.js',
+    file: 'packages/figquayd/dist/FigquaydHintExchange.js',
     from: 'for (const vm of hints.leaving)',
     to: 'for (const vm of [])',
     test: 'Leaving',
