--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -0,0 +1,97 @@
+/** How often each model is asked for, over all daemons, with the newest seconds counting most. */
+import type { Clock } from 'figquay'
+
+/** Time after which an arrival counts for about a third, in milliseconds: demand moves within seconds. */
+const DECAY_MS = 4_000
+/** A model that nobody has waited for in this time is no longer missed, in milliseconds: several hint intervals. */
+const NEED_EXPIRES_MS = 700
+const MS_PER_SECOND = 1_000
+
+interface Rate {
+  value: number
+  atMs: number
+}
+
+/** A model or adapter that requests wait for. */
+export interface Need {
+  readonly service: string
+  readonly model: string
+  readonly adapter: string | undefined
+  /** Requests that wait. */
+  readonly waiting: number
+}
+
+/** Arrival rates and unmet needs. */
+export class FleetDemand {
+  private readonly rates = new Map<string, Rate>()
+  private readonly needs = new Map<string, { readonly need: Need, readonly atMs: number }>()
+  private arrivals = new Map<string, number>()
+
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * @example
+   * const demand = FleetDemand.create(clock)
+   */
+  static create (clock: Clock): FleetDemand {
+    return new FleetDemand(clock)
+  }
+
+  /** Counts a request of this daemon's callers. */
+  noteArrival (model: string): void {
+    this.arrivals.set(model, (this.arrivals.get(model) ?? 0) + 1)
+    this.addArrivals(model, 1)
+  }
+
+  /** Arrivals here since the last call, for the peers. */
+  takeArrivals (): Map<string, number> {
+    const taken = this.arrivals
+    this.arrivals = new Map()
+    return taken
+  }
+
+  /**
+   * Counts arrivals, here or at a peer.
+   *
+   * @example
+   * demand.addArrivals('manual', 3)
+   */
+  addArrivals (model: string, count: number): void {
+    const nowMs = this.clock.readMonotonicMs()
+    const rate = this.rates.get(model)
+    const value = rate === undefined ? 0 : rate.value * Math.exp((rate.atMs - nowMs) / DECAY_MS)
+    this.rates.set(model, { value: value + count * MS_PER_SECOND / DECAY_MS, atMs: nowMs })
+  }
+
+  /** Requests a second for a model. */
+  measureRate (model: string): number {
+    const rate = this.rates.get(model)
+    return rate === undefined ? 0 : rate.value * Math.exp((rate.atMs - this.clock.readMonotonicMs()) / DECAY_MS)
+  }
+
+  /**
+   * Notes what a daemon's requests wait for; it replaces what the daemon said before.
+   *
+   * @example
+   * demand.putNeeds('daemon-2', needs)
+   */
+  putNeeds (daemon: string, needs: readonly Need[]): void {
+    const atMs = this.clock.readMonotonicMs()
+    for (const key of [...this.needs.keys()]) {
+      if (key.startsWith(`${daemon}\n`)) this.needs.delete(key)
+    }
+    for (const need of needs) this.needs.set(`${daemon}\n${need.service}\n${need.model}\n${need.adapter ?? ''}`, { need, atMs })
+  }
+
+  /** What requests wait for now, over all daemons. */
+  listNeeds (): Need[] {
+    const oldestMs = this.clock.readMonotonicMs() - NEED_EXPIRES_MS
+    const totals = new Map<string, Need>()
+    for (const { need, atMs } of this.needs.values()) {
+      if (atMs < oldestMs) continue
+      const key = `${need.service}\n${need.model}\n${need.adapter ?? ''}`
+      totals.set(key, { ...need, waiting: need.waiting + (totals.get(key)?.waiting ?? 0) })
+    }
+    return [...totals.values()]
+  }
+}
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -0,0 +1,115 @@
+/** What daemons tell each other again and again: load, demand, needs, and how far each has read. */
+import type { Clock } from 'figquay'
+import type { FleetDemand, Need } from './FigquayFleetDemand.js'
+import type { FleetLeadership, Holder } from './FigquayFleetLeadership.js'
+import type { FleetRunnerTable, RunnerLoad } from './FigquayFleetRunnerTable.js'
+
+/** One message of hints. */
+export interface FleetHints {
+  readonly from: string
+  readonly holder: Holder | undefined
+  /** By runner: requests, pending prompt tokens, and requests by model. */
+  readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, models: ReadonlyArray<readonly [string, number]>]>
+  /** Arrivals by model since the last message. */
+  readonly arrivals: ReadonlyArray<readonly [string, number]>
+  readonly needs: readonly Need[]
+  /** Adapters used since the last message, by runner. */
+  readonly adapters: ReadonlyArray<readonly [runner: string, key: string]>
+}
+
+/** Requests by model that peers have at runners. */
+type ModelLoads = ReadonlyMap<string, number>
+
+/** What the exchange needs. */
+export interface HintExchangeOptions {
+  readonly self: string
+  readonly clock: Clock
+  readonly table: FleetRunnerTable
+  readonly demand: FleetDemand
+  readonly leadership: FleetLeadership
+  /** What this daemon's requests wait for. */
+  readonly listNeeds: () => readonly Need[]
+  readonly noteAdapterUse: (runner: string, key: string) => void
+}
+
+/** Hints of a peer that has said nothing more for this long are dropped, in milliseconds: several hint intervals. */
+const HINT_EXPIRES_MS = 1_500
+
+/** Makes and takes in hints. */
+export class HintExchange {
+  private readonly peerModels = new Map<string, { readonly loads: ModelLoads, readonly receivedAtMs: number }>()
+  private usedAdapters = new Set<string>()
+
+  private constructor (private readonly options: HintExchangeOptions) {}
+
+  /**
+   * @example
+   * const hints = HintExchange.create(options)
+   */
+  static create (options: HintExchangeOptions): HintExchange {
+    return new HintExchange(options)
+  }
+
+  /** Notes that a request of this daemon uses an adapter at a runner. */
+  noteAdapterUse (runner: string, key: string): void {
+    this.usedAdapters.add(`${runner}\n${key}`)
+    this.options.noteAdapterUse(runner, key)
+  }
+
+  /**
+   * Hints to send now.
+   *
+   * @example
+   * mesh.sendToAll('fleet.hints', exchange.makeHints())
+   */
+  makeHints (): FleetHints {
+    const { self, table, demand, leadership, listNeeds } = this.options
+    const adapters = [...this.usedAdapters].map((text) => text.split('\n') as [string, string])
+    this.usedAdapters = new Set()
+    const needs = listNeeds()
+    demand.putNeeds(self, needs)
+    return {
+      from: self,
+      holder: leadership.holder,
+      loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, [...this.countOwnModels(runner)]]),
+      arrivals: [...demand.takeArrivals()],
+      needs,
+      adapters
+    }
+  }
+
+  /**
+   * Takes in the hints of a peer.
+   *
+   * @example
+   * exchange.takeHints(message)
+   */
+  takeHints (hints: FleetHints): void {
+    const { table, demand, leadership, clock, noteAdapterUse } = this.options
+    table.putPeerLoads(hints.from, new Map(hints.loads.map(([runner, requests, pendingTokens]): [string, RunnerLoad] => [runner, { requests, pendingTokens }])))
+    const models = new Map(hints.loads.flatMap(([runner, , , counts]) => counts.map(([model, count]): [string, number] => [`${runner}\n${model}`, count])))
+    this.peerModels.set(hints.from, { loads: models, receivedAtMs: clock.readMonotonicMs() })
+    for (const [model, count] of hints.arrivals) demand.addArrivals(model, count)
+    demand.putNeeds(hints.from, hints.needs)
+    for (const [runner, key] of hints.adapters) noteAdapterUse(runner, key)
+    if (hints.holder !== undefined) leadership.noteRumour(hints.holder)
+  }
+
+  /** Requests under way on a model at a runner, here and at the peers. */
+  countOpen (runner: string, model: string): number {
+    const nowMs = this.options.clock.readMonotonicMs()
+    let count = this.countOwnModels(runner).get(model) ?? 0
+    for (const peer of this.peerModels.values()) {
+      if (nowMs - peer.receivedAtMs < HINT_EXPIRES_MS) count += peer.loads.get(`${runner}\n${model}`) ?? 0
+    }
+    return count
+  }
+
+  private countOwnModels (runner: string): Map<string, number> {
+    const counts = new Map<string, number>()
+    for (const { model } of this.options.table.listOpen(runner)) {
+      if (model !== undefined) counts.set(model, (counts.get(model) ?? 0) + 1)
+    }
+    return counts
+  }
+}
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -0,0 +1,137 @@
+/**
+ * Which daemon gives orders to the runners. The platform's store decides: the position of the record that names a
+ * holder is its fencing number. A holder keeps its office for as long as others hear from it.
+ */
+import type { Clock, Logger } from 'figquay'
+import type { FleetStore } from './FigquayFleetPlatform.js'
+
+/** The daemon that gives orders. */
+export interface Holder {
+  readonly daemon: string
+  readonly fence: number
+}
+
+/** What leadership needs. */
+export interface LeadershipOptions {
+  readonly self: string
+  /** Tells this process from earlier ones at the same address. */
+  readonly bootId: string
+  readonly store: FleetStore
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Peers that can be reached now. */
+  readonly listConnected: () => readonly string[]
+}
+
+/** Key of the record that names the holder. */
+export const HOLDER_KEY = 'holder'
+/** A holder that nobody has heard for this long is replaced, in milliseconds: several heartbeats between daemons. */
+const HOLDER_SILENCE_MS = 1_500
+/** Daemons apply for the office this far apart, in milliseconds: longer than one write to the store takes. */
+const RANK_STEP_MS = 250
+/** A daemon applies for a vacant office only after it has looked for peers for this long, in milliseconds. */
+const SETTLE_MS = 400
+
+/** Follows and takes the office. */
+export class FleetLeadership {
+  private current: Holder | undefined
+  private vacantSinceMs: number
+  private end = 0
+
+  private constructor (private readonly options: LeadershipOptions) {
+    this.vacantSinceMs = options.clock.readMonotonicMs()
+  }
+
+  /**
+   * @example
+   * const leadership = FleetLeadership.create(options)
+   */
+  static create (options: LeadershipOptions): FleetLeadership {
+    return new FleetLeadership(options)
+  }
+
+  /** The holder, if one is known. */
+  get holder (): Holder | undefined {
+    return this.current
+  }
+
+  /** Fencing number of this daemon's office; undefined while another holds it. */
+  get ownFence (): number | undefined {
+    return this.current?.daemon === this.options.self ? this.current.fence : undefined
+  }
+
+  /**
+   * Takes in who holds the office, from the store or a peer; an older record changes nothing.
+   *
+   * @example
+   * leadership.noteHolder({ daemon: 'daemon-2', fence: 41 })
+   */
+  noteHolder (holder: Holder): void {
+    if (this.current !== undefined && holder.fence <= this.current.fence) return
+    this.current = holder
+    this.vacantSinceMs = this.options.clock.readMonotonicMs()
+    this.options.logger.info('holder of the runners changed', { holder: holder.daemon, fence: holder.fence })
+  }
+
+  /**
+   * Takes in the record that names the holder. An office held by an earlier process at this address is vacant.
+   *
+   * @example
+   * leadership.noteRecord(record.value, record.position)
+   */
+  noteRecord (text: string, position: number): void {
+    const { daemon, boot } = JSON.parse(text) as { readonly daemon: string, readonly boot: string }
+    const isEarlierSelf = daemon === this.options.self && boot !== this.options.bootId
+    this.noteHolder({ daemon: isEarlierSelf ? '' : daemon, fence: position + 1 })
+  }
+
+  /** Takes in what a peer believes; only the store can tell this daemon that it holds the office itself. */
+  noteRumour (holder: Holder): void {
+    if (holder.daemon !== this.options.self) this.noteHolder(holder)
+  }
+
+  /** Notes where the shared records end, for conditional writes. */
+  noteEnd (end: number): void {
+    this.end = Math.max(this.end, end)
+  }
+
+  /** Notes that a runner has seen a higher fencing number than this daemon's. */
+  stepDown (reason: string): void {
+    if (this.ownFence === undefined) return
+    this.options.logger.warn('no longer holder of the runners', { fence: this.ownFence, reason })
+    this.current = { daemon: '', fence: this.ownFence }
+    this.vacantSinceMs = this.options.clock.readMonotonicMs()
+  }
+
+  /**
+   * Applies for the office when nobody has been heard in it for long enough; called again and again.
+   *
+   * @example
+   * await leadership.refresh()
+   */
+  async refresh (): Promise<void> {
+    const { clock, listConnected, self } = this.options
+    if (this.ownFence !== undefined) return
+    const connected = listConnected()
+    const nowMs = clock.readMonotonicMs()
+    if (this.current !== undefined && connected.includes(this.current.daemon)) {
+      this.vacantSinceMs = nowMs
+      return
+    }
+    const candidates = [...connected, self].sort()
+    const graceMs = this.current === undefined ? SETTLE_MS : HOLDER_SILENCE_MS
+    if (nowMs - this.vacantSinceMs < graceMs + candidates.indexOf(self) * RANK_STEP_MS) return
+    await this.applyForOffice()
+  }
+
+  private async applyForOffice (): Promise<void> {
+    const { self, bootId, store, logger } = this.options
+    const written = await store.writeShared(HOLDER_KEY, JSON.stringify({ daemon: self, boot: bootId }), this.end)
+    if (!written.ok) {
+      logger.debug('could not apply for the office', { error: written.error.message })
+      return
+    }
+    if (written.value.type === 'overtaken') return
+    this.noteHolder({ daemon: self, fence: written.value.position + 1 })
+  }
+}
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -0,0 +1,191 @@
+/**
+ * Which models are loaded and unloaded where. Pure: no clock, no I/O.
+ *
+ * Answers these load patterns: a rarely used model that is asked for while no runner holds it (loaded where that is
+ * quickest, in place of what is missed least); demand that moves to another model within seconds (further copies as
+ * soon as requests pile up on the copies there are); a runner that is lost with the only copy of a model.
+ */
+import type { ModelSpec } from './FigquayFleetTypes.js'
+
+/** A model on a runner, as the plan sees it. */
+export interface PlannedCopy {
+  readonly model: string
+  /** Requests under way on it. */
+  readonly openRequests: number
+  /** Time since it was loaded here, in milliseconds. */
+  readonly ageMs: number
+}
+
+/** A runner, as the plan sees it. */
+export interface PlannedRunner {
+  readonly id: string
+  /** May be given an order now. */
+  readonly isReady: boolean
+  /** Takes requests: its copies count. */
+  readonly isServing: boolean
+  readonly freeMb: number
+  readonly copies: readonly PlannedCopy[]
+  readonly inMemory: readonly string[]
+  readonly onDisk: readonly string[]
+  readonly openRequests: number
+}
+
+/** A model, as the plan sees it. */
+export interface PlannedModel {
+  readonly spec: ModelSpec
+  /** Requests a second. */
+  readonly rate: number
+  /** Requests that wait for a copy. */
+  readonly waiting: number
+  /** A runner is being cleared for it, or is loading it. */
+  readonly isComing: boolean
+}
+
+/** What a plan is made from. */
+export interface ModelPlanView {
+  readonly runners: readonly PlannedRunner[]
+  readonly models: readonly PlannedModel[]
+  /** Whether one more load from the weight store may begin. */
+  readonly canLoadFromStore: boolean
+}
+
+/** One step: a load, or an unload that makes room for it. */
+export interface ModelMove {
+  readonly action: 'load' | 'unload'
+  readonly runner: string
+  /** Model that is loaded or unloaded. */
+  readonly model: string
+  /** Model that the step is for. */
+  readonly beneficiary: string
+  readonly fromStore: boolean
+  readonly reason: string
+}
+
+/** Requests under way on each copy of a model above which one more copy pays: a quarter of a small runner's slots. */
+const CROWDED_REQUESTS = 10
+/** A copy that was loaded less long ago stays, in milliseconds, or two models would push each other out in turn. */
+const SETTLING_MS = 4_000
+/** Weight of a second of loading time against one request a second that loses its copy. */
+const LOSS_PER_REQUEST_RATE = 1
+/** Loss in giving up the only copy of a model, in seconds of loading, however seldom it is asked for. */
+const LAST_COPY_LOSS = 0.5
+const MS_PER_SECOND = 1_000
+
+interface Option {
+  readonly move: ModelMove
+  readonly cost: number
+}
+
+/** Seconds until a model could be ready on a runner. */
+function measureLoadSeconds (spec: ModelSpec, runner: PlannedRunner): number {
+  if (runner.inMemory.includes(spec.name)) return spec.memoryLoadMs / MS_PER_SECOND
+  if (runner.onDisk.includes(spec.name)) return spec.diskLoadMs / MS_PER_SECOND
+  return spec.storeLoadMs / MS_PER_SECOND
+}
+
+function hasLocalCopy (spec: ModelSpec, runner: PlannedRunner): boolean {
+  return runner.inMemory.includes(spec.name) || runner.onDisk.includes(spec.name)
+}
+
+/** Copies that serve, by model. */
+function countCopies (view: ModelPlanView): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const runner of view.runners) {
+    if (!runner.isServing) continue
+    for (const copy of runner.copies) counts.set(copy.model, (counts.get(copy.model) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** One way of planning, over a view that doesn't change meanwhile. */
+class ModelPlanner {
+  private readonly copies: ReadonlyMap<string, number>
+  private readonly models: ReadonlyMap<string, PlannedModel>
+  private readonly taken = new Set<string>()
+  private canLoadFromStore: boolean
+
+  constructor (private readonly view: ModelPlanView) {
+    this.copies = countCopies(view)
+    this.models = new Map(view.models.map((model) => [model.spec.name, model]))
+    this.canLoadFromStore = view.canLoadFromStore
+  }
+
+  planMoves (): ModelMove[] {
+    const missing = this.view.models.filter((model) => this.countCopies(model) === 0 && !model.isComing)
+    const wanted = missing.filter((model) => model.waiting > 0).sort((a, b) => b.waiting - a.waiting || b.rate - a.rate)
+    const crowded = this.view.models.filter((model) => this.isCrowded(model)).sort((a, b) => b.rate - a.rate)
+    const unwanted = missing.filter((model) => model.waiting === 0).sort((a, b) => b.rate - a.rate)
+    return [
+      ...wanted.flatMap((model) => this.planCopy(model, 'requests wait and no runner holds it', Number.POSITIVE_INFINITY)),
+      ...crowded.flatMap((model) => this.planCopy(model, 'its copies are crowded', model.rate)),
+      ...unwanted.flatMap((model) => this.planCopy(model, 'no runner holds it', 0))
+    ]
+  }
+
+  private countCopies (model: PlannedModel): number {
+    return this.copies.get(model.spec.name) ?? 0
+  }
+
+  private isCrowded (model: PlannedModel): boolean {
+    const copies = this.countCopies(model)
+    if (copies === 0 || model.isComing) return false
+    return this.sumOpen(model.spec.name) + model.waiting > CROWDED_REQUESTS * copies
+  }
+
+  private sumOpen (name: string): number {
+    return this.view.runners.reduce((sum, runner) => sum + (runner.copies.find((copy) => copy.model === name)?.openRequests ?? 0), 0)
+  }
+
+  /** The cheapest way to a further copy, if what it pushes out is worth less than `mostLoss`. */
+  private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
+    const options = this.view.runners
+      .filter((runner) => runner.isReady && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
+      .filter((runner) => this.canLoadFromStore || hasLocalCopy(model.spec, runner))
+      .flatMap((runner) => this.weighOption(model, runner, reason, mostLoss))
+    const best = options.sort((a, b) => a.cost - b.cost)[0]
+    if (best === undefined) return []
+    this.taken.add(best.move.runner)
+    if (best.move.fromStore) this.canLoadFromStore = false
+    return [best.move]
+  }
+
+  private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option[] {
+    const { spec } = model
+    const loadSeconds = measureLoadSeconds(spec, runner)
+    const fromStore = !hasLocalCopy(spec, runner)
+    const crowding = runner.openRequests / CROWDED_REQUESTS
+    if (runner.freeMb >= spec.weightsMb) {
+      return [{ cost: loadSeconds + crowding, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }]
+    }
+    const victim = this.findVictim(runner)
+    if (victim === undefined || victim.loss > mostLoss) return []
+    return [{ cost: loadSeconds + crowding + victim.loss, move: { action: 'unload', runner: runner.id, model: victim.model, beneficiary: spec.name, fromStore: false, reason } }]
+  }
+
+  /** The copy on a runner that is missed least; none that works or has just come. */
+  private findVictim (runner: PlannedRunner): { readonly model: string, readonly loss: number } | undefined {
+    const idle = runner.copies.filter((copy) => copy.openRequests === 0 && copy.ageMs >= SETTLING_MS && (this.models.get(copy.model)?.waiting ?? 0) === 0)
+    const ranked = idle.map((copy) => ({ model: copy.model, loss: this.measureLoss(copy.model, runner) })).sort((a, b) => a.loss - b.loss)
+    return ranked[0]
+  }
+
+  /** What giving up a copy costs, in seconds of loading weighed by the requests that would miss it. */
+  private measureLoss (name: string, runner: PlannedRunner): number {
+    const model = this.models.get(name)
+    if (model === undefined) return 0
+    const copies = this.countCopies(model)
+    if (copies > 1) return LOSS_PER_REQUEST_RATE * model.rate / copies
+    // The runner keeps a copy on its disk, from which the model comes back.
+    return LAST_COPY_LOSS + LOSS_PER_REQUEST_RATE * model.rate * (1 + model.spec.diskLoadMs / MS_PER_SECOND)
+  }
+}
+
+/**
+ * Plans the next loads and unloads; each runner gets one at most.
+ *
+ * @example
+ * planModels(view).forEach((move) => orders.runMove(move))
+ */
+export function planModels (view: ModelPlanView): ModelMove[] {
+  return new ModelPlanner(view).planMoves()
+}
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
@@ -0,0 +1,211 @@
+/**
+ * Gives orders to runners, one at a time to each, and finds out what came of them.
+ *
+ * An order names the count of accepted orders on which its sender's picture of the runner rests. The runner carries it
+ * out only while that count holds, so an order that arrives late, or was planned on an outdated picture, changes nothing,
+ * and orders that are each within the runner's memory can't exceed it together.
+ */
+import { describeError, type Clock, type Logger } from 'figquay'
+import type { FleetLeadership } from './FigquayFleetLeadership.js'
+import type { FleetOrderReply, RunnerOrderClient } from './FigquayFleetPlatform.js'
+import type { FleetRunnerTable } from './FigquayFleetRunnerTable.js'
+import type { Holdings } from './FigquayFleetTypes.js'
+
+/** What the book needs. */
+export interface OrderBookOptions {
+  readonly self: string
+  readonly client: RunnerOrderClient
+  readonly table: FleetRunnerTable
+  readonly leadership: FleetLeadership
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Tells the peers what a runner holds now. */
+  readonly announceHoldings: (runnerId: string, bornMs: number, holdings: Holdings) => void
+}
+
+/** What an order is about. */
+export interface OrderRequest {
+  readonly runner: string
+  readonly action: 'load' | 'unload'
+  readonly model: string
+  readonly adapter: string | undefined
+  readonly reason: string
+}
+
+/** A runner's report of itself lags by some hundred milliseconds. */
+const REPORT_LAG_MS = 250
+/** Orders to one runner that have an unknown or unexpected outcome are this far apart, in milliseconds. */
+const RETRY_PAUSE_MS = 300
+/** An adapter arrives within this time, in milliseconds, unless many are on their way at once. */
+const ADAPTER_ARRIVAL_MS = 20
+
+interface RunnerAccount {
+  isOpen: boolean
+  /** Until then the runner's state is read anew before the next order. */
+  notBeforeMs: number
+  needsReading: boolean
+}
+
+/** Orders of the holder. */
+export class OrderBook {
+  private readonly accounts = new Map<string, RunnerAccount>()
+
+  private constructor (private readonly options: OrderBookOptions) {}
+
+  /**
+   * @example
+   * const book = OrderBook.create(options)
+   */
+  static create (options: OrderBookOptions): OrderBook {
+    return new OrderBook(options)
+  }
+
+  /** Whether a runner may be given an order now. */
+  isReady (runnerId: string): boolean {
+    const account = this.accounts.get(runnerId)
+    return account === undefined || (!account.isOpen && this.options.clock.readMonotonicMs() >= account.notBeforeMs)
+  }
+
+  /** Forgets what is known of the runners' readiness: another holder has given orders meanwhile. */
+  clear (): void {
+    for (const account of this.accounts.values()) account.needsReading = true
+  }
+
+  /** Reads a runner's state before the next order to it. */
+  requireReading (runnerId: string): void {
+    this.findAccount(runnerId).needsReading = true
+  }
+
+  /**
+   * Gives an order; true when the runner has accepted it.
+   *
+   * @example
+   * await book.sendOrder({ runner, action: 'load', model: 'manual', adapter: undefined, reason })
+   */
+  async sendOrder (request: OrderRequest): Promise<boolean> {
+    const account = this.findAccount(request.runner)
+    if (!this.isReady(request.runner)) return false
+    account.isOpen = true
+    try {
+      return await this.deliverOrder(account, request)
+    } catch (error) {
+      this.options.logger.error('order failed', { runner: request.runner, error: describeError(error) })
+      return false
+    } finally {
+      account.isOpen = false
+    }
+  }
+
+  /**
+   * Reads what a runner holds and tells everyone.
+   *
+   * @example
+   * await book.readRunner('runner-1')
+   */
+  async readRunner (runnerId: string): Promise<Holdings | undefined> {
+    const runner = this.options.table.findRunner(runnerId)
+    if (runner === undefined) return undefined
+    const state = await this.options.client.readState(runner)
+    if (!state.ok) {
+      this.options.logger.debug('runner did not tell its state', { runner: runnerId, error: state.error.message })
+      return undefined
+    }
+    this.shareHoldings(runnerId, state.value.bornMs, state.value.holdings)
+    return state.value.holdings
+  }
+
+  private findAccount (runnerId: string): RunnerAccount {
+    const account = this.accounts.get(runnerId) ?? { isOpen: false, notBeforeMs: 0, needsReading: true }
+    this.accounts.set(runnerId, account)
+    return account
+  }
+
+  private shareHoldings (runnerId: string, bornMs: number, holdings: Holdings): void {
+    this.options.table.putHoldings(runnerId, bornMs, holdings)
+    this.options.announceHoldings(runnerId, bornMs, holdings)
+  }
+
+  private async deliverOrder (account: RunnerAccount, request: OrderRequest): Promise<boolean> {
+    const { client, table, leadership, logger, self, clock } = this.options
+    if (account.needsReading && await this.readRunner(request.runner) === undefined) {
+      account.notBeforeMs = clock.readMonotonicMs() + RETRY_PAUSE_MS
+      return false
+    }
+    account.needsReading = false
+    const runner = table.findRunner(request.runner)
+    const fence = leadership.ownFence
+    if (runner?.holdings === undefined || fence === undefined || runner.isLeaving || runner.holdings.isBusy) return false
+    const expectedSequence = runner.holdings.sequence
+    const { action, model, adapter, reason } = request
+    const reply = await client.sendOrder(runner, { action, model, adapter, expectedSequence, holder: self, fence })
+    logger.info('order', { runner: runner.id, action, model, adapter, reason, sequence: expectedSequence, fence, outcome: reply.ok ? reply.value : `unknown: ${reply.error.message}` })
+    if (!reply.ok) {
+      this.distrustAccount(account)
+      return false
+    }
+    return await this.takeReply(account, request, reply.value, runner.bornMs, runner.holdings)
+  }
+
+  private async takeReply (account: RunnerAccount, request: OrderRequest, reply: FleetOrderReply, bornMs: number, before: Holdings): Promise<boolean> {
+    if (reply === 'accepted') {
+      await this.noteAccepted(request, bornMs, before)
+      return true
+    }
+    // An adapter that nobody uses is unloaded before the answer; else the picture was outdated and nothing changes.
+    if (reply === 'already-holds' && request.adapter !== undefined && request.action === 'unload') {
+      this.shareHoldings(request.runner, bornMs, withoutAdapter(before, request.model, request.adapter))
+      return true
+    }
+    if (reply === 'stale-fence') this.options.leadership.stepDown(`runner ${request.runner} has seen a higher fencing number`)
+    if (reply === 'other-runner') this.options.table.restRunner(request.runner)
+    this.distrustAccount(account)
+    return false
+  }
+
+  private distrustAccount (account: RunnerAccount): void {
+    account.needsReading = true
+    account.notBeforeMs = this.options.clock.readMonotonicMs() + RETRY_PAUSE_MS
+  }
+
+  /** Puts down at once what follows from an accepted order; the runner's own reports come later. */
+  private async noteAccepted (request: OrderRequest, bornMs: number, before: Holdings): Promise<void> {
+    const { runner, action, model, adapter } = request
+    const next = { ...before, sequence: before.sequence + 1 }
+    if (adapter === undefined) {
+      const models = action === 'unload' ? next.models.filter((held) => held.name !== model) : next.models
+      this.shareHoldings(runner, bornMs, { ...next, models, isBusy: true })
+      return
+    }
+    if (action === 'unload') {
+      this.shareHoldings(runner, bornMs, withoutAdapter(before, model, adapter))
+      return
+    }
+    await this.options.clock.waitFor(ADAPTER_ARRIVAL_MS)
+    const models = next.models.map((held) => held.name === model ? { ...held, adapters: [...held.adapters, adapter] } : held)
+    this.shareHoldings(runner, bornMs, { ...next, models })
+  }
+
+  /**
+   * Waits until a runner has carried out an order on a model.
+   *
+   * @param expectedMs Time that the order takes.
+   * @example
+   * await book.waitForOrder('runner-1', 1_500)
+   */
+  async waitForOrder (runnerId: string, expectedMs: number): Promise<void> {
+    const deadlineMs = this.options.clock.readMonotonicMs() + expectedMs * 4 + REPORT_LAG_MS * 4
+    await this.options.clock.waitFor(expectedMs + REPORT_LAG_MS)
+    while (this.options.clock.readMonotonicMs() < deadlineMs && this.options.leadership.ownFence !== undefined) {
+      if (this.options.table.findRunner(runnerId)?.holdings?.isBusy === false) return
+      const holdings = await this.readRunner(runnerId)
+      if (holdings?.isBusy === false) return
+      await this.options.clock.waitFor(RETRY_PAUSE_MS)
+    }
+  }
+}
+
+/** Holdings after an adapter was unloaded. */
+function withoutAdapter (before: Holdings, model: string, adapter: string): Holdings {
+  const models = before.models.map((held) => held.name === model ? { ...held, adapters: held.adapters.filter((name) => name !== adapter) } : held)
+  return { ...before, sequence: before.sequence + 1, models }
+}
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
@@ -0,0 +1,97 @@
+/**
+ * Which runner a request goes to. Pure: no clock, no I/O.
+ *
+ * Answers two load patterns: many requests that share long prompt parts (kept together while that costs less than
+ * processing the parts again), and a runner that fails or lags behind the others (it gets less, or nothing).
+ */
+import { createHash } from 'node:crypto'
+import type { RunnerView } from './FigquayFleetRunnerTable.js'
+import type { PromptPart } from './FigquayFleetTypes.js'
+
+/** What the choice needs to know of a request. */
+export interface ChoiceRequest {
+  readonly model: string | undefined
+  readonly promptTokens: number
+  readonly parts: readonly PromptPart[]
+  /** Zone of this daemon. */
+  readonly zone: string
+  /** Runners that have had this request already. */
+  readonly triedRunners: ReadonlySet<string>
+}
+
+/** Prompt tokens that a runner has processed before, as this daemon remembers it. */
+export type CachedTokens = (runnerId: string) => number
+
+/** Prompt tokens that a runner processes in a millisecond, for a first estimate. */
+export const PREFILL_TOKENS_PER_MS = 40
+/** Time that one more running request adds to the steps of all the others, as prompt tokens of equal cost. */
+const TOKENS_PER_RUNNING_REQUEST = 250
+/** Cost of a runner whose recent requests all failed, in prompt tokens. */
+const TOKENS_PER_FAILURE_RATE = 40_000
+/** Cost of a path to another zone, in prompt tokens of equal time. */
+const TOKENS_PER_ZONE_HOP = 60
+/** Cost of not being the home of the request's shared parts, as a part of the tokens that the home would save. */
+const HOME_PART = 1
+
+/**
+ * The runner of a set that a key belongs to; every daemon finds the same one, and few keys move when the set changes.
+ *
+ * @example
+ * findHome('subject-17', ['runner-1', 'runner-2'])
+ */
+export function findHome (key: string, ids: readonly string[]): string | undefined {
+  let home: string | undefined
+  let highest = ''
+  for (const id of ids) {
+    const rank = createHash('sha256').update(`${key}\n${id}`).digest('hex')
+    if (home !== undefined && rank <= highest) continue
+    home = id
+    highest = rank
+  }
+  return home
+}
+
+/** Parts that other requests share: all but the last, which is the request's own. */
+function listSharedParts (parts: readonly PromptPart[]): readonly PromptPart[] {
+  return parts.slice(0, -1)
+}
+
+function sumTokens (parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, part) => sum + part.tokens, 0)
+}
+
+/** Cost of sending a request to a runner, in prompt tokens of equal time. */
+function weighRunner (view: RunnerView, request: ChoiceRequest, home: string | undefined, cached: number): number {
+  const sharedTokens = sumTokens(listSharedParts(request.parts))
+  const expectedCached = view.runner.id === home ? Math.max(cached, HOME_PART * sharedTokens) : cached
+  return view.load.pendingTokens +
+    Math.max(0, request.promptTokens - expectedCached) +
+    view.load.requests * TOKENS_PER_RUNNING_REQUEST +
+    view.failureRate * TOKENS_PER_FAILURE_RATE +
+    (view.runner.zone === request.zone ? 0 : TOKENS_PER_ZONE_HOP)
+}
+
+/**
+ * Chooses the runner at which a request costs least; undefined when there is none to choose from.
+ * Runners that are resting, or have had the request, are taken only when there are no others.
+ *
+ * @example
+ * chooseRunner(candidates, request, () => 0)?.runner.id
+ */
+export function chooseRunner (candidates: readonly RunnerView[], request: ChoiceRequest, readCached: CachedTokens): RunnerView | undefined {
+  const fresh = candidates.filter((view) => !request.triedRunners.has(view.runner.id))
+  const trusted = fresh.filter((view) => view.isTrusted)
+  const usable = trusted.length > 0 ? trusted : fresh.length > 0 ? fresh : candidates
+  const shared = listSharedParts(request.parts)
+  const homeKey = shared.length === 0 ? undefined : `${request.model ?? ''}\n${shared.at(-1)!.id}`
+  const home = homeKey === undefined ? undefined : findHome(homeKey, usable.map((view) => view.runner.id))
+  let best: RunnerView | undefined
+  let lowest = Number.POSITIVE_INFINITY
+  for (const view of usable) {
+    const cost = weighRunner(view, request, home, readCached(view.runner.id))
+    if (cost >= lowest) continue
+    best = view
+    lowest = cost
+  }
+  return best
+}
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -0,0 +1,310 @@
+/** What is known of each runner: its announcement, what it holds, and the load that daemons put on it. */
+import type { Clock } from 'figquay'
+import type { Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
+
+/** Load on a runner, as one daemon sees its own part of it. */
+export interface RunnerLoad {
+  /** Requests that were sent and not finished. */
+  readonly requests: number
+  /** Prompt tokens of requests that have had no first event. */
+  readonly pendingTokens: number
+}
+
+/** A request of this daemon at a runner. */
+export interface OpenRequest {
+  readonly requestId: string
+  readonly fingerprint: string
+  readonly model: string | undefined
+  readonly pendingTokens: number
+  readonly sentAtMs: number
+  hasAnswered: boolean
+}
+
+/** A runner as a candidate for requests. */
+export interface RunnerView {
+  readonly runner: Runner
+  readonly load: RunnerLoad
+  /** Part of its recent requests that failed, from 0 to 1. */
+  readonly failureRate: number
+  /** Neither resting after a failure nor silent. */
+  readonly isTrusted: boolean
+}
+
+interface RunnerState {
+  runner: Runner
+  /** Position in the registry's log; a later announcement replaces an earlier one. */
+  position: number
+  readonly open: Map<string, OpenRequest>
+  failureRate: number
+  restUntilMs: number
+  lastHeardMs: number
+  /** Until then an announcement with the same sequence doesn't replace the holdings, which the holder has read since. */
+  holdingsFreshUntilMs: number
+  reported: ReportedLoad | undefined
+}
+
+/** Weight of the newest result in a runner's failure rate. */
+const FAILURE_WEIGHT = 0.15
+/** A runner rests this long after a failed connection, in milliseconds: about a runner's shortest restart. */
+const REST_MS = 700
+/** Longest time without any byte from a runner that has work, in milliseconds, before it counts as silent. */
+const SILENCE_MS = 1_500
+/** Hints of a peer that has said nothing more for this long are dropped, in milliseconds: several hint intervals. */
+const HINT_EXPIRES_MS = 1_500
+/** Heartbeats of a runner may be this much older than what the holder has read from it, in milliseconds. */
+const HEARTBEAT_LAG_MS = 1_500
+const NO_LOAD: RunnerLoad = { requests: 0, pendingTokens: 0 }
+
+/** Runners by id. */
+export class FleetRunnerTable {
+  private readonly states = new Map<string, RunnerState>()
+  /** Positions at which runners were removed. */
+  private readonly removals = new Map<string, number>()
+  private readonly peerLoads = new Map<string, { readonly loads: ReadonlyMap<string, RunnerLoad>, readonly receivedAtMs: number }>()
+  private readonly listeners = new Set<() => void>()
+  private watermark = -1
+
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * @example
+   * const table = FleetRunnerTable.create(clock)
+   */
+  static create (clock: Clock): FleetRunnerTable {
+    return new FleetRunnerTable(clock)
+  }
+
+  /** Highest position of the registry's log that this table has taken in. */
+  get position (): number {
+    return this.watermark
+  }
+
+  /** Notes how far the registry's log has been read. */
+  notePosition (position: number): void {
+    this.watermark = Math.max(this.watermark, position)
+  }
+
+  /**
+   * Calls `listener` after each change of what runners there are and what they hold; returns its undo.
+   *
+   * @example
+   * const undo = table.registerListener(() => queue.wake())
+   */
+  registerListener (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => {
+      this.listeners.delete(listener)
+    }
+  }
+
+  /**
+   * Takes in an announcement; one that is older than what is known changes nothing.
+   *
+   * @example
+   * table.putRunner(runner, 812)
+   */
+  putRunner (runner: Runner, position: number): void {
+    this.notePosition(position)
+    const known = this.states.get(runner.id)
+    if ((known?.position ?? this.removals.get(runner.id) ?? -1) >= position) return
+    this.removals.delete(runner.id)
+    if (known === undefined || known.runner.bornMs !== runner.bornMs || known.runner.address !== runner.address) {
+      this.states.set(runner.id, this.makeState(runner, position))
+    } else {
+      const holdings = this.chooseHoldings(known, runner.holdings)
+      known.runner = { ...runner, isLeaving: runner.isLeaving || known.runner.isLeaving, holdings }
+      known.position = position
+    }
+    this.notifyListeners()
+  }
+
+  private makeState (runner: Runner, position: number): RunnerState {
+    return { runner, position, open: new Map(), failureRate: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
+  }
+
+  private chooseHoldings (known: RunnerState, announced: Holdings | undefined): Holdings | undefined {
+    const current = known.runner.holdings
+    if (current === undefined || announced === undefined) return announced ?? current
+    if (announced.sequence !== current.sequence) return announced.sequence > current.sequence ? announced : current
+    return this.clock.readMonotonicMs() < known.holdingsFreshUntilMs ? current : announced
+  }
+
+  /**
+   * Forgets a runner that the registry no longer lists.
+   *
+   * @example
+   * table.removeRunner('runner-7', 813)
+   */
+  removeRunner (id: string, position: number): void {
+    this.notePosition(position)
+    const known = this.states.get(id)
+    if (known === undefined || known.position > position) return
+    this.removals.set(id, position)
+    this.states.delete(id)
+    this.notifyListeners()
+  }
+
+  /**
+   * Forgets every runner that a complete list doesn't name.
+   *
+   * @example
+   * table.keepOnly(new Set(['runner-1']), 900)
+   */
+  keepOnly (ids: ReadonlySet<string>, position: number): void {
+    for (const id of [...this.states.keys()]) {
+      if (!ids.has(id)) this.removeRunner(id, position)
+    }
+    this.notePosition(position)
+  }
+
+  /**
+   * Notes what a runner holds, as read from itself.
+   *
+   * @example
+   * table.putHoldings('runner-1', bornMs, holdings)
+   */
+  putHoldings (id: string, bornMs: number, holdings: Holdings): void {
+    const state = this.states.get(id)
+    if (state === undefined || state.runner.bornMs !== bornMs) return
+    if (holdings.sequence < (state.runner.holdings?.sequence ?? 0)) return
+    state.runner = { ...state.runner, holdings }
+    state.holdingsFreshUntilMs = this.clock.readMonotonicMs() + HEARTBEAT_LAG_MS
+    this.notifyListeners()
+  }
+
+  /** Notes that a runner has refused a model or adapter that it was thought to hold. */
+  dropHolding (id: string, model: string, adapter: string | undefined): void {
+    const state = this.states.get(id)
+    const holdings = state?.runner.holdings
+    if (state === undefined || holdings === undefined) return
+    const models = adapter === undefined
+      ? holdings.models.filter((held) => held.name !== model)
+      : holdings.models.map((held) => held.name === model ? { ...held, adapters: held.adapters.filter((name) => name !== adapter) } : held)
+    state.runner = { ...state.runner, holdings: { ...holdings, models } }
+    this.notifyListeners()
+  }
+
+  /** Marks a runner as leaving before the registry's log says so here: a peer or the runner itself has. */
+  markLeaving (id: string): void {
+    const state = this.states.get(id)
+    if (state === undefined || state.runner.isLeaving) return
+    state.runner = { ...state.runner, isLeaving: true }
+    this.notifyListeners()
+  }
+
+  /** A runner by id. */
+  findRunner (id: string): Runner | undefined {
+    return this.states.get(id)?.runner
+  }
+
+  /** All runners with the positions of their announcements. */
+  listAnnouncements (after: number): Array<{ readonly runner: Runner, readonly position: number }> {
+    return [...this.states.values()].filter((state) => state.position > after).map(({ runner, position }) => ({ runner, position }))
+  }
+
+  /** Runners removed after a position. */
+  listRemovals (after: number): Array<{ readonly id: string, readonly position: number }> {
+    return [...this.removals].filter(([, position]) => position > after).map(([id, position]) => ({ id, position }))
+  }
+
+  /**
+   * Runners of a service that take new requests, with the load on them.
+   *
+   * @example
+   * table.listCandidates('assistant')
+   */
+  listCandidates (service: string): RunnerView[] {
+    return this.listViews(service).filter((view) => !view.runner.isLeaving)
+  }
+
+  /** All runners of a service, leaving ones included. */
+  listViews (service: string): RunnerView[] {
+    const nowMs = this.clock.readMonotonicMs()
+    return [...this.states.values()].filter((state) => state.runner.service === service).map((state) => ({
+      runner: state.runner,
+      load: this.sumLoad(state, nowMs),
+      failureRate: state.failureRate,
+      isTrusted: nowMs >= state.restUntilMs && !this.isSilent(state, nowMs)
+    }))
+  }
+
+  /** A runner is silent when a request has waited long and nothing at all has come from it meanwhile. */
+  private isSilent (state: RunnerState, nowMs: number): boolean {
+    if (nowMs - state.lastHeardMs < SILENCE_MS) return false
+    for (const request of state.open.values()) {
+      if (!request.hasAnswered && nowMs - request.sentAtMs > SILENCE_MS) return true
+    }
+    return false
+  }
+
+  private sumLoad (state: RunnerState, nowMs: number): RunnerLoad {
+    let requests = state.open.size
+    let pendingTokens = sumPending(state.open.values())
+    for (const peer of this.peerLoads.values()) {
+      if (nowMs - peer.receivedAtMs > HINT_EXPIRES_MS) continue
+      const load = peer.loads.get(state.runner.id) ?? NO_LOAD
+      requests += load.requests
+      pendingTokens += load.pendingTokens
+    }
+    return { requests, pendingTokens }
+  }
+
+  /** Notes what a peer has at the runners. */
+  putPeerLoads (peer: string, loads: ReadonlyMap<string, RunnerLoad>): void {
+    this.peerLoads.set(peer, { loads, receivedAtMs: this.clock.readMonotonicMs() })
+  }
+
+  /** This daemon's own load by runner, for its peers. */
+  exportLoads (): Map<string, RunnerLoad> {
+    const loads = new Map<string, RunnerLoad>()
+    for (const [id, state] of this.states) {
+      if (state.open.size > 0) loads.set(id, { requests: state.open.size, pendingTokens: sumPending(state.open.values()) })
+    }
+    return loads
+  }
+
+  /** Notes that a request is on its way to a runner; returns the function that ends it. */
+  registerOpen (id: string, request: OpenRequest): () => void {
+    const open = this.states.get(id)?.open
+    open?.set(request.requestId, request)
+    return () => {
+      open?.delete(request.requestId)
+    }
+  }
+
+  /** Requests of this daemon at a runner. */
+  listOpen (id: string): OpenRequest[] {
+    return [...this.states.get(id)?.open.values() ?? []]
+  }
+
+  /** Notes that bytes came from a runner. */
+  noteHeard (id: string): void {
+    const state = this.states.get(id)
+    if (state !== undefined) state.lastHeardMs = this.clock.readMonotonicMs()
+  }
+
+  /** Notes how an exchange with a runner went. */
+  noteResult (id: string, hasFailed: boolean): void {
+    const state = this.states.get(id)
+    if (state === undefined) return
+    state.failureRate += FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - state.failureRate)
+  }
+
+  /** Gives a runner a rest after a failed connection. */
+  restRunner (id: string): void {
+    const state = this.states.get(id)
+    if (state !== undefined) state.restUntilMs = this.clock.readMonotonicMs() + REST_MS
+  }
+
+  private notifyListeners (): void {
+    for (const listener of [...this.listeners]) listener()
+  }
+}
+
+function sumPending (requests: Iterable<OpenRequest>): number {
+  let sum = 0
+  for (const request of requests) {
+    if (!request.hasAnswered) sum += request.pendingTokens
+  }
+  return sum
+}
--- a/packages/figquay-log/src/FigquayHttpLogService.ts
+++ b/packages/figquay-log/src/FigquayHttpLogService.ts
@@ -41,7 +41,7 @@
 
   override async readPage (stream: string, from: number, waitMs: number, signal?: AbortSignal): Promise<Outcome<LogPage, CallFailure>> {
     const url = `${this.formatUrl(stream)}?from=${from}&waitMs=${waitMs}`
-    const reply = await this.readers.requestJson('GET', url, undefined, waitMs + READ_MARGIN_MS, signal)
+    const reply = await this.readers.requestJson('GET', url, undefined, waitMs + READ_MARGIN_MS, { signal })
     if (!reply.ok) return reply
     if (reply.value.status === OK) return makeSuccess(reply.value.body as LogPage)
     return makeFailure({ sent: 'maybe', reason: 'reset', message: `the log answered with status ${reply.value.status}` })
--- a/packages/figquay-routing/src/FigquayRoutingRetryBudget.ts
+++ b/packages/figquay-routing/src/FigquayRoutingRetryBudget.ts
@@ -4,21 +4,37 @@
 const LARGEST_RESERVE = 20
 const FIRST_RESERVE = 10
 
+/** Bounds of a budget. */
+export interface RetryBudgetOptions {
+  /** Retries that each fresh request earns. */
+  readonly perRequest: number
+  /** Retries that may be saved up. */
+  readonly largestReserve: number
+  /** Retries that may be made before any request has earned one. */
+  readonly firstReserve: number
+}
+
+const DEFAULT_OPTIONS: RetryBudgetOptions = { perRequest: RETRIES_PER_REQUEST, largestReserve: LARGEST_RESERVE, firstReserve: FIRST_RESERVE }
+
 /** Retries that may still be made. */
 export class RetryBudget {
-  private reserve = FIRST_RESERVE
+  private reserve: number
+
+  private constructor (private readonly options: RetryBudgetOptions) {
+    this.reserve = options.firstReserve
+  }
 
   /**
    * @example
    * const budget = RetryBudget.create()
    */
-  static create (): RetryBudget {
-    return new RetryBudget()
+  static create (options: RetryBudgetOptions = DEFAULT_OPTIONS): RetryBudget {
+    return new RetryBudget(options)
   }
 
   /** Counts a fresh request, which earns part of a retry. */
   noteRequest (): void {
-    this.reserve = Math.min(LARGEST_RESERVE, this.reserve + RETRIES_PER_REQUEST)
+    this.reserve = Math.min(this.options.largestReserve, this.reserve + this.options.perRequest)
   }
 
   /**
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -0,0 +1,148 @@
+/** Finds a runner for a request, and lets it wait while one is being made ready. */
+import { Refusal, type Clock } from 'figquay'
+import { chooseRunner, holdsAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerView } from 'figquay-fleet'
+import { decideMissingModel, estimateLoadMs, hasRoom } from './FigquayServingWaiting.js'
+import type { ServedRequest } from './FigquayServingTypes.js'
+
+/** What the dispatcher needs. */
+export interface ServingDispatcherOptions {
+  readonly clock: Clock
+  readonly zone: string
+  readonly configurations: ConfigurationHolder
+  readonly table: FleetRunnerTable
+  readonly memory: PromptMemory
+  /** Called when something is needed that nobody waited for before. */
+  readonly announceNeeds: () => void
+}
+
+/** A request that waits for something to change. */
+interface Waiter {
+  readonly request: ServedRequest
+  wake: () => void
+}
+
+/** A request that waits looks again after this time at the latest, in milliseconds. */
+const LOOK_AGAIN_MS = 250
+/** An adapter is ready within this time when its model is there, in milliseconds. */
+const ADAPTER_READY_MS = 150
+/** A service without any runner may get one within this time, in milliseconds: a runner's usual restart. */
+const NO_RUNNER_RETRY_MS = 800
+/** Requests that no runner has room for are told to come back after about this time, in milliseconds. */
+const FULL_RETRY_MS = 400
+/** Retry times are spread by this part of them, so that the callers don't return together. */
+const RETRY_SPREAD = 0.5
+
+/** Runners for requests. */
+export class ServingDispatcher {
+  private readonly waiters = new Set<Waiter>()
+
+  private constructor (private readonly options: ServingDispatcherOptions) {
+    options.table.registerListener(() => this.wakeWaiters())
+  }
+
+  /**
+   * @example
+   * const dispatcher = ServingDispatcher.create(options)
+   */
+  static create (options: ServingDispatcherOptions): ServingDispatcher {
+    return new ServingDispatcher(options)
+  }
+
+  /** What this daemon's requests wait for. */
+  listNeeds (): Need[] {
+    const needs = new Map<string, Need>()
+    for (const { request: { service, model, adapter } } of this.waiters) {
+      if (model === undefined) continue
+      const lacksModel = !this.listHolders(service, model, undefined).some(({ runner }) => !runner.isLeaving)
+      const need: Need = { service, model, adapter: lacksModel ? undefined : adapter, waiting: 1 }
+      const key = `${service}\n${model}\n${need.adapter ?? ''}`
+      needs.set(key, { ...need, waiting: 1 + (needs.get(key)?.waiting ?? 0) })
+    }
+    return [...needs.values()]
+  }
+
+  /**
+   * A runner for a request; waits while that helps, and refuses as soon as it doesn't.
+   *
+   * @param tried Runners that have had the request.
+   * @example
+   * const choice = await dispatcher.findRunner(request, new Set(), signal)
+   */
+  async findRunner (request: ServedRequest, tried: ReadonlySet<string>, signal: AbortSignal): Promise<Runner | Refusal> {
+    while (true) {
+      const candidates = this.listCandidates(request)
+      const roomy = candidates.filter(hasRoom)
+      const view = chooseRunner(roomy, { ...request, zone: this.options.zone, triedRunners: tried }, (runner) => this.countCached(runner, request))
+      if (view !== undefined) return view.runner
+      const refusal = candidates.length > 0 ? this.refuseFull() : this.judgeMissing(request)
+      if (refusal !== undefined) return refusal
+      await this.waitForChange(request, signal)
+      if (signal.aborted) return Refusal.create('bad_request', 'the caller went away')
+    }
+  }
+
+  private countCached (runnerId: string, request: ServedRequest): number {
+    return this.options.memory.countCached(runnerId, request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter), request.parts)
+  }
+
+  private listCandidates (request: ServedRequest): RunnerView[] {
+    if (request.model === undefined) return this.options.table.listCandidates(request.service)
+    return this.listHolders(request.service, request.model, request.adapter).filter(({ runner }) => !runner.isLeaving)
+  }
+
+  private listHolders (service: string, model: string, adapter: string | undefined): RunnerView[] {
+    return this.options.table.listCandidates(service).filter(({ runner: { holdings } }) =>
+      adapter === undefined ? holdings?.models.some((held) => held.name === model) === true : holdings !== undefined && holdsAdapter(holdings.models, model, adapter))
+  }
+
+  private refuseFull (): Refusal {
+    return Refusal.create('overloaded', 'no runner has room', { retryAfterMs: spreadRetry(FULL_RETRY_MS) })
+  }
+
+  /** Undefined when the request waits. */
+  private judgeMissing (request: ServedRequest): Refusal | undefined {
+    const { configurations, table, clock } = this.options
+    const remainingMs = request.deadlineAtMs - clock.readMonotonicMs()
+    const spec = request.model === undefined ? undefined : configurations.findService(request.service)?.engine?.models.get(request.model)
+    const runners = table.listCandidates(request.service).map((view) => view.runner)
+    if (spec === undefined || runners.length === 0) {
+      return Refusal.create('no_upstream', 'no runner serves this', { retryAfterMs: spreadRetry(NO_RUNNER_RETRY_MS) })
+    }
+    const hasModel = runners.some(({ holdings }) => holdings?.models.some((held) => held.name === spec.name) === true)
+    const readyInMs = hasModel ? ADAPTER_READY_MS : estimateLoadMs(spec, runners)
+    const decision = decideMissingModel(remainingMs, readyInMs)
+    if (decision.type === 'wait') return undefined
+    // The load is still wanted: the caller is told to come back for it.
+    this.announceOnce(request)
+    return Refusal.create('model_unavailable', `model ${spec.name} is on no runner`, { retryAfterMs: spreadRetry(decision.retryAfterMs) })
+  }
+
+  private announceOnce (request: ServedRequest): void {
+    const waiter: Waiter = { request, wake: () => {} }
+    this.waiters.add(waiter)
+    this.options.announceNeeds()
+    // Kept until the next hints have gone out, so that the holder hears of it.
+    this.options.clock.waitFor(LOOK_AGAIN_MS).then(() => this.waiters.delete(waiter))
+  }
+
+  private async waitForChange (request: ServedRequest, signal: AbortSignal): Promise<void> {
+    const timer = new AbortController()
+    const waiter: Waiter = { request, wake: () => timer.abort() }
+    const stop = (): void => timer.abort()
+    signal.addEventListener('abort', stop, { once: true })
+    this.waiters.add(waiter)
+    this.options.announceNeeds()
+    await this.options.clock.waitFor(LOOK_AGAIN_MS, timer.signal)
+    this.waiters.delete(waiter)
+    signal.removeEventListener('abort', stop)
+  }
+
+  private wakeWaiters (): void {
+    for (const waiter of [...this.waiters]) waiter.wake()
+  }
+}
+
+/** A retry time with a random part. */
+export function spreadRetry (ms: number): number {
+  return ms * (1 + RETRY_SPREAD * Math.random())
+}
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -0,0 +1,276 @@
+/** Serves one request from its arrival to its last byte: choose, send, watch, send again, resume. */
+import { Deadline, Refusal, type Clock } from 'figquay'
+import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type PromptMemory, type Runner } from 'figquay-fleet'
+import type { CrashGuard, RetryBudget } from 'figquay-routing'
+import type { ServingDispatcher } from './FigquayServingDispatcher.js'
+import type { ServingTraces } from './FigquayServingTraces.js'
+import type { AnswerSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, ServedRequest, ServedResult } from './FigquayServingTypes.js'
+
+/** What the router needs. */
+export interface ServingRouterOptions {
+  readonly clock: Clock
+  readonly configurations: ConfigurationHolder
+  readonly table: FleetRunnerTable
+  readonly memory: PromptMemory
+  readonly demand: FleetDemand
+  readonly dispatcher: ServingDispatcher
+  readonly exchanges: RunnerExchangeClient
+  /** Retry budget of a service. */
+  readonly findBudget: (service: string) => RetryBudget
+  readonly crashes: CrashGuard
+  /** Charges requests with a runner's crash, here and at the peers. */
+  readonly chargeCrash: (fingerprints: readonly string[], upstream: string) => void
+  readonly noteAdapterUse: (runner: string, key: string) => void
+  readonly traces: ServingTraces
+}
+
+/** One request on its way, across its attempts. */
+interface Progress {
+  readonly request: ServedRequest
+  readonly sink: AnswerSink
+  readonly signal: AbortSignal
+  readonly tried: Set<string>
+  /** Attempts that a runner may have run. */
+  runs: number
+  /** Attempts that no runner took. */
+  declined: number
+  hasStarted: boolean
+  maySent: boolean
+  lastEventId: string | undefined
+}
+
+/** How an attempt went; a failure of the runner's own is an answer that another runner may better. */
+type AttemptResult =
+  | { readonly type: 'done' }
+  | { readonly type: 'failed', readonly failure: ExchangeFailure }
+  | { readonly type: 'runner-error', readonly status: number }
+
+const OK = 200
+const SERVER_ERROR = 500
+/** Runners that may decline one request before it is refused. */
+const MOST_DECLINED = 4
+/** A runner that holds up an order gets the request again after this time, in milliseconds. */
+const DECLINED_PAUSE_MS = 15
+/** Multiple of the objective after which an idempotent call is sent elsewhere, its runner being silent. */
+const SILENT_OBJECTIVES = 3
+/** Shortest time after which a call counts as unanswered, in milliseconds. */
+const SHORTEST_SILENCE_MS = 300
+const FAILED_RETRY_AFTER_MS = 500
+/** Rank of the least urgent request at a runner. */
+const LOWEST_RANK = 9
+
+/** Routes requests. */
+export class ServingRouter {
+  private readonly checks = new Map<string, Promise<void>>()
+
+  private constructor (private readonly options: ServingRouterOptions) {}
+
+  /**
+   * @example
+   * const router = ServingRouter.create(options)
+   */
+  static create (options: ServingRouterOptions): ServingRouter {
+    return new ServingRouter(options)
+  }
+
+  /**
+   * Serves a request; the answer, or a refusal, has gone into the sink when it returns.
+   *
+   * @example
+   * const result = await router.serveRequest(request, sink, signal)
+   */
+  async serveRequest (request: ServedRequest, sink: AnswerSink, signal: AbortSignal): Promise<ServedResult> {
+    this.options.findBudget(request.service).noteRequest()
+    if (request.model !== undefined) this.options.demand.noteArrival(request.model)
+    const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
+    const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined }
+    try {
+      const refusal = await this.runAttempts(progress)
+      const result = this.finishRequest(progress, refusal, signal.aborted)
+      this.options.traces.noteResult(request, result)
+      return result
+    } finally {
+      deadline.dispose()
+    }
+  }
+
+  private finishRequest (progress: Progress, refusal: Refusal | undefined, hasCallerLeft: boolean): ServedResult {
+    const { request, sink } = progress
+    if (refusal === undefined) return 'answered'
+    if (hasCallerLeft) {
+      sink.abandonAnswer()
+      return 'caller-left'
+    }
+    this.options.traces.logDecision('refused', request, { code: refusal.code, reason: refusal.message, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, tried: [...progress.tried] })
+    if (progress.hasStarted) {
+      sink.abandonAnswer()
+      return 'broken'
+    }
+    sink.refuseRequest(refusal)
+    return 'refused'
+  }
+
+  /** Undefined when the request was answered. */
+  private async runAttempts (progress: Progress): Promise<Refusal | undefined> {
+    const { request, signal } = progress
+    while (!signal.aborted) {
+      if (this.options.crashes.isQuarantined(request.fingerprint, this.options.clock.readMonotonicMs())) {
+        return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
+      }
+      const choice = await this.options.dispatcher.findRunner(request, progress.tried, signal)
+      if (choice instanceof Refusal) return this.restateRefusal(progress, choice)
+      const result = await this.runAttempt(progress, choice)
+      if (result.type === 'done') return undefined
+      if (signal.aborted) break
+      const refusal = await this.planRetry(progress, choice, result)
+      if (refusal !== undefined) return refusal
+    }
+    return this.makeTimeout(progress)
+  }
+
+  private makeTimeout (progress: Progress): Refusal {
+    if (progress.maySent) return Refusal.create('outcome_unknown', 'no answer in time', { execution: 'unknown' })
+    return Refusal.create('deadline_unreachable', 'no runner took the request in time', { retryAfterMs: FAILED_RETRY_AFTER_MS })
+  }
+
+  /** A refusal after an attempt that may have run must not say "not run". */
+  private restateRefusal (progress: Progress, refusal: Refusal): Refusal {
+    if (!progress.maySent) return refusal
+    return Refusal.create('upstream_failed', refusal.message, { execution: 'unknown' })
+  }
+
+  private async runAttempt (progress: Progress, runner: Runner): Promise<AttemptResult> {
+    const { request } = progress
+    const { table, clock, memory } = this.options
+    progress.tried.add(runner.id)
+    const weights = request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter)
+    const open = {
+      requestId: request.id,
+      fingerprint: request.fingerprint,
+      model: request.model,
+      pendingTokens: Math.max(0, request.promptTokens - memory.countCached(runner.id, weights, request.parts)),
+      sentAtMs: clock.readMonotonicMs(),
+      hasAnswered: false
+    }
+    const release = table.registerOpen(runner.id, open)
+    memory.noteParts(runner.id, weights, request.parts)
+    if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
+    const limit = Deadline.create(this.limitSilence(progress), progress.signal)
+    try {
+      const result = await this.runExchange(progress, runner, limit, open)
+      this.noteAttempt(progress, runner, result)
+      return result
+    } finally {
+      limit.dispose()
+      release()
+    }
+  }
+
+  /** How long the first byte of an attempt may take: a call that may run twice isn't left with a silent runner. */
+  private limitSilence ({ request, runs }: Progress): number {
+    const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
+    const mayRepeat = request.route.repeat === 'idempotent' && !request.route.isStream && runs + 1 < request.route.maxAttempts
+    return mayRepeat ? Math.min(remainingMs, Math.max(SHORTEST_SILENCE_MS, request.route.objectiveMs * SILENT_OBJECTIVES)) : remainingMs
+  }
+
+  private async runExchange (progress: Progress, runner: Runner, limit: Deadline, open: { hasAnswered: boolean }): Promise<AttemptResult> {
+    const { request } = progress
+    const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
+    const rank = Math.min(LOWEST_RANK, request.route.priority)
+    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfter: progress.lastEventId, rank }, limit.signal)
+    for await (const event of events) {
+      this.options.table.noteHeard(runner.id)
+      if (event.type === 'head') limit.stopTimer()
+      const result = await this.takeEvent(progress, event, open)
+      if (result !== undefined) return result
+    }
+    return { type: 'failed', failure: { execution: 'unknown', reason: 'silent', message: limit.hasExpired ? 'no answer in time' : 'the caller went away' } }
+  }
+
+  /** Passes one event on; returns the result once the attempt is over. */
+  private async takeEvent (progress: Progress, event: ExchangeEvent, open: { hasAnswered: boolean }): Promise<AttemptResult | undefined> {
+    if (event.type === 'failed') return { type: 'failed', failure: event.failure }
+    if (event.type === 'end') {
+      progress.sink.finishAnswer()
+      return { type: 'done' }
+    }
+    if (event.type === 'head') {
+      // What follows a stream's first events must be more events, never another runner's error.
+      const isUnfit = progress.hasStarted && event.status !== OK
+      if (isUnfit || (event.status >= SERVER_ERROR && this.mayRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
+      if (!progress.hasStarted) progress.sink.startAnswer(event.status, event.head)
+      progress.hasStarted = true
+      return undefined
+    }
+    if (!open.hasAnswered) this.options.traces.noteFirstByte(progress.request)
+    open.hasAnswered = true
+    progress.lastEventId = event.lastEventId ?? progress.lastEventId
+    await progress.sink.writeBytes(event.bytes)
+    return undefined
+  }
+
+  private noteAttempt (progress: Progress, runner: Runner, result: AttemptResult): void {
+    const { table, traces } = this.options
+    const hasFailed = result.type !== 'done' && !progress.signal.aborted
+    traces.noteAttempt(progress.request.service, result.type === 'failed' ? result.failure.reason : result.type)
+    if (result.type === 'failed' && result.failure.execution === 'not-run' && result.failure.reason !== 'unreachable') return
+    if (progress.signal.aborted && result.type === 'failed') return
+    table.noteResult(runner.id, hasFailed)
+  }
+
+  /** Whether a request that may have run `more` times beyond the counted ones may run once more. */
+  private mayRunAgain ({ request, runs, hasStarted }: Progress, more: number): boolean {
+    const { route } = request
+    const mayRepeat = route.isStream ? route.isResumable : route.repeat === 'idempotent' && !hasStarted
+    return mayRepeat && runs + more < route.maxAttempts
+  }
+
+  /** Undefined when another attempt may be made; else the final answer. */
+  private async planRetry (progress: Progress, runner: Runner, result: AttemptResult): Promise<Refusal | undefined> {
+    const { request } = progress
+    const reason = result.type === 'failed' ? result.failure.reason : 'runner-error'
+    const message = result.type === 'failed' ? result.failure.message : 'the runner failed'
+    const execution = result.type === 'failed' ? result.failure.execution : 'unknown'
+    this.options.traces.logDecision('attempt failed', request, { runner: runner.id, reason, execution, message })
+    this.noteFailure(progress, runner, reason)
+    if (execution === 'not-run') return await this.planAfterDecline(progress, reason)
+    progress.maySent = true
+    const mayRun = this.mayRunAgain(progress, 1)
+    progress.runs += 1
+    if (mayRun && this.options.findBudget(request.service).spendRetry()) return undefined
+    return Refusal.create('upstream_failed', `${reason}: ${message}`, { execution: 'unknown' })
+  }
+
+  private async planAfterDecline (progress: Progress, reason: string): Promise<Refusal | undefined> {
+    const { request } = progress
+    progress.declined += 1
+    const isFree = reason === 'unreachable'
+    if (progress.declined > MOST_DECLINED || !(isFree || this.options.findBudget(request.service).spendRetry())) {
+      const refusal = Refusal.create('overloaded', `no runner took the request: ${reason}`, { retryAfterMs: FAILED_RETRY_AFTER_MS })
+      return this.restateRefusal(progress, refusal)
+    }
+    await this.options.clock.waitFor(DECLINED_PAUSE_MS, progress.signal)
+    return undefined
+  }
+
+  private noteFailure ({ request }: Progress, runner: Runner, reason: string): void {
+    const { table } = this.options
+    if (reason === 'missing-model') table.dropHolding(runner.id, request.model ?? '', request.adapter)
+    if (reason === 'other-runner' || reason === 'unreachable') table.restRunner(runner.id)
+    if (reason === 'reset' || reason === 'truncated') this.checkCrash(runner, request.fingerprint)
+  }
+
+  /** After a broken connection the runner is asked whether it is still the same process; one question at a time. */
+  private checkCrash (runner: Runner, fingerprint: string): void {
+    const { table, exchanges, chargeCrash, traces } = this.options
+    if (this.checks.has(runner.id)) return
+    const fingerprints = [fingerprint, ...table.listOpen(runner.id).map((open) => open.fingerprint)]
+    const check = exchanges.checkAlive(runner).then((isAlive) => {
+      if (isAlive) return
+      table.restRunner(runner.id)
+      chargeCrash(fingerprints, `${runner.id}/${runner.bornMs}`)
+    }).finally(() => this.checks.delete(runner.id))
+    this.checks.set(runner.id, check)
+    traces.noteAttempt(runner.service, 'crash-check')
+  }
+}
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -0,0 +1,242 @@
+/** Keeps a daemon's picture of the platform's store up to date; asks peers while the store can't be read. */
+import { describeError, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
+import { HOLDER_KEY, type ConfigurationHolder, type FleetConfiguration, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerReading, type SharedReading } from 'figquay-fleet'
+
+/** State that one daemon gives to another that can't read the store. */
+export interface FleetSnapshot {
+  /** Undefined when the asker's is as new. */
+  readonly configuration: (Omit<FleetConfiguration, 'services'> & { readonly services: ReadonlyArray<readonly [string, SerialService]> }) | undefined
+  readonly runners: ReadonlyArray<{ readonly runner: Runner, readonly position: number }>
+  readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number }>
+  readonly position: number
+  readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
+}
+
+type SerialService = Omit<ServiceOf, 'engine'> & { readonly engine: (Omit<EngineOf, 'models'> & { readonly models: ReadonlyArray<readonly [string, ModelOf]> }) | undefined }
+type ServiceOf = FleetConfiguration['services'] extends ReadonlyMap<string, infer S> ? S : never
+type EngineOf = NonNullable<ServiceOf['engine']>
+type ModelOf = EngineOf['models'] extends ReadonlyMap<string, infer M> ? M : never
+
+/** What the follower needs. */
+export interface StoreFollowerOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly store: FleetStore
+  readonly configurations: ConfigurationHolder
+  readonly table: FleetRunnerTable
+  readonly leadership: FleetLeadership
+  /** Called with the daemons' addresses and zones after each change. */
+  readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
+  /** Asks a peer for what is newer than this daemon's picture; undefined when none answers. */
+  readonly askPeer: (configurationVersion: number, position: number) => Promise<FleetSnapshot | undefined>
+}
+
+/** Longest that a read of rarely changing records is kept waiting, in milliseconds. */
+const LONG_WAIT_MS = 20_000
+/** The list of runners is read this often, in milliseconds: well within the time in which a leaving runner must be left alone. */
+const RUNNERS_INTERVAL_MS = 800
+/** A read that the store is asked to answer at once has failed after this time, in milliseconds. */
+const FAILED_PAUSE_MS = 250
+/** Changes of the daemons' own records are gathered for this long before they are read, in milliseconds. */
+const SHARED_INTERVAL_MS = 300
+/** Prefix of the records by which daemons find each other. */
+const DAEMON_PREFIX = 'daemon/'
+
+/** Follows the store. */
+export class StoreFollower {
+  private readonly daemons = new Map<string, string>()
+  private configurationPosition = -1
+  private sharedPosition = -1
+  private hasReadRunners = false
+  private isStoreHeard = true
+  private longReads = new AbortController()
+
+  private constructor (private readonly options: StoreFollowerOptions) {}
+
+  /**
+   * @example
+   * const follower = StoreFollower.create(options)
+   */
+  static create (options: StoreFollowerOptions): StoreFollower {
+    return new StoreFollower(options)
+  }
+
+  /** Whether the list of runners and a configuration are known. */
+  get isInformed (): boolean {
+    return this.hasReadRunners && this.options.configurations.current !== undefined
+  }
+
+  /** Whether the last read of the store was answered. */
+  get isConnected (): boolean {
+    return this.isStoreHeard
+  }
+
+  /**
+   * Starts reading.
+   *
+   * @example
+   * follower.startTasks(tasks)
+   */
+  startTasks (tasks: TaskGroup): void {
+    tasks.startTask('configuration', (signal) => this.followLong(signal, (inner) => this.readConfiguration(inner)))
+    tasks.startTask('shared records', (signal) => this.followLong(signal, (inner) => this.readShared(inner)))
+    tasks.startTask('runners', (signal) => this.followRunners(signal))
+  }
+
+  /** Announces this daemon to the others. */
+  async announceSelf (address: string, zone: string, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const written = await this.options.store.writeShared(`${DAEMON_PREFIX}${address}`, zone, undefined)
+      if (written.ok) return
+      await this.options.clock.waitFor(FAILED_PAUSE_MS, signal)
+    }
+  }
+
+  /** State that a peer lacks. */
+  makeSnapshot (configurationVersion: number, position: number): FleetSnapshot {
+    const { configurations, table } = this.options
+    const current = configurations.current
+    return {
+      configuration: current === undefined || current.version <= configurationVersion ? undefined : serializeConfiguration(current),
+      runners: table.listAnnouncements(position),
+      removals: table.listRemovals(position),
+      position: table.position,
+      daemons: [...this.daemons]
+    }
+  }
+
+  /** Runs a long read again and again; the runners' reads tell when the store is gone and the read must be begun anew. */
+  private async followLong (signal: AbortSignal, read: (signal: AbortSignal) => Promise<boolean>): Promise<void> {
+    while (!signal.aborted) {
+      const inner = this.longReads
+      const stop = (): void => inner.abort()
+      signal.addEventListener('abort', stop, { once: true })
+      const succeeded = await read(inner.signal)
+      signal.removeEventListener('abort', stop)
+      await this.options.clock.waitFor(succeeded ? 0 : FAILED_PAUSE_MS, signal)
+    }
+  }
+
+  private async readConfiguration (signal: AbortSignal): Promise<boolean> {
+    const { store, configurations, logger } = this.options
+    const reading = await store.readConfiguration(this.configurationPosition, LONG_WAIT_MS, signal)
+    if (!reading.ok) return this.noteFailure('configuration', reading)
+    this.configurationPosition = reading.value.position
+    const { configuration } = reading.value
+    if (configuration !== undefined && configurations.adoptConfiguration(configuration)) {
+      logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length, source: 'store' })
+    }
+    return true
+  }
+
+  private async readShared (signal: AbortSignal): Promise<boolean> {
+    const { store, clock, leadership } = this.options
+    const reading = await store.readShared(this.sharedPosition, LONG_WAIT_MS, signal)
+    if (!reading.ok) return this.noteFailure('shared records', reading)
+    this.takeShared(reading.value)
+    leadership.noteEnd(reading.value.end)
+    await clock.waitFor(SHARED_INTERVAL_MS, signal)
+    return true
+  }
+
+  private takeShared (reading: SharedReading): void {
+    const before = this.daemons.size
+    let hasChanged = false
+    for (const { key, value, position } of reading.records) {
+      this.sharedPosition = Math.max(this.sharedPosition, position)
+      if (key === HOLDER_KEY && value !== undefined) this.options.leadership.noteRecord(value, position)
+      if (!key.startsWith(DAEMON_PREFIX)) continue
+      const address = key.slice(DAEMON_PREFIX.length)
+      hasChanged = true
+      if (value === undefined) this.daemons.delete(address)
+      else this.daemons.set(address, value)
+    }
+    this.sharedPosition = Math.max(this.sharedPosition, reading.end - 1)
+    if (hasChanged || before !== this.daemons.size) this.options.setDaemons(this.daemons)
+  }
+
+  private async followRunners (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const startedAtMs = this.options.clock.readMonotonicMs()
+      const reading = await this.options.store.readRunners(this.options.table.position, 0, signal)
+      if (reading.ok) {
+        this.takeRunners(reading.value)
+        this.noteHeard(true)
+      } else if (!signal.aborted) {
+        this.noteFailure('runners', reading)
+        this.noteHeard(false)
+        await this.askPeers()
+      }
+      const spentMs = this.options.clock.readMonotonicMs() - startedAtMs
+      await this.options.clock.waitFor(Math.max(reading.ok ? 0 : FAILED_PAUSE_MS, RUNNERS_INTERVAL_MS - spentMs), signal)
+    }
+  }
+
+  private takeRunners (reading: RunnerReading): void {
+    const { table } = this.options
+    for (const change of reading.changes) {
+      if (change.type === 'announced') table.putRunner(change.runner, change.position)
+      else table.removeRunner(change.id, change.position)
+    }
+    if (reading.isComplete) table.keepOnly(new Set(reading.changes.flatMap((change) => change.type === 'announced' ? [change.runner.id] : [])), reading.position)
+    table.notePosition(reading.position)
+    this.hasReadRunners = true
+  }
+
+  private noteHeard (isHeard: boolean): void {
+    if (isHeard === this.isStoreHeard) return
+    this.isStoreHeard = isHeard
+    if (isHeard) this.options.logger.info('store is back')
+    else this.options.logger.warn('store can\'t be read; asking peers')
+    // Reads that were kept waiting may hang on a dead connection, in either case.
+    this.longReads.abort()
+    this.longReads = new AbortController()
+  }
+
+  private async askPeers (): Promise<void> {
+    const { configurations, table, logger } = this.options
+    const snapshot = await this.options.askPeer(configurations.version, table.position)
+    if (snapshot === undefined) return
+    this.takeSnapshot(snapshot)
+    logger.debug('asked a peer', { version: configurations.version, position: table.position })
+  }
+
+  /** Takes in what a peer knows. */
+  takeSnapshot (snapshot: FleetSnapshot): void {
+    const { configurations, table, logger } = this.options
+    if (snapshot.configuration !== undefined && configurations.adoptConfiguration(parseConfiguration(snapshot.configuration))) {
+      logger.info('configuration in force', { version: configurations.version, source: 'peer' })
+    }
+    for (const { runner, position } of snapshot.runners) table.putRunner(runner, position)
+    for (const { id, position } of snapshot.removals) table.removeRunner(id, position)
+    if (snapshot.position >= 0) this.hasReadRunners = true
+    let hasNew = false
+    for (const [address, zone] of snapshot.daemons) {
+      if (this.daemons.has(address)) continue
+      this.daemons.set(address, zone)
+      hasNew = true
+    }
+    if (hasNew) this.options.setDaemons(this.daemons)
+  }
+
+  private noteFailure (what: string, outcome: Outcome<unknown, CallFailure>): false {
+    if (!outcome.ok && outcome.error.reason !== 'cancelled') {
+      this.options.logger.debug('store read failed', { what, error: describeError(outcome.error.message) })
+    }
+    return false
+  }
+}
+
+function serializeConfiguration (configuration: FleetConfiguration): FleetSnapshot['configuration'] {
+  const services = [...configuration.services].map(([name, service]): readonly [string, SerialService] => [name, {
+    ...service, engine: service.engine === undefined ? undefined : { ...service.engine, models: [...service.engine.models] }
+  }])
+  return { ...configuration, services }
+}
+
+function parseConfiguration (serial: NonNullable<FleetSnapshot['configuration']>): FleetConfiguration {
+  const services = new Map(serial.services.map(([name, service]): [string, ServiceOf] => [name, {
+    ...service, engine: service.engine === undefined ? undefined : { ...service.engine, models: new Map(service.engine.models) }
+  }]))
+  return { ...serial, services }
+}
--- /dev/null
+++ b/packages/figquay-serving/src/index.ts
@@ -0,0 +1,7 @@
+export { AnswerSink, RunnerExchangeClient, type ExchangeEvent, type ExchangeFailure, type ExchangeFailureReason, type ExchangeOptions, type ServedRequest, type ServedResult } from './FigquayServingTypes.js'
+export { decideMissingModel, estimateLoadMs, hasRoom, type WaitingDecision } from './FigquayServingWaiting.js'
+export { ServingTraces } from './FigquayServingTraces.js'
+export { ServingDispatcher, spreadRetry, type ServingDispatcherOptions } from './FigquayServingDispatcher.js'
+export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
+export { StoreFollower, type FleetSnapshot, type StoreFollowerOptions } from './FigquayServingStoreFollower.js'
+export { ServingDaemon, type ServingDaemonOptions } from './FigquayServingDaemon.js'
--- a/packages/figquay/src/FigquayDeadline.ts
+++ b/packages/figquay/src/FigquayDeadline.ts
@@ -34,6 +34,11 @@
     return this.expired
   }
 
+  /** Lets the exchange go on for as long as it likes; the other signal still ends it. */
+  stopTimer (): void {
+    clearTimeout(this.timer)
+  }
+
   /** Lets go of the timer and of the other signal. */
   dispose (): void {
     clearTimeout(this.timer)
--- a/packages/figquay/src/FigquayJsonClient.ts
+++ b/packages/figquay/src/FigquayJsonClient.ts
@@ -10,6 +10,12 @@
   readonly body: unknown
 }
 
+/** What a call may have besides its body. */
+export interface JsonCallOptions {
+  readonly signal?: AbortSignal
+  readonly headers?: Readonly<Record<string, string>>
+}
+
 /** Why a call gave no reply, and whether its bytes may have left. */
 export interface CallFailure {
   /** `never`: no byte left this process. `maybe`: the other side may act on it. */
@@ -62,7 +68,7 @@
    * @example
    * const reply = await client.requestJson('GET', 'http://10.0.0.4:7000/vms', undefined, 1_000)
    */
-  async requestJson (method: 'GET' | 'POST', url: string, body: unknown, timeoutMs: number, signal?: AbortSignal): Promise<Outcome<JsonReply, CallFailure>> {
+  async requestJson (method: 'GET' | 'POST', url: string, body: unknown, timeoutMs: number, { signal, headers }: JsonCallOptions = {}): Promise<Outcome<JsonReply, CallFailure>> {
     const deadline = Deadline.create(timeoutMs, signal)
     const agent = this.agent
     try {
@@ -70,7 +76,7 @@
         method,
         dispatcher: agent,
         signal: deadline.signal,
-        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        headers: body === undefined ? { ...headers } : { 'content-type': 'application/json', ...headers },
         body: body === undefined ? null : JSON.stringify(body)
       })
       const text = await response.body.text()
