Count a runner's orders by its own report; wait for changes instead of polling

Cause: every order was answered 409. The registry's entries carry a count of heartbeats under the name that a runner's report uses for the count of its accepted orders; orders expected the wrong one. Ruled out: a busy runner (its report says it isn't), a stale fence (that has an answer of its own). Change: the order book takes the count from the report alone. Reads of the store are kept waiting, since records come only with changes; a daemon that stays behind a peer asks it.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -1,5 +1,6 @@
 /** What daemons tell each other again and again: load, demand, needs, and how far each has read. */
 import type { Clock } from 'figquay'
+import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 import type { FleetDemand, Need } from './FigquayFleetDemand.js'
 import type { FleetLeadership, Holder } from './FigquayFleetLeadership.js'
 import type { FleetRunnerTable, RunnerLoad } from './FigquayFleetRunnerTable.js'
@@ -8,6 +9,10 @@
 export interface FleetHints {
   readonly from: string
   readonly holder: Holder | undefined
+  /** Configuration in force. */
+  readonly version: number
+  /** How far the list of runners has been read. */
+  readonly position: number
   /** By runner: requests, pending prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Arrivals by model since the last message. */
@@ -27,6 +32,7 @@
   readonly table: FleetRunnerTable
   readonly demand: FleetDemand
   readonly leadership: FleetLeadership
+  readonly configurations: ConfigurationHolder
   /** What this daemon's requests wait for. */
   readonly listNeeds: () => readonly Need[]
   readonly noteAdapterUse: (runner: string, key: string) => void
@@ -63,7 +69,7 @@
    * mesh.sendToAll('fleet.hints', exchange.makeHints())
    */
   makeHints (): FleetHints {
-    const { self, table, demand, leadership, listNeeds } = this.options
+    const { self, table, demand, leadership, configurations, listNeeds } = this.options
     const adapters = [...this.usedAdapters].map((text) => text.split('\n') as [string, string])
     this.usedAdapters = new Set()
     const needs = listNeeds()
@@ -71,6 +77,8 @@
     return {
       from: self,
       holder: leadership.holder,
+      version: configurations.version,
+      position: table.position,
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, [...this.countOwnModels(runner)]]),
       arrivals: [...demand.takeArrivals()],
       needs,
--- a/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
@@ -41,6 +41,8 @@
 
 interface RunnerAccount {
   isOpen: boolean
+  /** Orders that the runner has accepted, as of its last report and what it has accepted since. */
+  sequence: number
   /** Until then the runner's state is read anew before the next order. */
   notBeforeMs: number
   needsReading: boolean
@@ -110,12 +112,13 @@
       this.options.logger.debug('runner did not tell its state', { runner: runnerId, error: state.error.message })
       return undefined
     }
+    this.findAccount(runnerId).sequence = state.value.sequence
     this.shareHoldings(runnerId, state.value.bornMs, state.value.holdings)
     return state.value.holdings
   }
 
   private findAccount (runnerId: string): RunnerAccount {
-    const account = this.accounts.get(runnerId) ?? { isOpen: false, notBeforeMs: 0, needsReading: true }
+    const account = this.accounts.get(runnerId) ?? { isOpen: false, sequence: 0, notBeforeMs: 0, needsReading: true }
     this.accounts.set(runnerId, account)
     return account
   }
@@ -135,7 +138,7 @@
     const runner = table.findRunner(request.runner)
     const fence = leadership.ownFence
     if (runner?.holdings === undefined || fence === undefined || runner.isLeaving || runner.holdings.isBusy) return false
-    const expectedSequence = runner.holdings.sequence
+    const expectedSequence = account.sequence
     const { action, model, adapter, reason } = request
     const reply = await client.sendOrder(runner, { action, model, adapter, expectedSequence, holder: self, fence })
     logger.info('order', { runner: runner.id, action, model, adapter, reason, sequence: expectedSequence, fence, outcome: reply.ok ? reply.value : `unknown: ${reply.error.message}` })
@@ -148,14 +151,17 @@
 
   private async takeReply (account: RunnerAccount, request: OrderRequest, reply: FleetOrderReply, bornMs: number, before: Holdings): Promise<boolean> {
     if (reply === 'accepted') {
+      account.sequence += 1
       await this.noteAccepted(request, bornMs, before)
       return true
     }
     // An adapter that nobody uses is unloaded before the answer; else the picture was outdated and nothing changes.
     if (reply === 'already-holds' && request.adapter !== undefined && request.action === 'unload') {
+      account.sequence += 1
       this.shareHoldings(request.runner, bornMs, withoutAdapter(before, request.model, request.adapter))
       return true
     }
+    if (reply === 'already-holds') await this.readRunner(request.runner)
     if (reply === 'stale-fence') this.options.leadership.stepDown(`runner ${request.runner} has seen a higher fencing number`)
     if (reply === 'other-runner') this.options.table.restRunner(request.runner)
     this.distrustAccount(account)
@@ -170,10 +176,9 @@
   /** Puts down at once what follows from an accepted order; the runner's own reports come later. */
   private async noteAccepted (request: OrderRequest, bornMs: number, before: Holdings): Promise<void> {
     const { runner, action, model, adapter } = request
-    const next = { ...before, sequence: before.sequence + 1 }
     if (adapter === undefined) {
-      const models = action === 'unload' ? next.models.filter((held) => held.name !== model) : next.models
-      this.shareHoldings(runner, bornMs, { ...next, models, isBusy: true })
+      const models = action === 'unload' ? before.models.filter((held) => held.name !== model) : before.models
+      this.shareHoldings(runner, bornMs, { ...before, models, isBusy: true })
       return
     }
     if (action === 'unload') {
@@ -181,8 +186,8 @@
       return
     }
     await this.options.clock.waitFor(ADAPTER_ARRIVAL_MS)
-    const models = next.models.map((held) => held.name === model ? { ...held, adapters: [...held.adapters, adapter] } : held)
-    this.shareHoldings(runner, bornMs, { ...next, models })
+    const models = before.models.map((held) => held.name === model ? { ...held, adapters: [...held.adapters, adapter] } : held)
+    this.shareHoldings(runner, bornMs, { ...before, models })
   }
 
   /**
@@ -207,5 +212,5 @@
 /** Holdings after an adapter was unloaded. */
 function withoutAdapter (before: Holdings, model: string, adapter: string): Holdings {
   const models = before.models.map((held) => held.name === model ? { ...held, adapters: held.adapters.filter((name) => name !== adapter) } : held)
-  return { ...before, sequence: before.sequence + 1, models }
+  return { ...before, models }
 }
--- a/packages/figquay-fleet/src/FigquayFleetPlatform.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlatform.ts
@@ -66,6 +66,8 @@
 /** What a runner tells of itself when asked. */
 export interface RunnerState {
   readonly bornMs: number
+  /** Orders accepted since the runner's start. */
+  readonly sequence: number
   readonly holdings: Holdings
 }
 
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -38,7 +38,7 @@
   failureRate: number
   restUntilMs: number
   lastHeardMs: number
-  /** Until then an announcement with the same sequence doesn't replace the holdings, which the holder has read since. */
+  /** Until then an announcement doesn't replace the holdings, which the holder has read since. */
   holdingsFreshUntilMs: number
   reported: ReportedLoad | undefined
 }
@@ -51,8 +51,8 @@
 const SILENCE_MS = 1_500
 /** Hints of a peer that has said nothing more for this long are dropped, in milliseconds: several hint intervals. */
 const HINT_EXPIRES_MS = 1_500
-/** Heartbeats of a runner may be this much older than what the holder has read from it, in milliseconds. */
-const HEARTBEAT_LAG_MS = 1_500
+/** Announcements may be this much older than what the holder has read, in milliseconds: a heartbeat and a read of the list. */
+const HEARTBEAT_LAG_MS = 2_200
 const NO_LOAD: RunnerLoad = { requests: 0, pendingTokens: 0 }
 
 /** Runners by id. */
@@ -122,10 +122,10 @@
     return { runner, position, open: new Map(), failureRate: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
   }
 
+  /** An announcement lags behind what the holder has read from the runner itself. */
   private chooseHoldings (known: RunnerState, announced: Holdings | undefined): Holdings | undefined {
     const current = known.runner.holdings
     if (current === undefined || announced === undefined) return announced ?? current
-    if (announced.sequence !== current.sequence) return announced.sequence > current.sequence ? announced : current
     return this.clock.readMonotonicMs() < known.holdingsFreshUntilMs ? current : announced
   }
 
@@ -166,7 +166,6 @@
   putHoldings (id: string, bornMs: number, holdings: Holdings): void {
     const state = this.states.get(id)
     if (state === undefined || state.runner.bornMs !== bornMs) return
-    if (holdings.sequence < (state.runner.holdings?.sequence ?? 0)) return
     state.runner = { ...state.runner, holdings }
     state.holdingsFreshUntilMs = this.clock.readMonotonicMs() + HEARTBEAT_LAG_MS
     this.notifyListeners()
--- a/packages/figquay-fleet/src/FigquayFleetTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetTypes.ts
@@ -89,10 +89,8 @@
   readonly adapters: readonly string[]
 }
 
-/** What a runner holds, as of the orders that it has accepted. */
+/** What a runner holds. */
 export interface Holdings {
-  /** Orders accepted since the runner's start. */
-  readonly sequence: number
   readonly models: readonly HeldModel[]
   /** Adapters on their way to the runner, as `model/adapter`. */
   readonly coming: readonly string[]
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -78,8 +78,8 @@
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.announceHoldings({ runner, bornMs, holdings }) })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, countOpen: (runner, model) => this.hints.countOpen(runner, model) })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, announceNeeds: () => this.announceNeeds() })
-    this.hints = HintExchange.create({ self: address, clock, table, demand, leadership, listNeeds: () => this.dispatcher.listNeeds(), noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key) })
-    this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), askPeer: (version, position) => this.askPeer(version, position) })
+    this.hints = HintExchange.create({ self: address, clock, table, demand, leadership, configurations, listNeeds: () => this.dispatcher.listNeeds(), noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key) })
+    this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), askPeer: (version, position, peer) => this.askPeer(version, position, peer) })
     this.router = ServingRouter.create({
       clock, configurations, table, memory, demand, dispatcher: this.dispatcher, exchanges, crashes: this.crashes, traces: this.traces,
       findBudget: (service) => this.findBudget(service),
@@ -140,6 +140,7 @@
     return {
       'fleet.hints': (hints: FleetHints) => {
         this.hints.takeHints(hints)
+        this.follower.notePeer(hints.from, hints.version, hints.position)
         if (hints.needs.length > 0) this.placement.runPlans()
       },
       'fleet.holdings': ({ runner, bornMs, holdings }: HoldingsNotice) => this.table.putHoldings(runner, bornMs, holdings),
@@ -156,9 +157,9 @@
     this.mesh.setDaemons([...zones].map(([id, peerZone]) => ({ id, zone: peerZone, address: id })), this.tasks)
   }
 
-  private async askPeer (version: number, position: number): Promise<FleetSnapshot | undefined> {
+  private async askPeer (version: number, position: number, wanted: string | undefined): Promise<FleetSnapshot | undefined> {
     const peers = this.mesh.connectedPeers
-    const peer = peers[Math.floor(Math.random() * peers.length)]
+    const peer = wanted ?? peers[Math.floor(Math.random() * peers.length)]
     if (peer === undefined) return undefined
     const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', { version, position })
     return snapshot.ok ? snapshot.value : undefined
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -28,14 +28,18 @@
   /** Called with the daemons' addresses and zones after each change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
   /** Asks a peer for what is newer than this daemon's picture; undefined when none answers. */
-  readonly askPeer: (configurationVersion: number, position: number) => Promise<FleetSnapshot | undefined>
+  readonly askPeer: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
 }
 
 /** Longest that a read of rarely changing records is kept waiting, in milliseconds. */
 const LONG_WAIT_MS = 20_000
-/** The list of runners is read this often, in milliseconds: well within the time in which a leaving runner must be left alone. */
+/** Changes in the list of runners are gathered for this long, in milliseconds: well within the time in which a leaving runner must be left alone. */
 const RUNNERS_INTERVAL_MS = 800
-/** A read that the store is asked to answer at once has failed after this time, in milliseconds. */
+/** A read of the list is kept waiting this long at most, in milliseconds: the time in which a dead path to the store shows. */
+const RUNNERS_WAIT_MS = 5_000
+/** A daemon that has been behind a peer for this long asks it, in milliseconds: longer than its own reads take. */
+const BEHIND_MS = 1_200
+/** A failed read is repeated after this time, in milliseconds. */
 const FAILED_PAUSE_MS = 250
 /** Changes of the daemons' own records are gathered for this long before they are read, in milliseconds. */
 const SHARED_INTERVAL_MS = 300
@@ -50,6 +54,8 @@
   private hasReadRunners = false
   private isStoreHeard = true
   private longReads = new AbortController()
+  private behindSinceMs: number | undefined
+  private behindPeer: string | undefined
 
   private constructor (private readonly options: StoreFollowerOptions) {}
 
@@ -158,7 +164,7 @@
   private async followRunners (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const startedAtMs = this.options.clock.readMonotonicMs()
-      const reading = await this.options.store.readRunners(this.options.table.position, 0, signal)
+      const reading = await this.options.store.readRunners(this.options.table.position, RUNNERS_WAIT_MS, signal)
       if (reading.ok) {
         this.takeRunners(reading.value)
         this.noteHeard(true)
@@ -193,9 +199,31 @@
     this.longReads = new AbortController()
   }
 
-  private async askPeers (): Promise<void> {
+  /**
+   * Compares with what a peer has read; a daemon that stays behind can't reach the store and asks the peer.
+   *
+   * @example
+   * follower.notePeer('daemon-2', hints.version, hints.position)
+   */
+  notePeer (peer: string, version: number, position: number): void {
+    const { configurations, table, clock } = this.options
+    const nowMs = clock.readMonotonicMs()
+    if (version <= configurations.version && position <= table.position) {
+      if (this.behindPeer === peer) this.behindSinceMs = undefined
+      return
+    }
+    if (this.behindSinceMs === undefined) {
+      this.behindSinceMs = nowMs
+      this.behindPeer = peer
+    }
+    if (nowMs - this.behindSinceMs < BEHIND_MS) return
+    this.behindSinceMs = undefined
+    this.askPeers(peer).catch((error: unknown) => this.options.logger.error('peer could not be asked', { peer, error: describeError(error) }))
+  }
+
+  private async askPeers (peer?: string): Promise<void> {
     const { configurations, table, logger } = this.options
-    const snapshot = await this.options.askPeer(configurations.version, table.position)
+    const snapshot = await this.options.askPeer(configurations.version, table.position, peer)
     if (snapshot === undefined) return
     this.takeSnapshot(snapshot)
     logger.debug('asked a peer', { version: configurations.version, position: table.position })
