--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -8,10 +8,19 @@
 const MS_PER_SECOND = 1_000
 
 interface Rate {
-  value: number
+  /** Requests a second. */
+  requests: number
+  /** Prompt tokens a second. */
+  tokens: number
   atMs: number
 }
 
+/** Arrivals of a model. */
+export interface Arrivals {
+  readonly requests: number
+  readonly promptTokens: number
+}
+
 /** A model or adapter that requests wait for. */
 export interface Need {
   readonly service: string
@@ -25,7 +34,7 @@
 export class FleetDemand {
   private readonly rates = new Map<string, Rate>()
   private readonly needs = new Map<string, { readonly need: Need, readonly atMs: number }>()
-  private arrivals = new Map<string, number>()
+  private arrivals = new Map<string, Arrivals>()
 
   private constructor (private readonly clock: Clock) {}
 
@@ -38,13 +47,14 @@
   }
 
   /** Counts a request of this daemon's callers. */
-  noteArrival (model: string): void {
-    this.arrivals.set(model, (this.arrivals.get(model) ?? 0) + 1)
-    this.addArrivals(model, 1)
+  noteArrival (model: string, promptTokens: number): void {
+    const known = this.arrivals.get(model) ?? { requests: 0, promptTokens: 0 }
+    this.arrivals.set(model, { requests: known.requests + 1, promptTokens: known.promptTokens + promptTokens })
+    this.addArrivals(model, { requests: 1, promptTokens })
   }
 
   /** Arrivals here since the last call, for the peers. */
-  takeArrivals (): Map<string, number> {
+  takeArrivals (): Map<string, Arrivals> {
     const taken = this.arrivals
     this.arrivals = new Map()
     return taken
@@ -54,19 +64,23 @@
    * Counts arrivals, here or at a peer.
    *
    * @example
-   * demand.addArrivals('manual', 3)
+   * demand.addArrivals('manual', { requests: 3, promptTokens: 2_400 })
    */
-  addArrivals (model: string, count: number): void {
-    const nowMs = this.clock.readMonotonicMs()
-    const rate = this.rates.get(model)
-    const value = rate === undefined ? 0 : rate.value * Math.exp((rate.atMs - nowMs) / DECAY_MS)
-    this.rates.set(model, { value: value + count * MS_PER_SECOND / DECAY_MS, atMs: nowMs })
+  addArrivals (model: string, arrivals: Arrivals): void {
+    const { requests, promptTokens } = this.measureRate(model)
+    this.rates.set(model, {
+      requests: requests + arrivals.requests * MS_PER_SECOND / DECAY_MS,
+      tokens: promptTokens + arrivals.promptTokens * MS_PER_SECOND / DECAY_MS,
+      atMs: this.clock.readMonotonicMs()
+    })
   }
 
-  /** Requests a second for a model. */
-  measureRate (model: string): number {
+  /** Requests and prompt tokens a second for a model. */
+  measureRate (model: string): Arrivals {
     const rate = this.rates.get(model)
-    return rate === undefined ? 0 : rate.value * Math.exp((rate.atMs - this.clock.readMonotonicMs()) / DECAY_MS)
+    if (rate === undefined) return { requests: 0, promptTokens: 0 }
+    const part = Math.exp((rate.atMs - this.clock.readMonotonicMs()) / DECAY_MS)
+    return { requests: rate.requests * part, promptTokens: rate.tokens * part }
   }
 
   /**
--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -1,7 +1,7 @@
 /** What daemons tell each other again and again: load, demand, needs, and how far each has read. */
 import type { Clock } from 'figquay'
 import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
-import type { FleetDemand, Need } from './FigquayFleetDemand.js'
+import type { Arrivals, FleetDemand, Need } from './FigquayFleetDemand.js'
 import type { FleetLeadership, Holder } from './FigquayFleetLeadership.js'
 import type { FleetRunnerTable, RunnerLoad } from './FigquayFleetRunnerTable.js'
 
@@ -13,10 +13,10 @@
   readonly version: number
   /** How far the list of runners has been read. */
   readonly position: number
-  /** By runner: requests, pending prompt tokens, and requests by model. */
-  readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, models: ReadonlyArray<readonly [string, number]>]>
+  /** By runner: requests, pending and recent prompt tokens, and requests by model. */
+  readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Arrivals by model since the last message. */
-  readonly arrivals: ReadonlyArray<readonly [string, number]>
+  readonly arrivals: ReadonlyArray<readonly [string, Arrivals]>
   readonly needs: readonly Need[]
   /** Adapters used since the last message, by runner. */
   readonly adapters: ReadonlyArray<readonly [runner: string, key: string]>
@@ -79,7 +79,7 @@
       holder: leadership.holder,
       version: configurations.version,
       position: table.position,
-      loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, [...this.countOwnModels(runner)]]),
+      loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnModels(runner)]]),
       arrivals: [...demand.takeArrivals()],
       needs,
       adapters
@@ -94,10 +94,10 @@
    */
   takeHints (hints: FleetHints): void {
     const { table, demand, leadership, clock, noteAdapterUse } = this.options
-    table.putPeerLoads(hints.from, new Map(hints.loads.map(([runner, requests, pendingTokens]): [string, RunnerLoad] => [runner, { requests, pendingTokens }])))
-    const models = new Map(hints.loads.flatMap(([runner, , , counts]) => counts.map(([model, count]): [string, number] => [`${runner}\n${model}`, count])))
+    table.putPeerLoads(hints.from, new Map(hints.loads.map(([runner, requests, pendingTokens, recentTokens]): [string, RunnerLoad] => [runner, { requests, pendingTokens, recentTokens }])))
+    const models = new Map(hints.loads.flatMap(([runner, , , , counts]) => counts.map(([model, count]): [string, number] => [`${runner}\n${model}`, count])))
     this.peerModels.set(hints.from, { loads: models, receivedAtMs: clock.readMonotonicMs() })
-    for (const [model, count] of hints.arrivals) demand.addArrivals(model, count)
+    for (const [model, arrivals] of hints.arrivals) demand.addArrivals(model, arrivals)
     demand.putNeeds(hints.from, hints.needs)
     for (const [runner, key] of hints.adapters) noteAdapterUse(runner, key)
     if (hints.holder !== undefined) leadership.noteRumour(hints.holder)
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -28,6 +28,8 @@
   readonly inMemory: readonly string[]
   readonly onDisk: readonly string[]
   readonly openRequests: number
+  /** Prompt tokens that wait there. */
+  readonly pendingTokens: number
 }
 
 /** A model, as the plan sees it. */
@@ -35,6 +37,8 @@
   readonly spec: ModelSpec
   /** Requests a second. */
   readonly rate: number
+  /** Prompt tokens a second. */
+  readonly tokenRate: number
   /** Requests that wait for a copy. */
   readonly waiting: number
   /** A runner is being cleared for it, or is loading it. */
@@ -61,8 +65,12 @@
   readonly reason: string
 }
 
-/** Requests under way on each copy of a model above which one more copy pays: a quarter of a small runner's slots. */
-const CROWDED_REQUESTS = 10
+/** Requests under way on each copy of a model above which one more copy pays: about a tenth of a runner's slots. */
+const CROWDED_REQUESTS = 8
+/** Prompt tokens a second that one copy takes without holding up the streams beside it: a third of a runner's speed. */
+const TOKENS_PER_COPY = 14_000
+/** Weight of a runner's waiting prompt tokens against a second of loading time. */
+const SECONDS_PER_PENDING_TOKEN = 1 / 10_000
 /** A copy that was loaded less long ago stays, in milliseconds, or two models would push each other out in turn. */
 const SETTLING_MS = 4_000
 /** Weight of a second of loading time against one request a second that loses its copy. */
@@ -129,7 +137,8 @@
   private isCrowded (model: PlannedModel): boolean {
     const copies = this.countCopies(model)
     if (copies === 0 || model.isComing) return false
-    return this.sumOpen(model.spec.name) + model.waiting > CROWDED_REQUESTS * copies
+    const wanted = 1 + Math.floor(model.tokenRate / TOKENS_PER_COPY)
+    return copies < wanted || this.sumOpen(model.spec.name) + model.waiting > CROWDED_REQUESTS * copies
   }
 
   private sumOpen (name: string): number {
@@ -153,7 +162,7 @@
     const { spec } = model
     const loadSeconds = measureLoadSeconds(spec, runner)
     const fromStore = !hasLocalCopy(spec, runner)
-    const crowding = runner.openRequests / CROWDED_REQUESTS
+    const crowding = runner.openRequests / CROWDED_REQUESTS + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
     if (runner.freeMb >= spec.weightsMb) {
       return [{ cost: loadSeconds + crowding, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }]
     }
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -109,7 +109,7 @@
       if (need.service === service.name && need.adapter === undefined) waiting.set(need.model, need.waiting)
     }
     const models = [...pool.models.values()].map((spec): PlannedModel => ({
-      spec, rate: demand.measureRate(spec.name), waiting: waiting.get(spec.name) ?? 0, isComing: this.promises.has(spec.name)
+      spec, rate: demand.measureRate(spec.name).requests, tokenRate: demand.measureRate(spec.name).promptTokens, waiting: waiting.get(spec.name) ?? 0, isComing: this.promises.has(spec.name)
     }))
     const promised = new Set([...this.promises.values()].map((promise) => promise.runner))
     return {
@@ -135,7 +135,8 @@
       copies,
       inMemory: holdings?.inMemory ?? [],
       onDisk: holdings?.onDisk ?? [],
-      openRequests: load.requests
+      openRequests: load.requests,
+      pendingTokens: load.pendingTokens
     }
   }
 
--- a/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
@@ -1,8 +1,9 @@
 /**
  * Which runner a request goes to. Pure: no clock, no I/O.
  *
- * Answers two load patterns: many requests that share long prompt parts (kept together while that costs less than
- * processing the parts again), and a runner that fails or lags behind the others (it gets less, or nothing).
+ * Answers these load patterns: many requests that share long prompt parts (kept together while that costs less than
+ * processing the parts again); long prompts beside short streams, whose events pause while a prompt is processed (kept
+ * apart as far as there are runners to choose from); and a runner that fails or lags behind (it gets less, or nothing).
  */
 import { createHash } from 'node:crypto'
 import type { RunnerView } from './FigquayFleetRunnerTable.js'
@@ -24,8 +25,12 @@
 
 /** Prompt tokens that a runner processes in a millisecond, for a first estimate. */
 export const PREFILL_TOKENS_PER_MS = 40
-/** Time that one more running request adds to the steps of all the others, as prompt tokens of equal cost. */
-const TOKENS_PER_RUNNING_REQUEST = 250
+/** Cost of sharing a runner with a running request, in prompt tokens: its part of every step. */
+const TOKENS_PER_RUNNING_REQUEST = 60
+/** Part of a prompt's tokens that each running stream loses: its events pause while the prompt is processed. */
+const PAUSE_PART = 0.15
+/** Part of the prompt tokens sent to a runner of late that is to be expected again during a stream. */
+const EXPECTED_PART = 0.25
 /** Cost of a runner whose recent requests all failed, in prompt tokens. */
 const TOKENS_PER_FAILURE_RATE = 40_000
 /** Cost of a path to another zone, in prompt tokens of equal time. */
@@ -64,9 +69,10 @@
 function weighRunner (view: RunnerView, request: ChoiceRequest, home: string | undefined, cached: number): number {
   const sharedTokens = sumTokens(listSharedParts(request.parts))
   const expectedCached = view.runner.id === home ? Math.max(cached, HOME_PART * sharedTokens) : cached
-  return view.load.pendingTokens +
-    Math.max(0, request.promptTokens - expectedCached) +
-    view.load.requests * TOKENS_PER_RUNNING_REQUEST +
+  const ownTokens = Math.max(0, request.promptTokens - expectedCached)
+  return view.load.pendingTokens + ownTokens +
+    view.load.recentTokens * EXPECTED_PART +
+    view.load.requests * (TOKENS_PER_RUNNING_REQUEST + PAUSE_PART * ownTokens) +
     view.failureRate * TOKENS_PER_FAILURE_RATE +
     (view.runner.zone === request.zone ? 0 : TOKENS_PER_ZONE_HOP)
 }
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -8,6 +8,8 @@
   readonly requests: number
   /** Prompt tokens of requests that have had no first event. */
   readonly pendingTokens: number
+  /** Prompt tokens sent of late, the newest counting most: work that breaks into the streams there. */
+  readonly recentTokens: number
 }
 
 /** A request of this daemon at a runner. */
@@ -36,6 +38,8 @@
   position: number
   readonly open: Map<string, OpenRequest>
   failureRate: number
+  recentTokens: number
+  recentAtMs: number
   restUntilMs: number
   lastHeardMs: number
   /** Until then an announcement doesn't replace the holdings, which the holder has read since. */
@@ -53,7 +57,11 @@
 const HINT_EXPIRES_MS = 1_500
 /** Announcements may be this much older than what the holder has read, in milliseconds: a heartbeat and a read of the list. */
 const HEARTBEAT_LAG_MS = 2_200
-const NO_LOAD: RunnerLoad = { requests: 0, pendingTokens: 0 }
+/** Time after which prompt tokens that were sent count for about a third, in milliseconds: some prompts' processing. */
+const RECENT_DECAY_MS = 1_500
+/** Fewer recent tokens than this aren't worth telling the peers. */
+const LEAST_RECENT_TOKENS = 200
+const NO_LOAD: RunnerLoad = { requests: 0, pendingTokens: 0, recentTokens: 0 }
 
 /** Runners by id. */
 export class FleetRunnerTable {
@@ -119,7 +127,7 @@
   }
 
   private makeState (runner: Runner, position: number): RunnerState {
-    return { runner, position, open: new Map(), failureRate: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
+    return { runner, position, open: new Map(), failureRate: 0, recentTokens: 0, recentAtMs: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
   }
 
   /** An announcement lags behind what the holder has read from the runner itself. */
@@ -239,13 +247,15 @@
   private sumLoad (state: RunnerState, nowMs: number): RunnerLoad {
     let requests = state.open.size
     let pendingTokens = sumPending(state.open.values())
+    let recentTokens = measureRecent(state, nowMs)
     for (const peer of this.peerLoads.values()) {
       if (nowMs - peer.receivedAtMs > HINT_EXPIRES_MS) continue
       const load = peer.loads.get(state.runner.id) ?? NO_LOAD
       requests += load.requests
       pendingTokens += load.pendingTokens
+      recentTokens += load.recentTokens * Math.exp((peer.receivedAtMs - nowMs) / RECENT_DECAY_MS)
     }
-    return { requests, pendingTokens }
+    return { requests, pendingTokens, recentTokens }
   }
 
   /** Notes what a peer has at the runners. */
@@ -256,16 +266,25 @@
   /** This daemon's own load by runner, for its peers. */
   exportLoads (): Map<string, RunnerLoad> {
     const loads = new Map<string, RunnerLoad>()
+    const nowMs = this.clock.readMonotonicMs()
     for (const [id, state] of this.states) {
-      if (state.open.size > 0) loads.set(id, { requests: state.open.size, pendingTokens: sumPending(state.open.values()) })
+      const recentTokens = measureRecent(state, nowMs)
+      if (state.open.size === 0 && recentTokens < LEAST_RECENT_TOKENS) continue
+      loads.set(id, { requests: state.open.size, pendingTokens: sumPending(state.open.values()), recentTokens })
     }
     return loads
   }
 
   /** Notes that a request is on its way to a runner; returns the function that ends it. */
   registerOpen (id: string, request: OpenRequest): () => void {
-    const open = this.states.get(id)?.open
+    const state = this.states.get(id)
+    const open = state?.open
     open?.set(request.requestId, request)
+    if (state !== undefined) {
+      const nowMs = this.clock.readMonotonicMs()
+      state.recentTokens = measureRecent(state, nowMs) + request.pendingTokens
+      state.recentAtMs = nowMs
+    }
     return () => {
       open?.delete(request.requestId)
     }
@@ -300,6 +319,10 @@
   }
 }
 
+function measureRecent (state: RunnerState, nowMs: number): number {
+  return state.recentTokens * Math.exp((state.recentAtMs - nowMs) / RECENT_DECAY_MS)
+}
+
 function sumPending (requests: Iterable<OpenRequest>): number {
   let sum = 0
   for (const request of requests) {
--- /dev/null
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -0,0 +1,72 @@
+/** Plans for the load patterns that they answer. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { planModels, type ModelPlanView, type PlannedCopy, type PlannedModel, type PlannedRunner } from '../../index.js'
+
+const SPEC = { weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 12 }
+
+function makeModel (name: string, changes: Partial<PlannedModel> = {}): PlannedModel {
+  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, isComing: false, ...changes }
+}
+
+function makeCopy (model: string, changes: Partial<PlannedCopy> = {}): PlannedCopy {
+  return { model, openRequests: 0, ageMs: 60_000, ...changes }
+}
+
+function makeRunner (id: string, copies: readonly PlannedCopy[], changes: Partial<PlannedRunner> = {}): PlannedRunner {
+  return { id, isReady: true, isServing: true, freeMb: 230_000 - copies.length * 70_000, copies, inMemory: [], onDisk: [], openRequests: 0, pendingTokens: 0, ...changes }
+}
+
+function makeView (runners: readonly PlannedRunner[], models: readonly PlannedModel[], canLoadFromStore = true): ModelPlanView {
+  return { runners, models, canLoadFromStore }
+}
+
+const FULL = ['a', 'b', 'c'].map((name) => makeCopy(name))
+
+describe('plan of models', () => {
+  it('loads a rare model that is asked for on the runner that has it on disk', () => {
+    const models = [makeModel('rare', { waiting: 1, rate: 0.1 })]
+    const moves = planModels(makeView([makeRunner('r1', []), makeRunner('r2', [], { onDisk: ['rare'] })], models))
+    expect(moves.map(({ action, runner, model }) => `${action} ${model} on ${runner}`)).toEqual(['load rare on r2'])
+  })
+
+  it('makes room by what is missed least, and never by what works, waits or has just come', () => {
+    const copies = [makeCopy('busy', { openRequests: 2 }), makeCopy('young', { ageMs: 100 }), makeCopy('idle')]
+    const models = [makeModel('rare', { waiting: 1 }), makeModel('busy', { rate: 5 }), makeModel('young'), makeModel('idle', { rate: 0.2 })]
+    const moves = planModels(makeView([makeRunner('r1', copies)], models))
+    expect(moves.map(({ action, model, beneficiary }) => `${action} ${model} for ${beneficiary}`)).toEqual(['unload idle for rare'])
+  })
+
+  it('gives up a second copy before an only one', () => {
+    const runners = [makeRunner('r1', [makeCopy('twice'), makeCopy('only'), makeCopy('other')]), makeRunner('r2', [makeCopy('twice')], { isReady: false })]
+    const models = [makeModel('rare', { waiting: 1 }), makeModel('twice', { rate: 0.5 }), makeModel('only', { rate: 0.1 }), makeModel('other', { rate: 0.1 })]
+    expect(planModels(makeView(runners, models))[0]?.model).toEqual('twice')
+  })
+
+  it('adds copies as soon as demand moves to a model, away from crowded runners', () => {
+    const runners = [makeRunner('r1', [makeCopy('hot', { openRequests: 4 })], { openRequests: 6 }), makeRunner('r2', [], { openRequests: 9 }), makeRunner('r3', [])]
+    const moves = planModels(makeView(runners, [makeModel('hot', { rate: 5, tokenRate: 30_000 })]))
+    expect(moves.map(({ action, runner }) => `${action} on ${runner}`)).toEqual(['load on r3'])
+  })
+
+  it('puts no model where it is already, and none that is on its way', () => {
+    expect(planModels(makeView([makeRunner('r1', [makeCopy('hot')])], [makeModel('hot', { tokenRate: 90_000 })]))).toEqual([])
+    expect(planModels(makeView([makeRunner('r1', [])], [makeModel('rare', { waiting: 3, isComing: true })]))).toEqual([])
+  })
+
+  it('begins one load from the store at a time, and none beyond the budget', () => {
+    const models = [makeModel('x', { waiting: 2 }), makeModel('y', { waiting: 1 })]
+    const runners = [makeRunner('r1', []), makeRunner('r2', [])]
+    expect(planModels(makeView(runners, models)).map((move) => move.model)).toEqual(['x'])
+    expect(planModels(makeView(runners, models, false))).toEqual([])
+  })
+
+  it('replaces the only copy of a model after its runner is lost', () => {
+    const runners = [makeRunner('lost', [makeCopy('m')], { isServing: false, isReady: false }), makeRunner('r2', FULL.slice(0, 2))]
+    expect(planModels(makeView(runners, [makeModel('m'), makeModel('a'), makeModel('b')])).map((move) => `${move.model} on ${move.runner}`)).toEqual(['m on r2'])
+  })
+
+  it('leaves an idle model unloaded where it would push out another', () => {
+    expect(planModels(makeView([makeRunner('r1', FULL)], [makeModel('rare'), makeModel('a'), makeModel('b'), makeModel('c')]))).toEqual([])
+  })
+})
--- /dev/null
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
@@ -0,0 +1,62 @@
+/** Choices for the load patterns that they answer. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { chooseRunner, findHome, type ChoiceRequest, type RunnerLoad, type RunnerView } from '../../index.js'
+
+function makeView (id: string, load: Partial<RunnerLoad> = {}, changes: Partial<RunnerView> = {}): RunnerView {
+  return {
+    runner: { id, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 64, isLeaving: false, bornMs: 0, holdings: undefined },
+    load: { requests: 0, pendingTokens: 0, recentTokens: 0, ...load },
+    failureRate: 0,
+    isTrusted: true,
+    ...changes
+  }
+}
+
+function makeRequest (changes: Partial<ChoiceRequest> = {}): ChoiceRequest {
+  return { model: 'm', promptTokens: 800, parts: [], zone: 'z', triedRunners: new Set(), ...changes }
+}
+
+const LONG = makeRequest({ promptTokens: 9_000, parts: [{ id: 'manual', tokens: 6_000 }, { id: 'own', tokens: 3_000 }] })
+const readNothing = (): number => 0
+
+describe('choice of a runner', () => {
+  it('keeps requests that share a prompt together', () => {
+    const views = [makeView('r1'), makeView('r2'), makeView('r3')]
+    const home = findHome('m\nmanual', ['r1', 'r2', 'r3'])
+    expect(chooseRunner(views, LONG, readNothing)?.runner.id).toEqual(home)
+  })
+
+  it('leaves the home when waiting there costs more than processing the shared part again', () => {
+    const home = findHome('m\nmanual', ['r1', 'r2'])!
+    const views = ['r1', 'r2'].map((id) => makeView(id, { pendingTokens: id === home ? 8_000 : 0 }))
+    expect(chooseRunner(views, LONG, readNothing)?.runner.id === home).toEqual(false)
+  })
+
+  it('sends short streams away from where long prompts have gone of late', () => {
+    expect(chooseRunner([makeView('r1', { recentTokens: 9_000 }), makeView('r2', { requests: 3 })], makeRequest(), readNothing)?.runner.id).toEqual('r2')
+  })
+
+  it('sends a long prompt where few streams pause for it', () => {
+    const whole = makeRequest({ promptTokens: 9_000 })
+    expect(chooseRunner([makeView('r1', { requests: 6 }), makeView('r2', { requests: 1, pendingTokens: 1_000 })], whole, readNothing)?.runner.id).toEqual('r2')
+  })
+
+  it('avoids runners that are resting or have had the request, unless there are no others', () => {
+    const resting = makeView('r1', {}, { isTrusted: false })
+    expect(chooseRunner([resting, makeView('r2', { requests: 30 })], makeRequest(), readNothing)?.runner.id).toEqual('r2')
+    expect(chooseRunner([resting], makeRequest(), readNothing)?.runner.id).toEqual('r1')
+    expect(chooseRunner([makeView('r1'), makeView('r2', { requests: 9 })], makeRequest({ triedRunners: new Set(['r1']) }), readNothing)?.runner.id).toEqual('r2')
+  })
+
+  it('gives little to a runner whose requests fail', () => {
+    expect(chooseRunner([makeView('r1', {}, { failureRate: 0.5 }), makeView('r2', { requests: 10 })], makeRequest(), readNothing)?.runner.id).toEqual('r2')
+  })
+
+  it('moves few keys when a runner is lost', () => {
+    const ids = ['r1', 'r2', 'r3', 'r4']
+    const keys = Array.from({ length: 200 }, (_, index) => `key-${index}`)
+    const moved = keys.filter((key) => findHome(key, ids) !== 'r4' && findHome(key, ids) !== findHome(key, ids.slice(0, 3)))
+    expect(moved).toEqual([])
+  })
+})
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -81,7 +81,15 @@
     this.hints = HintExchange.create({ self: address, clock, table, demand, leadership, configurations, listNeeds: () => this.dispatcher.listNeeds(), noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key) })
     this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), askPeer: (version, position, peer) => this.askPeer(version, position, peer) })
     this.router = ServingRouter.create({
-      clock, configurations, table, memory, demand, dispatcher: this.dispatcher, exchanges, crashes: this.crashes, traces: this.traces,
+      clock,
+      configurations,
+      table,
+      memory,
+      demand,
+      dispatcher: this.dispatcher,
+      exchanges,
+      crashes: this.crashes,
+      traces: this.traces,
       findBudget: (service) => this.findBudget(service),
       chargeCrash: (fingerprints, upstream) => this.chargeCrash(fingerprints, upstream),
       noteAdapterUse: (runner, key) => this.hints.noteAdapterUse(runner, key)
@@ -205,4 +213,3 @@
     for (const charge of charges) this.crashes.addCharge(charge, this.options.clock.readMonotonicMs())
   }
 }
-
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -1,6 +1,6 @@
 /** Serves one request from its arrival to its last byte: choose, send, watch, send again, resume. */
 import { Deadline, Refusal, type Clock } from 'figquay'
-import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type PromptMemory, type Runner } from 'figquay-fleet'
+import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type OpenRequest, type PromptMemory, type Runner } from 'figquay-fleet'
 import type { CrashGuard, RetryBudget } from 'figquay-routing'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { ServingTraces } from './FigquayServingTraces.js'
@@ -81,7 +81,7 @@
    */
   async serveRequest (request: ServedRequest, sink: AnswerSink, signal: AbortSignal): Promise<ServedResult> {
     this.options.findBudget(request.service).noteRequest()
-    if (request.model !== undefined) this.options.demand.noteArrival(request.model)
+    if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
     const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined }
     try {
@@ -98,6 +98,7 @@
     const { request, sink } = progress
     if (refusal === undefined) return 'answered'
     if (hasCallerLeft) {
+      this.options.traces.logDecision('caller left', request, { hasStarted: progress.hasStarted, lastEventId: progress.lastEventId, tried: [...progress.tried] })
       sink.abandonAnswer()
       return 'caller-left'
     }
@@ -156,8 +157,11 @@
     memory.noteParts(runner.id, weights, request.parts)
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
     const limit = Deadline.create(this.limitSilence(progress), progress.signal)
+    // From here on bytes may have left, until the runner or the connection says otherwise.
+    progress.maySent = true
     try {
       const result = await this.runExchange(progress, runner, limit, open)
+      if (result.type === 'failed' && result.failure.execution === 'not-run') progress.maySent = progress.runs > 0
       this.noteAttempt(progress, runner, result)
       return result
     } finally {
@@ -173,7 +177,7 @@
     return mayRepeat ? Math.min(remainingMs, Math.max(SHORTEST_SILENCE_MS, request.route.objectiveMs * SILENT_OBJECTIVES)) : remainingMs
   }
 
-  private async runExchange (progress: Progress, runner: Runner, limit: Deadline, open: { hasAnswered: boolean }): Promise<AttemptResult> {
+  private async runExchange (progress: Progress, runner: Runner, limit: Deadline, open: OpenRequest): Promise<AttemptResult> {
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const rank = Math.min(LOWEST_RANK, request.route.priority)
@@ -188,7 +192,7 @@
   }
 
   /** Passes one event on; returns the result once the attempt is over. */
-  private async takeEvent (progress: Progress, event: ExchangeEvent, open: { hasAnswered: boolean }): Promise<AttemptResult | undefined> {
+  private async takeEvent (progress: Progress, event: ExchangeEvent, open: OpenRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
     if (event.type === 'end') {
       progress.sink.finishAnswer()
@@ -202,13 +206,21 @@
       progress.hasStarted = true
       return undefined
     }
-    if (!open.hasAnswered) this.options.traces.noteFirstByte(progress.request)
+    if (!open.hasAnswered) this.noteFirstByte(progress, open.sentAtMs)
     open.hasAnswered = true
     progress.lastEventId = event.lastEventId ?? progress.lastEventId
     await progress.sink.writeBytes(event.bytes)
     return undefined
   }
 
+  /** A first byte after the objective is worth a line: it tells waiting here from waiting at the runner. */
+  private noteFirstByte ({ request, tried }: Progress, sentAtMs: number): void {
+    const nowMs = this.options.clock.readMonotonicMs()
+    this.options.traces.noteFirstByte(request)
+    if (nowMs - request.arrivedAtMs <= request.route.objectiveMs) return
+    this.options.traces.logDecision('late first byte', request, { waitedMs: Math.round(sentAtMs - request.arrivedAtMs), atRunnerMs: Math.round(nowMs - sentAtMs), tried: [...tried] })
+  }
+
   private noteAttempt (progress: Progress, runner: Runner, result: AttemptResult): void {
     const { table, traces } = this.options
     const hasFailed = result.type !== 'done' && !progress.signal.aborted
@@ -231,10 +243,9 @@
     const reason = result.type === 'failed' ? result.failure.reason : 'runner-error'
     const message = result.type === 'failed' ? result.failure.message : 'the runner failed'
     const execution = result.type === 'failed' ? result.failure.execution : 'unknown'
-    this.options.traces.logDecision('attempt failed', request, { runner: runner.id, reason, execution, message })
+    this.options.traces.logDecision('attempt failed', request, { runner: runner.id, reason, execution, detail: message })
     this.noteFailure(progress, runner, reason)
     if (execution === 'not-run') return await this.planAfterDecline(progress, reason)
-    progress.maySent = true
     const mayRun = this.mayRunAgain(progress, 1)
     progress.runs += 1
     if (mayRun && this.options.findBudget(request.service).spendRetry()) return undefined
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -6,8 +6,9 @@
 
 /** Compiled test files of one sort, over all packages. */
 function findTests (sort) {
-  return readdirSync('packages').flatMap((name) => {
-    const directory = join('packages', name, 'dist', '__tests__', sort)
+  const roots = [...readdirSync('packages').map((name) => join('packages', name)), 'platform']
+  return roots.flatMap((root) => {
+    const directory = join(root, 'dist', '__tests__', sort)
     if (!existsSync(directory)) return []
     return readdirSync(directory).filter((file) => file.endsWith('.test.js')).map((file) => resolve(directory, file))
   })
