--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -75,6 +75,10 @@
 const SETTLING_MS = 4_000
 /** Weight of a second of loading time against one request a second that loses its copy. */
 const LOSS_PER_REQUEST_RATE = 1
+/** Least loss in giving up a further copy: it was put there for a demand that may not have come yet. */
+const SURPLUS_LOSS = 0.05
+/** Loss that is borne to bring a model near that could only come from the weight store, before anyone asks for it. */
+const FETCH_LOSS = 0.3
 /** Loss in giving up the only copy of a model, in seconds of loading, however seldom it is asked for. */
 const LAST_COPY_LOSS = 0.5
 const MS_PER_SECOND = 1_000
@@ -126,7 +130,7 @@
     return [
       ...wanted.flatMap((model) => this.planCopy(model, 'requests wait and no runner holds it', Number.POSITIVE_INFINITY)),
       ...crowded.flatMap((model) => this.planCopy(model, 'its copies are crowded', model.rate)),
-      ...unwanted.flatMap((model) => this.planCopy(model, 'no runner holds it', 0))
+      ...unwanted.flatMap((model) => this.planCopy(model, 'no runner holds it', this.isNear(model) ? 0 : FETCH_LOSS))
     ]
   }
 
@@ -134,6 +138,11 @@
     return this.copies.get(model.spec.name) ?? 0
   }
 
+  /** Whether a runner has a copy at hand from which the model would be ready soon. */
+  private isNear ({ spec }: PlannedModel): boolean {
+    return this.view.runners.some((runner) => runner.isServing && hasLocalCopy(spec, runner))
+  }
+
   private isCrowded (model: PlannedModel): boolean {
     const copies = this.countCopies(model)
     if (copies === 0 || model.isComing) return false
@@ -183,7 +192,7 @@
     const model = this.models.get(name)
     if (model === undefined) return 0
     const copies = this.countCopies(model)
-    if (copies > 1) return LOSS_PER_REQUEST_RATE * model.rate / copies
+    if (copies > 1) return SURPLUS_LOSS + LOSS_PER_REQUEST_RATE * model.rate / copies
     // The runner keeps a copy on its disk, from which the model comes back.
     return LAST_COPY_LOSS + LOSS_PER_REQUEST_RATE * model.rate * (1 + model.spec.diskLoadMs / MS_PER_SECOND)
   }
--- a/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
@@ -9,7 +9,8 @@
 import type { FleetLeadership } from './FigquayFleetLeadership.js'
 import type { FleetOrderReply, RunnerOrderClient } from './FigquayFleetPlatform.js'
 import type { FleetRunnerTable } from './FigquayFleetRunnerTable.js'
-import type { Holdings } from './FigquayFleetTypes.js'
+import { checkOrder } from './FigquayFleetOrderCheck.js'
+import type { EnginePool, Holdings } from './FigquayFleetTypes.js'
 
 /** What the book needs. */
 export interface OrderBookOptions {
@@ -29,11 +30,15 @@
   readonly action: 'load' | 'unload'
   readonly model: string
   readonly adapter: string | undefined
+  readonly pool: EnginePool
   readonly reason: string
 }
 
+/** How an order went: carried out, accepted and under way, or of no or unknown effect. */
+export type OrderResult = 'done' | 'accepted' | 'failed'
+
 /** A runner's report of itself lags by some hundred milliseconds. */
-const REPORT_LAG_MS = 250
+const REPORT_LAG_MS = 150
 /** Orders to one runner that have an unknown or unexpected outcome are this far apart, in milliseconds. */
 const RETRY_PAUSE_MS = 300
 /** An adapter arrives within this time, in milliseconds, unless many are on their way at once. */
@@ -43,6 +48,10 @@
   isOpen: boolean
   /** Orders that the runner has accepted, as of its last report and what it has accepted since. */
   sequence: number
+  /** What the runner holds after so many orders. Announcements, which lag, don't come in here. */
+  holdings: Holdings | undefined
+  /** Start of the runner that this is about. */
+  bornMs: number
   /** Until then the runner's state is read anew before the next order. */
   notBeforeMs: number
   needsReading: boolean
@@ -79,20 +88,20 @@
   }
 
   /**
-   * Gives an order; true when the runner has accepted it.
+   * Gives an order if the runner has room for it.
    *
    * @example
    * await book.sendOrder({ runner, action: 'load', model: 'manual', adapter: undefined, reason })
    */
-  async sendOrder (request: OrderRequest): Promise<boolean> {
+  async sendOrder (request: OrderRequest): Promise<OrderResult> {
     const account = this.findAccount(request.runner)
-    if (!this.isReady(request.runner)) return false
+    if (!this.isReady(request.runner)) return 'failed'
     account.isOpen = true
     try {
       return await this.deliverOrder(account, request)
     } catch (error) {
       this.options.logger.error('order failed', { runner: request.runner, error: describeError(error) })
-      return false
+      return 'failed'
     } finally {
       account.isOpen = false
     }
@@ -112,13 +121,16 @@
       this.options.logger.debug('runner did not tell its state', { runner: runnerId, error: state.error.message })
       return undefined
     }
-    this.findAccount(runnerId).sequence = state.value.sequence
+    const account = this.findAccount(runnerId)
+    // A report lags: one from before the last accepted order says nothing new.
+    if (account.bornMs === state.value.bornMs && state.value.sequence < account.sequence) return undefined
+    Object.assign(account, { sequence: state.value.sequence, holdings: state.value.holdings, bornMs: state.value.bornMs })
     this.shareHoldings(runnerId, state.value.bornMs, state.value.holdings)
     return state.value.holdings
   }
 
   private findAccount (runnerId: string): RunnerAccount {
-    const account = this.accounts.get(runnerId) ?? { isOpen: false, sequence: 0, notBeforeMs: 0, needsReading: true }
+    const account = this.accounts.get(runnerId) ?? { isOpen: false, sequence: 0, holdings: undefined, bornMs: 0, notBeforeMs: 0, needsReading: true }
     this.accounts.set(runnerId, account)
     return account
   }
@@ -128,44 +140,53 @@
     this.options.announceHoldings(runnerId, bornMs, holdings)
   }
 
-  private async deliverOrder (account: RunnerAccount, request: OrderRequest): Promise<boolean> {
+  private async deliverOrder (account: RunnerAccount, request: OrderRequest): Promise<OrderResult> {
     const { client, table, leadership, logger, self, clock } = this.options
-    if (account.needsReading && await this.readRunner(request.runner) === undefined) {
+    const isOutdated = account.needsReading || account.bornMs !== table.findRunner(request.runner)?.bornMs
+    if (isOutdated && await this.readRunner(request.runner) === undefined) {
       account.notBeforeMs = clock.readMonotonicMs() + RETRY_PAUSE_MS
-      return false
+      return 'failed'
     }
     account.needsReading = false
     const runner = table.findRunner(request.runner)
     const fence = leadership.ownFence
-    if (runner?.holdings === undefined || fence === undefined || runner.isLeaving || runner.holdings.isBusy) return false
+    if (runner === undefined || account.holdings === undefined || fence === undefined || runner.isLeaving) return 'failed'
+    const objection = checkOrder(account.holdings, request, request.pool)
+    if (objection !== undefined) {
+      // The plan rests on another picture of the runner than its own: the next one shall not.
+      logger.debug('order not sent', { runner: runner.id, model: request.model, adapter: request.adapter, objection })
+      this.distrustAccount(account)
+      return 'failed'
+    }
     const expectedSequence = account.sequence
     const { action, model, adapter, reason } = request
     const reply = await client.sendOrder(runner, { action, model, adapter, expectedSequence, holder: self, fence })
     logger.info('order', { runner: runner.id, action, model, adapter, reason, sequence: expectedSequence, fence, outcome: reply.ok ? reply.value : `unknown: ${reply.error.message}` })
     if (!reply.ok) {
       this.distrustAccount(account)
-      return false
+      return 'failed'
     }
-    return await this.takeReply(account, request, reply.value, runner.bornMs, runner.holdings)
+    return await this.takeReply(account, request, reply.value, account.holdings)
   }
 
-  private async takeReply (account: RunnerAccount, request: OrderRequest, reply: FleetOrderReply, bornMs: number, before: Holdings): Promise<boolean> {
-    if (reply === 'accepted') {
-      account.sequence += 1
-      await this.noteAccepted(request, bornMs, before)
-      return true
-    }
+  private async takeReply (account: RunnerAccount, request: OrderRequest, reply: FleetOrderReply, before: Holdings): Promise<OrderResult> {
+    if (reply === 'accepted') return await this.noteAccepted(account, request, before)
     // An adapter that nobody uses is unloaded before the answer; else the picture was outdated and nothing changes.
     if (reply === 'already-holds' && request.adapter !== undefined && request.action === 'unload') {
       account.sequence += 1
-      this.shareHoldings(request.runner, bornMs, withoutAdapter(before, request.model, request.adapter))
-      return true
+      this.noteHoldings(account, request.runner, withoutAdapter(before, request.model, request.adapter))
+      return 'done'
     }
     if (reply === 'already-holds') await this.readRunner(request.runner)
     if (reply === 'stale-fence') this.options.leadership.stepDown(`runner ${request.runner} has seen a higher fencing number`)
     if (reply === 'other-runner') this.options.table.restRunner(request.runner)
     this.distrustAccount(account)
-    return false
+    return 'failed'
+  }
+
+  private noteHoldings (account: RunnerAccount, runnerId: string, holdings: Holdings): void {
+    account.holdings = holdings
+    this.shareHoldings(runnerId, account.bornMs, holdings)
   }
 
   private distrustAccount (account: RunnerAccount): void {
@@ -174,20 +195,23 @@
   }
 
   /** Puts down at once what follows from an accepted order; the runner's own reports come later. */
-  private async noteAccepted (request: OrderRequest, bornMs: number, before: Holdings): Promise<void> {
+  private async noteAccepted (account: RunnerAccount, request: OrderRequest, before: Holdings): Promise<OrderResult> {
     const { runner, action, model, adapter } = request
+    account.sequence += 1
     if (adapter === undefined) {
       const models = action === 'unload' ? before.models.filter((held) => held.name !== model) : before.models
-      this.shareHoldings(runner, bornMs, { ...before, models, isBusy: true })
-      return
+      this.noteHoldings(account, runner, { ...before, models, isBusy: true })
+      return 'accepted'
     }
     if (action === 'unload') {
-      this.shareHoldings(runner, bornMs, withoutAdapter(before, model, adapter))
-      return
+      // Requests still use it: it keeps its place until a report no longer names it.
+      this.distrustAccount(account)
+      return 'accepted'
     }
     await this.options.clock.waitFor(ADAPTER_ARRIVAL_MS)
     const models = before.models.map((held) => held.name === model ? { ...held, adapters: [...held.adapters, adapter] } : held)
-    this.shareHoldings(runner, bornMs, { ...before, models })
+    this.noteHoldings(account, runner, { ...before, models })
+    return 'done'
   }
 
   /**
@@ -201,7 +225,6 @@
     const deadlineMs = this.options.clock.readMonotonicMs() + expectedMs * 4 + REPORT_LAG_MS * 4
     await this.options.clock.waitFor(expectedMs + REPORT_LAG_MS)
     while (this.options.clock.readMonotonicMs() < deadlineMs && this.options.leadership.ownFence !== undefined) {
-      if (this.options.table.findRunner(runnerId)?.holdings?.isBusy === false) return
       const holdings = await this.readRunner(runnerId)
       if (holdings?.isBusy === false) return
       await this.options.clock.waitFor(RETRY_PAUSE_MS)
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -7,6 +7,7 @@
 import { LoadBudget } from './FigquayFleetLoadBudget.js'
 import { planAdapter, type AdapterHolder } from './FigquayFleetAdapterPlan.js'
 import { planModels, type ModelMove, type ModelPlanView, type PlannedModel, type PlannedRunner } from './FigquayFleetModelPlan.js'
+import { measureHeldMb } from './FigquayFleetOrderCheck.js'
 import type { OrderBook } from './FigquayFleetOrderBook.js'
 import { makeAdapterKey, type EnginePool, type Service } from './FigquayFleetTypes.js'
 
@@ -148,16 +149,15 @@
     this.promises.set(move.beneficiary, { runner: move.runner, expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR })
     try {
       if (move.action === 'unload') {
-        if (!await orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, reason: `makes room for ${move.beneficiary}: ${move.reason}` })) return
+        if (await orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, pool, reason: `makes room for ${move.beneficiary}: ${move.reason}` }) === 'failed') return
         await orders.waitForOrder(move.runner, UNLOAD_MS)
       }
       const holdings = table.findRunner(move.runner)?.holdings
       if (holdings === undefined) return
       const fromStore = !holdings.inMemory.includes(spec.name) && !holdings.onDisk.includes(spec.name)
       if (fromStore && !this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())) return
-      if (pool.weightsMb - measureHeldMb(holdings.models, pool) < spec.weightsMb) return
       if (fromStore) this.budget.noteLoad(clock.readMonotonicMs())
-      if (!await orders.sendOrder({ runner: move.runner, action: 'load', model: spec.name, adapter: undefined, reason: move.reason })) return
+      if (await orders.sendOrder({ runner: move.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: move.reason }) === 'failed') return
       await orders.waitForOrder(move.runner, fromStore ? spec.storeLoadMs : holdings.inMemory.includes(spec.name) ? spec.memoryLoadMs : spec.diskLoadMs)
       this.loadedAtMs.set(`${move.runner}\n${spec.name}`, clock.readMonotonicMs())
     } finally {
@@ -190,7 +190,7 @@
     const move = planAdapter(holders.map((view) => this.makeAdapterHolder(view)), pool.adapterSlots)
     if (move === undefined || (move.evicted !== undefined && !mayEvict)) return false
     this.openAdapters.add(key)
-    this.runAdapterMove(move.runner, move.evicted, model, adapter, reason)
+    this.runAdapterMove(move.runner, move.evicted, model, adapter, pool, reason)
       .catch((error: Error) => this.options.logger.error('adapter move failed', { key, error: error.message }))
       .finally(() => this.openAdapters.delete(key))
     return true
@@ -208,27 +208,17 @@
     }
   }
 
-  private async runAdapterMove (runner: string, evicted: string | undefined, model: string, adapter: string, reason: string): Promise<void> {
+  private async runAdapterMove (runner: string, evicted: string | undefined, model: string, adapter: string, pool: EnginePool, reason: string): Promise<void> {
     const { orders } = this.options
     if (evicted !== undefined) {
       const [oldModel, oldAdapter] = evicted.split('/') as [string, string]
-      if (!await orders.sendOrder({ runner, action: 'unload', model: oldModel, adapter: oldAdapter, reason: `makes room for ${model}/${adapter}` })) return
+      if (await orders.sendOrder({ runner, action: 'unload', model: oldModel, adapter: oldAdapter, pool, reason: `makes room for ${model}/${adapter}` }) !== 'done') return
     }
-    await orders.sendOrder({ runner, action: 'load', model, adapter, reason })
+    await orders.sendOrder({ runner, action: 'load', model, adapter, pool, reason })
     this.noteAdapterUse(runner, makeAdapterKey(model, adapter))
   }
 }
 
-/** Memory that models take, with room kept for as many adapters as a runner may hold. */
-function measureHeldMb (models: ReadonlyArray<{ readonly name: string }>, pool: EnginePool): number {
-  return models.reduce((sum, held) => {
-    const spec = pool.models.get(held.name)
-    // A model that the configuration no longer names takes as much as the largest that it does.
-    const weightsMb = spec?.weightsMb ?? Math.max(...[...pool.models.values()].map((other) => other.weightsMb))
-    return sum + weightsMb
-  }, 0) + pool.adapterSlots * Math.max(0, ...[...pool.models.values()].map((spec) => spec.adapterMb))
-}
-
 /**
  * Whether an adapter is on a runner.
  *
--- a/packages/figquay-fleet/src/FigquayFleetTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetTypes.ts
@@ -24,6 +24,8 @@
   readonly timeoutMs: number
   /** Time to the first byte that the contract promises, in milliseconds. */
   readonly objectiveMs: number
+  /** Longest silence that callers bear, before the first byte or between two, in milliseconds. */
+  readonly patienceMs: number
   /** 0 is the most urgent. */
   readonly priority: number
   readonly targets: readonly RouteTarget[]
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -9,6 +9,7 @@
 export { planAdapter, type AdapterHolder, type AdapterMove } from './FigquayFleetAdapterPlan.js'
 export { FleetStore, RunnerOrderClient, type FleetOrder, type FleetOrderReply, type RunnerChange, type RunnerReading, type RunnerState, type SharedReading, type SharedRecord, type WriteResult } from './FigquayFleetPlatform.js'
 export { FleetLeadership, HOLDER_KEY, type Holder, type LeadershipOptions } from './FigquayFleetLeadership.js'
-export { OrderBook, type OrderBookOptions, type OrderRequest } from './FigquayFleetOrderBook.js'
+export { checkOrder, countAdapters, measureHeldMb, type CheckedOrder } from './FigquayFleetOrderCheck.js'
+export { OrderBook, type OrderBookOptions, type OrderRequest, type OrderResult } from './FigquayFleetOrderBook.js'
 export { FleetPlacement, holdsAdapter, type FleetPlacementOptions } from './FigquayFleetPlacement.js'
 export { HintExchange, type FleetHints, type HintExchangeOptions } from './FigquayFleetHints.js'
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -102,7 +102,8 @@
   /** Undefined when the request waits. */
   private judgeMissing (request: ServedRequest): Refusal | undefined {
     const { configurations, table, clock } = this.options
-    const remainingMs = request.deadlineAtMs - clock.readMonotonicMs()
+    const nowMs = clock.readMonotonicMs()
+    const remainingMs = Math.min(request.deadlineAtMs, request.arrivedAtMs + request.route.patienceMs) - nowMs
     const spec = request.model === undefined ? undefined : configurations.findService(request.service)?.engine?.models.get(request.model)
     const runners = table.listCandidates(request.service).map((view) => view.runner)
     if (spec === undefined || runners.length === 0) {
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -7,7 +7,7 @@
 import { AnswerSink, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTraces, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type ServedRequest } from '../../index.js'
 
 const ROUTE: Route = {
-  name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, priority: 0, targets: [], maxAttempts: 1
+  name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, priority: 0, targets: [], maxAttempts: 1
 }
 const IDEMPOTENT: Partial<Route> = { repeat: 'idempotent', maxAttempts: 2 }
 const RESUMABLE: Partial<Route> = { repeat: 'idempotent', isStream: true, isResumable: true, maxAttempts: 2 }
