Keep long prompts apart from streams; work rates out from the time observed

Cause: on time first events, but late pauses: a prompt above some 5,000 tokens fills four steps of the batch, one event. Change: the cost of a long prompt counts each stream that it would pause, and short streams avoid runners with recent prompt tokens; a young daemon divides its rates by the time that it has observed; loads from the weight store that nobody waits for hold up a quarter of the runners at most.

--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -5,6 +5,8 @@
 const DECAY_MS = 4_000
 /** A model that nobody has waited for in this time is no longer missed, in milliseconds: several hint intervals. */
 const NEED_EXPIRES_MS = 700
+/** A rate is never worked out from less time than this, in milliseconds. */
+const SHORTEST_OBSERVATION_MS = 1_000
 const MS_PER_SECOND = 1_000
 
 interface Rate {
@@ -36,7 +38,11 @@
   private readonly needs = new Map<string, { readonly need: Need, readonly atMs: number }>()
   private arrivals = new Map<string, Arrivals>()
 
-  private constructor (private readonly clock: Clock) {}
+  private readonly startedAtMs: number
+
+  private constructor (private readonly clock: Clock) {
+    this.startedAtMs = clock.readMonotonicMs()
+  }
 
   /**
    * @example
@@ -67,7 +73,7 @@
    * demand.addArrivals('manual', { requests: 3, promptTokens: 2_400 })
    */
   addArrivals (model: string, arrivals: Arrivals): void {
-    const { requests, promptTokens } = this.measureRate(model)
+    const { requests, promptTokens } = this.decayRate(model)
     this.rates.set(model, {
       requests: requests + arrivals.requests * MS_PER_SECOND / DECAY_MS,
       tokens: promptTokens + arrivals.promptTokens * MS_PER_SECOND / DECAY_MS,
@@ -75,8 +81,15 @@
     })
   }
 
-  /** Requests and prompt tokens a second for a model. */
+  /** Requests and prompt tokens a second for a model; a daemon that has just started knows of a short time only. */
   measureRate (model: string): Arrivals {
+    const { requests, promptTokens } = this.decayRate(model)
+    const observedMs = Math.max(SHORTEST_OBSERVATION_MS, this.clock.readMonotonicMs() - this.startedAtMs)
+    const part = 1 - Math.exp(-observedMs / DECAY_MS)
+    return { requests: requests / part, promptTokens: promptTokens / part }
+  }
+
+  private decayRate (model: string): Arrivals {
     const rate = this.rates.get(model)
     if (rate === undefined) return { requests: 0, promptTokens: 0 }
     const part = Math.exp((rate.atMs - this.clock.readMonotonicMs()) / DECAY_MS)
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -51,6 +51,8 @@
   readonly models: readonly PlannedModel[]
   /** Whether one more load from the weight store may begin. */
   readonly canLoadFromStore: boolean
+  /** Loads from the weight store that are under way. */
+  readonly storeLoads: number
 }
 
 /** One step: a load, or an unload that makes room for it. */
@@ -81,6 +83,8 @@
 const FETCH_LOSS = 0.3
 /** Loss in giving up the only copy of a model, in seconds of loading, however seldom it is asked for. */
 const LAST_COPY_LOSS = 0.5
+/** Part of the runners that may be held up by loads from the weight store that no request waits for. */
+const HELD_UP_PART = 0.25
 const MS_PER_SECOND = 1_000
 
 interface Option {
@@ -158,7 +162,7 @@
   private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
     const options = this.view.runners
       .filter((runner) => runner.isReady && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
-      .filter((runner) => this.canLoadFromStore || hasLocalCopy(model.spec, runner))
+      .filter((runner) => this.mayFetch(model) || hasLocalCopy(model.spec, runner))
       .flatMap((runner) => this.weighOption(model, runner, reason, mostLoss))
     const best = options.sort((a, b) => a.cost - b.cost)[0]
     if (best === undefined) return []
@@ -167,6 +171,13 @@
     return [best.move]
   }
 
+  /** A load from the weight store takes long and keeps its runner from other orders. */
+  private mayFetch (model: PlannedModel): boolean {
+    const serving = this.view.runners.filter((runner) => runner.isServing).length
+    const isNeeded = model.waiting > 0 && this.countCopies(model) === 0
+    return this.canLoadFromStore && (isNeeded || this.view.storeLoads < Math.max(1, serving * HELD_UP_PART))
+  }
+
   private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option[] {
     const { spec } = model
     const loadSeconds = measureLoadSeconds(spec, runner)
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -28,6 +28,7 @@
 interface PlacementPromise {
   readonly runner: string
   readonly expiresAtMs: number
+  readonly isFromStore: boolean
 }
 
 /** Time that an unload takes when nothing runs on the model, in milliseconds. */
@@ -116,6 +117,7 @@
     return {
       runners: views.map((view) => this.makePlannedRunner(view, pool, orders.isReady(view.runner.id) && !promised.has(view.runner.id))),
       models,
+      storeLoads: [...this.promises.values()].filter((promise) => promise.isFromStore).length,
       canLoadFromStore: this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())
     }
   }
@@ -146,7 +148,9 @@
     const spec = pool.models.get(move.beneficiary)
     if (spec === undefined) return
     const nowMs = clock.readMonotonicMs()
-    this.promises.set(move.beneficiary, { runner: move.runner, expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR })
+    const atHand = table.findRunner(move.runner)?.holdings
+    const isFromStore = atHand?.inMemory.includes(spec.name) !== true && atHand?.onDisk.includes(spec.name) !== true
+    this.promises.set(move.beneficiary, { runner: move.runner, expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR, isFromStore })
     try {
       if (move.action === 'unload') {
         if (await orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, pool, reason: `makes room for ${move.beneficiary}: ${move.reason}` }) === 'failed') return
--- a/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
@@ -27,10 +27,12 @@
 export const PREFILL_TOKENS_PER_MS = 40
 /** Cost of sharing a runner with a running request, in prompt tokens: its part of every step. */
 const TOKENS_PER_RUNNING_REQUEST = 60
-/** Part of a prompt's tokens that each running stream loses: its events pause while the prompt is processed. */
-const PAUSE_PART = 0.15
+/** Prompts up to this length are processed within a few steps, which no stream notices, in tokens. */
+const UNNOTICED_TOKENS = 5_000
+/** Cost to each running stream of a longer prompt, in prompt tokens: its events pause for longer than is allowed. */
+const TOKENS_PER_PAUSED_STREAM = 4_000
 /** Part of the prompt tokens sent to a runner of late that is to be expected again during a stream. */
-const EXPECTED_PART = 0.25
+const EXPECTED_PART = 1
 /** Cost of a runner whose recent requests all failed, in prompt tokens. */
 const TOKENS_PER_FAILURE_RATE = 40_000
 /** Cost of a path to another zone, in prompt tokens of equal time. */
@@ -71,8 +73,8 @@
   const expectedCached = view.runner.id === home ? Math.max(cached, HOME_PART * sharedTokens) : cached
   const ownTokens = Math.max(0, request.promptTokens - expectedCached)
   return view.load.pendingTokens + ownTokens +
-    view.load.recentTokens * EXPECTED_PART +
-    view.load.requests * (TOKENS_PER_RUNNING_REQUEST + PAUSE_PART * ownTokens) +
+    (ownTokens > UNNOTICED_TOKENS ? 0 : view.load.recentTokens * EXPECTED_PART) +
+    view.load.requests * (TOKENS_PER_RUNNING_REQUEST + (ownTokens > UNNOTICED_TOKENS ? TOKENS_PER_PAUSED_STREAM : 0)) +
     view.failureRate * TOKENS_PER_FAILURE_RATE +
     (view.runner.zone === request.zone ? 0 : TOKENS_PER_ZONE_HOP)
 }
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -18,7 +18,7 @@
 }
 
 function makeView (runners: readonly PlannedRunner[], models: readonly PlannedModel[], canLoadFromStore = true): ModelPlanView {
-  return { runners, models, canLoadFromStore }
+  return { runners, models, canLoadFromStore, storeLoads: 0 }
 }
 
 const FULL = ['a', 'b', 'c'].map((name) => makeCopy(name))
