--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -19,8 +19,8 @@
 /** A runner, as the plan sees it. */
 export interface PlannedRunner {
   readonly id: string
-  /** May be given an order now. */
-  readonly isReady: boolean
+  /** Time until it may be given an order, in milliseconds; infinite when that can't be told. */
+  readonly freeInMs: number
   /** Takes requests: its copies count. */
   readonly isServing: boolean
   readonly freeMb: number
@@ -41,8 +41,8 @@
   readonly tokenRate: number
   /** Requests that wait for a copy. */
   readonly waiting: number
-  /** A runner is being cleared for it, or is loading it. */
-  readonly isComing: boolean
+  /** Time until a copy that is being made is ready, in milliseconds; undefined when none is. */
+  readonly comingInMs: number | undefined
 }
 
 /** What a plan is made from. */
@@ -85,11 +85,17 @@
 const LAST_COPY_LOSS = 0.5
 /** Part of the runners that may be held up by loads from the weight store that no request waits for. */
 const HELD_UP_PART = 0.25
+/** A second load of a model that requests wait for pays when it is ready this much sooner than the first, in seconds. */
+const WORTHWHILE_SECONDS = 2
 const MS_PER_SECOND = 1_000
 
 interface Option {
   readonly move: ModelMove
   readonly cost: number
+  /** Time until the model could be ready, in seconds. */
+  readonly readyInSeconds: number
+  /** The runner is still busy: better to wait for it than to take a worse one. */
+  readonly isLater: boolean
 }
 
 /** Seconds until a model could be ready on a runner. */
@@ -127,10 +133,10 @@
   }
 
   planMoves (): ModelMove[] {
-    const missing = this.view.models.filter((model) => this.countCopies(model) === 0 && !model.isComing)
+    const missing = this.view.models.filter((model) => this.countCopies(model) === 0)
     const wanted = missing.filter((model) => model.waiting > 0).sort((a, b) => b.waiting - a.waiting || b.rate - a.rate)
     const crowded = this.view.models.filter((model) => this.isCrowded(model)).sort((a, b) => b.rate - a.rate)
-    const unwanted = missing.filter((model) => model.waiting === 0).sort((a, b) => b.rate - a.rate)
+    const unwanted = missing.filter((model) => model.waiting === 0 && model.comingInMs === undefined).sort((a, b) => b.rate - a.rate)
     return [
       ...wanted.flatMap((model) => this.planCopy(model, 'requests wait and no runner holds it', Number.POSITIVE_INFINITY)),
       ...crowded.flatMap((model) => this.planCopy(model, 'its copies are crowded', model.rate)),
@@ -149,7 +155,7 @@
 
   private isCrowded (model: PlannedModel): boolean {
     const copies = this.countCopies(model)
-    if (copies === 0 || model.isComing) return false
+    if (copies === 0 || model.comingInMs !== undefined) return false
     const wanted = 1 + Math.floor(model.tokenRate / TOKENS_PER_COPY)
     return copies < wanted || this.sumOpen(model.spec.name) + model.waiting > CROWDED_REQUESTS * copies
   }
@@ -161,16 +167,21 @@
   /** The cheapest way to a further copy, if what it pushes out is worth less than `mostLoss`. */
   private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
     const options = this.view.runners
-      .filter((runner) => runner.isReady && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
+      .filter((runner) => Number.isFinite(runner.freeInMs) && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
       .filter((runner) => this.mayFetch(model) || hasLocalCopy(model.spec, runner))
       .flatMap((runner) => this.weighOption(model, runner, reason, mostLoss))
     const best = options.sort((a, b) => a.cost - b.cost)[0]
-    if (best === undefined) return []
+    if (best === undefined || best.isLater || !this.isSooner(model, best)) return []
     this.taken.add(best.move.runner)
     if (best.move.fromStore) this.canLoadFromStore = false
     return [best.move]
   }
 
+  /** Whether an option is ready well before a copy that is already being made. */
+  private isSooner ({ comingInMs }: PlannedModel, option: Option): boolean {
+    return comingInMs === undefined || comingInMs / MS_PER_SECOND > option.readyInSeconds + WORTHWHILE_SECONDS
+  }
+
   /** A load from the weight store takes long and keeps its runner from other orders. */
   private mayFetch (model: PlannedModel): boolean {
     const serving = this.view.runners.filter((runner) => runner.isServing).length
@@ -180,15 +191,16 @@
 
   private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option[] {
     const { spec } = model
-    const loadSeconds = measureLoadSeconds(spec, runner)
+    const readyInSeconds = measureLoadSeconds(spec, runner) + runner.freeInMs / MS_PER_SECOND
+    const isLater = runner.freeInMs > 0
     const fromStore = !hasLocalCopy(spec, runner)
     const crowding = runner.openRequests / CROWDED_REQUESTS + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
     if (runner.freeMb >= spec.weightsMb) {
-      return [{ cost: loadSeconds + crowding, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }]
+      return [{ cost: readyInSeconds + crowding, readyInSeconds, isLater, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }]
     }
     const victim = this.findVictim(runner)
     if (victim === undefined || victim.loss > mostLoss) return []
-    return [{ cost: loadSeconds + crowding + victim.loss, move: { action: 'unload', runner: runner.id, model: victim.model, beneficiary: spec.name, fromStore: false, reason } }]
+    return [{ cost: readyInSeconds + crowding + victim.loss, readyInSeconds, isLater, move: { action: 'unload', runner: runner.id, model: victim.model, beneficiary: spec.name, fromStore: false, reason } }]
   }
 
   /** The copy on a runner that is missed least; none that works or has just come. */
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -27,10 +27,13 @@
 /** A model that was promised a runner, until it is there or the promise has run out. */
 interface PlacementPromise {
   readonly runner: string
+  readonly expectedAtMs: number
   readonly expiresAtMs: number
   readonly isFromStore: boolean
 }
 
+/** Shortest time until a runner with an open order is free, in milliseconds: one round of plans. */
+const PLAN_STEP_MS = 100
 /** Time that an unload takes when nothing runs on the model, in milliseconds. */
 const UNLOAD_MS = 50
 /** A promised load may take this many times as long as the configuration says, while many loads run. */
@@ -111,18 +114,34 @@
       if (need.service === service.name && need.adapter === undefined) waiting.set(need.model, need.waiting)
     }
     const models = [...pool.models.values()].map((spec): PlannedModel => ({
-      spec, rate: demand.measureRate(spec.name).requests, tokenRate: demand.measureRate(spec.name).promptTokens, waiting: waiting.get(spec.name) ?? 0, isComing: this.promises.has(spec.name)
+      spec, rate: demand.measureRate(spec.name).requests, tokenRate: demand.measureRate(spec.name).promptTokens, waiting: waiting.get(spec.name) ?? 0, comingInMs: this.measureComing(spec.name)
     }))
-    const promised = new Set([...this.promises.values()].map((promise) => promise.runner))
     return {
-      runners: views.map((view) => this.makePlannedRunner(view, pool, orders.isReady(view.runner.id) && !promised.has(view.runner.id))),
+      runners: views.map((view) => this.makePlannedRunner(view, pool, orders)),
       models,
       storeLoads: [...this.promises.values()].filter((promise) => promise.isFromStore).length,
       canLoadFromStore: this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())
     }
   }
 
-  private makePlannedRunner ({ runner, load, isTrusted }: RunnerView, pool: EnginePool, mayOrder: boolean): PlannedRunner {
+  private measureComing (model: string): number | undefined {
+    const promise = this.promises.get(model)
+    return promise === undefined ? undefined : Math.max(0, promise.expectedAtMs - this.options.clock.readMonotonicMs())
+  }
+
+  /** Time until a runner may be given an order; infinite when it is of no use, or busy with what isn't known here. */
+  private measureFree ({ runner, isTrusted }: RunnerView, orders: OrderBook): number {
+    if (runner.isLeaving || !isTrusted || runner.holdings === undefined) return Number.POSITIVE_INFINITY
+    const nowMs = this.options.clock.readMonotonicMs()
+    const promise = [...this.promises.values()].find((candidate) => candidate.runner === runner.id)
+    // An overdue order may end at any moment: a runner that is promised is never free at once.
+    if (promise !== undefined) return Math.max(PLAN_STEP_MS, promise.expectedAtMs - nowMs)
+    if (runner.holdings.isBusy) return Number.POSITIVE_INFINITY
+    return orders.isReady(runner.id) ? 0 : PLAN_STEP_MS
+  }
+
+  private makePlannedRunner (view: RunnerView, pool: EnginePool, orders: OrderBook): PlannedRunner {
+    const { runner, load } = view
     const nowMs = this.options.clock.readMonotonicMs()
     const holdings = runner.holdings
     const copies = (holdings?.models ?? []).map((held) => ({
@@ -132,7 +151,7 @@
     }))
     return {
       id: runner.id,
-      isReady: mayOrder && !runner.isLeaving && isTrusted && holdings !== undefined && !holdings.isBusy,
+      freeInMs: this.measureFree(view, orders),
       isServing: !runner.isLeaving,
       freeMb: pool.weightsMb - measureHeldMb(runner.holdings?.models ?? [], pool),
       copies,
@@ -150,7 +169,9 @@
     const nowMs = clock.readMonotonicMs()
     const atHand = table.findRunner(move.runner)?.holdings
     const isFromStore = atHand?.inMemory.includes(spec.name) !== true && atHand?.onDisk.includes(spec.name) !== true
-    this.promises.set(move.beneficiary, { runner: move.runner, expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR, isFromStore })
+    const loadMs = isFromStore ? spec.storeLoadMs : atHand?.inMemory.includes(spec.name) === true ? spec.memoryLoadMs : spec.diskLoadMs
+    const promise: PlacementPromise = { runner: move.runner, expectedAtMs: nowMs + loadMs + UNLOAD_MS, expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR, isFromStore }
+    this.promises.set(move.beneficiary, promise)
     try {
       if (move.action === 'unload') {
         if (await orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, pool, reason: `makes room for ${move.beneficiary}: ${move.reason}` }) === 'failed') return
@@ -158,14 +179,13 @@
       }
       const holdings = table.findRunner(move.runner)?.holdings
       if (holdings === undefined) return
-      const fromStore = !holdings.inMemory.includes(spec.name) && !holdings.onDisk.includes(spec.name)
-      if (fromStore && !this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())) return
-      if (fromStore) this.budget.noteLoad(clock.readMonotonicMs())
+      if (isFromStore && !this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())) return
+      if (isFromStore) this.budget.noteLoad(clock.readMonotonicMs())
       if (await orders.sendOrder({ runner: move.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: move.reason }) === 'failed') return
-      await orders.waitForOrder(move.runner, fromStore ? spec.storeLoadMs : holdings.inMemory.includes(spec.name) ? spec.memoryLoadMs : spec.diskLoadMs)
+      await orders.waitForOrder(move.runner, loadMs)
       this.loadedAtMs.set(`${move.runner}\n${spec.name}`, clock.readMonotonicMs())
     } finally {
-      this.promises.delete(move.beneficiary)
+      if (this.promises.get(move.beneficiary) === promise) this.promises.delete(move.beneficiary)
     }
   }
 
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -6,7 +6,7 @@
 const SPEC = { weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 12 }
 
 function makeModel (name: string, changes: Partial<PlannedModel> = {}): PlannedModel {
-  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, isComing: false, ...changes }
+  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, comingInMs: undefined, ...changes }
 }
 
 function makeCopy (model: string, changes: Partial<PlannedCopy> = {}): PlannedCopy {
@@ -14,7 +14,7 @@
 }
 
 function makeRunner (id: string, copies: readonly PlannedCopy[], changes: Partial<PlannedRunner> = {}): PlannedRunner {
-  return { id, isReady: true, isServing: true, freeMb: 230_000 - copies.length * 70_000, copies, inMemory: [], onDisk: [], openRequests: 0, pendingTokens: 0, ...changes }
+  return { id, freeInMs: 0, isServing: true, freeMb: 230_000 - copies.length * 70_000, copies, inMemory: [], onDisk: [], openRequests: 0, pendingTokens: 0, ...changes }
 }
 
 function makeView (runners: readonly PlannedRunner[], models: readonly PlannedModel[], canLoadFromStore = true): ModelPlanView {
@@ -38,7 +38,7 @@
   })
 
   it('gives up a second copy before an only one', () => {
-    const runners = [makeRunner('r1', [makeCopy('twice'), makeCopy('only'), makeCopy('other')]), makeRunner('r2', [makeCopy('twice')], { isReady: false })]
+    const runners = [makeRunner('r1', [makeCopy('twice'), makeCopy('only'), makeCopy('other')]), makeRunner('r2', [makeCopy('twice')], { freeInMs: Infinity })]
     const models = [makeModel('rare', { waiting: 1 }), makeModel('twice', { rate: 0.5 }), makeModel('only', { rate: 0.1 }), makeModel('other', { rate: 0.1 })]
     expect(planModels(makeView(runners, models))[0]?.model).toEqual('twice')
   })
@@ -51,7 +51,19 @@
 
   it('puts no model where it is already, and none that is on its way', () => {
     expect(planModels(makeView([makeRunner('r1', [makeCopy('hot')])], [makeModel('hot', { tokenRate: 90_000 })]))).toEqual([])
-    expect(planModels(makeView([makeRunner('r1', [])], [makeModel('rare', { waiting: 3, isComing: true })]))).toEqual([])
+    expect(planModels(makeView([makeRunner('r1', [])], [makeModel('rare', { waiting: 3, comingInMs: 500 })]))).toEqual([])
+  })
+
+  it('waits for a busy runner that has the model on disk rather than fetch it from the store', () => {
+    const runners = [makeRunner('r1', []), makeRunner('r2', [], { onDisk: ['rare'], freeInMs: 2_000 })]
+    expect(planModels(makeView(runners, [makeModel('rare', { waiting: 1 })]))).toEqual([])
+    const held = [makeRunner('r1', []), makeRunner('r2', [], { onDisk: ['rare'], freeInMs: 20_000 })]
+    expect(planModels(makeView(held, [makeModel('rare', { waiting: 1 })])).map((move) => move.runner)).toEqual(['r1'])
+  })
+
+  it('loads from disk what a slow load from the store would bring much later', () => {
+    const runners = [makeRunner('r1', [], { onDisk: ['rare'] })]
+    expect(planModels(makeView(runners, [makeModel('rare', { waiting: 4, comingInMs: 7_000 })])).map((move) => move.runner)).toEqual(['r1'])
   })
 
   it('begins one load from the store at a time, and none beyond the budget', () => {
@@ -62,7 +74,7 @@
   })
 
   it('replaces the only copy of a model after its runner is lost', () => {
-    const runners = [makeRunner('lost', [makeCopy('m')], { isServing: false, isReady: false }), makeRunner('r2', FULL.slice(0, 2))]
+    const runners = [makeRunner('lost', [makeCopy('m')], { isServing: false, freeInMs: Infinity }), makeRunner('r2', FULL.slice(0, 2))]
     expect(planModels(makeView(runners, [makeModel('m'), makeModel('a'), makeModel('b')])).map((move) => `${move.model} on ${move.runner}`)).toEqual(['m on r2'])
   })
 
