--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -25,8 +25,8 @@
 
 /** Key of the record that names the holder. */
 export const HOLDER_KEY = 'holder'
-/** A holder that nobody has heard for this long is replaced, in milliseconds: several heartbeats between daemons. */
-const HOLDER_SILENCE_MS = 1_500
+/** A holder is replaced this long after its connection is gone or has been silent for too long, in milliseconds. */
+const HOLDER_SILENCE_MS = 500
 /** Daemons apply for the office this far apart, in milliseconds: longer than one write to the store takes. */
 const RANK_STEP_MS = 250
 /** A daemon applies for a vacant office only after it has looked for peers for this long, in milliseconds. */
--- a/packages/figquay-fleet/src/FigquayFleetLoadBudget.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLoadBudget.ts
@@ -2,8 +2,13 @@
 
 /** Span over which loads are counted, in milliseconds: the one that the weight store judges by. */
 const WINDOW_MS = 5_000
-/** Loads above the steady rate that are left unused, for those whose start is late. */
-const RESERVED_LOADS = 1
+/** Loads beyond the steady rate that the weight store bears in a window. */
+const TOLERATED_LOADS = 3
+
+/** Loads that may begin in a window: the tolerated ones are left to a successor that doesn't know of them. */
+function countMost (loadsPerSecond: number): number {
+  return Math.max(1, Math.floor(loadsPerSecond * WINDOW_MS / 1_000))
+}
 
 /** Loads begun of late. */
 export class LoadBudget {
@@ -28,8 +33,7 @@
    */
   canLoad (loadsPerSecond: number, nowMs: number): boolean {
     this.begunAtMs = this.begunAtMs.filter((atMs) => nowMs - atMs < WINDOW_MS)
-    const most = Math.max(1, Math.floor(loadsPerSecond * WINDOW_MS / 1_000) - RESERVED_LOADS + 1)
-    return this.begunAtMs.length < most
+    return this.begunAtMs.length < countMost(loadsPerSecond)
   }
 
   /** Notes that a load has begun. */
@@ -37,8 +41,8 @@
     this.begunAtMs = [...this.begunAtMs, nowMs]
   }
 
-  /** Assumes that a predecessor has used the whole window, since what it ordered isn't known. */
+  /** Assumes that a predecessor has used its whole window: only what is tolerated beyond the rate is left. */
   assumeSpent (loadsPerSecond: number, nowMs: number): void {
-    while (this.canLoad(loadsPerSecond, nowMs)) this.noteLoad(nowMs)
+    this.begunAtMs = Array.from({ length: Math.max(0, countMost(loadsPerSecond) - TOLERATED_LOADS) }, () => nowMs)
   }
 }
--- a/packages/figquay-gateway/src/FigquayGatewayCallerService.ts
+++ b/packages/figquay-gateway/src/FigquayGatewayCallerService.ts
@@ -6,7 +6,7 @@
 import { GatewayExchange } from './FigquayGatewayExchange.js'
 import { ServiceHandler } from './FigquayGatewayServices.js'
 import type { GatewayContext } from './FigquayGatewayTypes.js'
-import { Refusal } from 'figquay'
+import { answerUnreadable, Refusal } from 'figquay'
 
 /** Where callers connect. */
 export interface ListenAddress {
@@ -116,6 +116,7 @@
       server.keepAliveTimeout = KEEP_ALIVE_MS
       server.maxHeadersCount = 100
       server.setTimeout(0)
+      server.on('clientError', (error, socket) => answerUnreadable(error, socket, false))
       Object.assign(server, { maxHeaderSize: LARGEST_HEADERS_BYTES })
     }
   } as ServiceSchema)
--- a/packages/figquay-measure/src/__tests__/integration/BadInput.test.ts
+++ b/packages/figquay-measure/src/__tests__/integration/BadInput.test.ts
@@ -79,6 +79,8 @@
   test('callers: huge headers, and bytes that are no HTTP', async () => {
     const huge = await sendRaw(cluster.daemons[0]!.callerUrl, `GET /v1/models HTTP/1.1\r\nHost: x\r\nx-pad: ${'y'.repeat(40_000)}\r\n\r\n`)
     expect(huge.startsWith('HTTP/1.1 431')).toEqual(true)
+    const tenMegabytes = await sendRaw(cluster.daemons[0]!.callerUrl, `GET /v1/models HTTP/1.1\r\nHost: x\r\nx-pad: ${'y'.repeat(10_000_000)}\r\n\r\n`)
+    expect(tenMegabytes.startsWith('HTTP/1.1 431')).toEqual(true)
     const noise = await sendRaw(cluster.daemons[0]!.callerUrl, '\u0000\u0001nonsense\r\n\r\n')
     expect(noise.startsWith('HTTP/1.1 400')).toEqual(true)
   })
--- /dev/null
+++ b/packages/figquay-serving/src/__tests__/unit/Waiting.test.ts
@@ -0,0 +1,34 @@
+/** Requests whose model is on no runner, and runners that are full. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { ModelSpec, Runner, RunnerView } from 'figquay-fleet'
+import { decideMissingModel, estimateLoadMs, hasRoom } from '../../index.js'
+
+const SPEC: ModelSpec = { name: 'rare', weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 0 }
+
+function makeRunner (onDisk: readonly string[], inMemory: readonly string[], isLeaving = false): Runner {
+  return { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 4, isLeaving, bornMs: 0, holdings: { models: [], coming: [], isBusy: false, inMemory, onDisk } }
+}
+
+describe('waiting for a model', () => {
+  it('waits when the model can be there in time, and else is told when it will be', () => {
+    expect(decideMissingModel(15_000, 7_600)).toEqual({ type: 'wait' })
+    expect(decideMissingModel(2_400, 7_600)).toEqual({ type: 'refuse', retryAfterMs: 7_600 })
+  })
+
+  it('counts on the nearest copy of a runner that stays', () => {
+    const fromStore = estimateLoadMs(SPEC, [makeRunner([], [])])
+    const fromDisk = estimateLoadMs(SPEC, [makeRunner([], []), makeRunner(['rare'], [])])
+    const fromMemory = estimateLoadMs(SPEC, [makeRunner(['rare'], ['rare'])])
+    expect([fromStore > fromDisk, fromDisk > fromMemory]).toEqual([true, true])
+    expect(estimateLoadMs(SPEC, [makeRunner(['rare'], [], true)])).toEqual(fromStore)
+  })
+})
+
+describe('room at a runner', () => {
+  it('ends with its own queue', () => {
+    const view: RunnerView = { runner: makeRunner([], []), load: { requests: 0, pendingTokens: 0, recentTokens: 0 }, failureRate: 0, isTrusted: true }
+    expect(hasRoom({ ...view, load: { ...view.load, requests: 7 } })).toEqual(true)
+    expect(hasRoom({ ...view, load: { ...view.load, requests: 8 } })).toEqual(false)
+  })
+})
