--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -5,7 +5,7 @@
  * quickest, in place of what is missed least); demand that moves to another model within seconds (further copies as
  * soon as requests pile up on the copies there are); a runner that is lost with the only copy of a model.
  */
-import type { ModelSpec } from './FigquayFleetTypes.js'
+import { findSource, measureLoadMs, type ModelSpec } from './FigquayFleetTypes.js'
 
 /** A model on a runner, as the plan sees it. */
 export interface PlannedCopy {
@@ -98,17 +98,6 @@
   readonly isLater: boolean
 }
 
-/** Seconds until a model could be ready on a runner. */
-function measureLoadSeconds (spec: ModelSpec, runner: PlannedRunner): number {
-  if (runner.inMemory.includes(spec.name)) return spec.memoryLoadMs / MS_PER_SECOND
-  if (runner.onDisk.includes(spec.name)) return spec.diskLoadMs / MS_PER_SECOND
-  return spec.storeLoadMs / MS_PER_SECOND
-}
-
-function hasLocalCopy (spec: ModelSpec, runner: PlannedRunner): boolean {
-  return runner.inMemory.includes(spec.name) || runner.onDisk.includes(spec.name)
-}
-
 /** Copies that serve, by model. */
 function countCopies (view: ModelPlanView): Map<string, number> {
   const counts = new Map<string, number>()
@@ -150,7 +139,7 @@
 
   /** Whether a runner has a copy at hand from which the model would be ready soon. */
   private isNear ({ spec }: PlannedModel): boolean {
-    return this.view.runners.some((runner) => runner.isServing && hasLocalCopy(spec, runner))
+    return this.view.runners.some((runner) => runner.isServing && findSource(spec, runner) !== 'store')
   }
 
   private isCrowded (model: PlannedModel): boolean {
@@ -168,7 +157,7 @@
   private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
     const options = this.view.runners
       .filter((runner) => Number.isFinite(runner.freeInMs) && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
-      .filter((runner) => this.mayFetch(model) || hasLocalCopy(model.spec, runner))
+      .filter((runner) => this.mayFetch(model) || findSource(model.spec, runner) !== 'store')
       .flatMap((runner) => this.weighOption(model, runner, reason, mostLoss))
     const best = options.sort((a, b) => a.cost - b.cost)[0]
     if (best === undefined || best.isLater || !this.isSooner(model, best)) return []
@@ -191,9 +180,9 @@
 
   private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option[] {
     const { spec } = model
-    const readyInSeconds = measureLoadSeconds(spec, runner) + runner.freeInMs / MS_PER_SECOND
+    const readyInSeconds = measureLoadMs(spec, findSource(spec, runner)) / MS_PER_SECOND + runner.freeInMs / MS_PER_SECOND
     const isLater = runner.freeInMs > 0
-    const fromStore = !hasLocalCopy(spec, runner)
+    const fromStore = findSource(spec, runner) === 'store'
     const crowding = runner.openRequests / CROWDED_REQUESTS + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
     if (runner.freeMb >= spec.weightsMb) {
       return [{ cost: readyInSeconds + crowding, readyInSeconds, isLater, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }]
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -9,7 +9,7 @@
 import { planModels, type ModelMove, type ModelPlanView, type PlannedModel, type PlannedRunner } from './FigquayFleetModelPlan.js'
 import { measureHeldMb } from './FigquayFleetOrderCheck.js'
 import type { OrderBook } from './FigquayFleetOrderBook.js'
-import { makeAdapterKey, type EnginePool, type Service } from './FigquayFleetTypes.js'
+import { findSource, makeAdapterKey, measureLoadMs, type CopySource, type EnginePool, type ModelSpec, type Service } from './FigquayFleetTypes.js'
 
 /** What placement needs. */
 export interface FleetPlacementOptions {
@@ -163,32 +163,45 @@
   }
 
   private async runMove (move: ModelMove, pool: EnginePool): Promise<void> {
-    const { orders, clock, table } = this.options
     const spec = pool.models.get(move.beneficiary)
-    if (spec === undefined) return
-    const nowMs = clock.readMonotonicMs()
-    const atHand = table.findRunner(move.runner)?.holdings
-    const isFromStore = atHand?.inMemory.includes(spec.name) !== true && atHand?.onDisk.includes(spec.name) !== true
-    const loadMs = isFromStore ? spec.storeLoadMs : atHand?.inMemory.includes(spec.name) === true ? spec.memoryLoadMs : spec.diskLoadMs
-    const promise: PlacementPromise = { runner: move.runner, expectedAtMs: nowMs + loadMs + UNLOAD_MS, expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR, isFromStore }
+    const holdings = this.options.table.findRunner(move.runner)?.holdings
+    if (spec === undefined || holdings === undefined) return
+    const source = findSource(spec, holdings)
+    const nowMs = this.options.clock.readMonotonicMs()
+    const promise: PlacementPromise = {
+      runner: move.runner,
+      expectedAtMs: nowMs + measureLoadMs(spec, source) + UNLOAD_MS,
+      expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR,
+      isFromStore: source === 'store'
+    }
     this.promises.set(move.beneficiary, promise)
     try {
-      if (move.action === 'unload') {
-        if (await orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, pool, reason: `makes room for ${move.beneficiary}: ${move.reason}` }) === 'failed') return
-        await orders.waitForOrder(move.runner, UNLOAD_MS)
-      }
-      const holdings = table.findRunner(move.runner)?.holdings
-      if (holdings === undefined) return
-      if (isFromStore && !this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())) return
-      if (isFromStore) this.budget.noteLoad(clock.readMonotonicMs())
-      if (await orders.sendOrder({ runner: move.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: move.reason }) === 'failed') return
-      await orders.waitForOrder(move.runner, loadMs)
-      this.loadedAtMs.set(`${move.runner}\n${spec.name}`, clock.readMonotonicMs())
+      if (move.action === 'load' || await this.makeRoom(move, pool)) await this.loadModel(move, spec, source, pool)
     } finally {
       if (this.promises.get(move.beneficiary) === promise) this.promises.delete(move.beneficiary)
     }
   }
 
+  private async makeRoom (move: ModelMove, pool: EnginePool): Promise<boolean> {
+    const reason = `makes room for ${move.beneficiary}: ${move.reason}`
+    const result = await this.options.orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, pool, reason })
+    if (result === 'failed') return false
+    await this.options.orders.waitForOrder(move.runner, UNLOAD_MS)
+    return true
+  }
+
+  private async loadModel (move: ModelMove, spec: ModelSpec, source: CopySource, pool: EnginePool): Promise<void> {
+    const { orders, clock } = this.options
+    if (source === 'store') {
+      if (!this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())) return
+      this.budget.noteLoad(clock.readMonotonicMs())
+    }
+    const result = await orders.sendOrder({ runner: move.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: move.reason })
+    if (result === 'failed') return
+    await orders.waitForOrder(move.runner, measureLoadMs(spec, source))
+    this.loadedAtMs.set(`${move.runner}\n${spec.name}`, clock.readMonotonicMs())
+  }
+
   private runAdapterPlans (service: Service, pool: EnginePool, views: readonly RunnerView[]): void {
     const wanted = this.options.demand.listNeeds().filter((need) => need.service === service.name && need.adapter !== undefined)
     for (const need of wanted) this.startAdapter(need.model, need.adapter!, pool, views, 'requests wait for it', true)
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -1,4 +1,4 @@
-export { type CallerLimits, type EnginePool, type FleetConfiguration, type HeldModel, type Holdings, makeAdapterKey, type ModelSpec, type PromptPart, type RepeatClass, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
+export { type CallerLimits, type EnginePool, type FleetConfiguration, findSource, type CopySource, type HeldModel, type Holdings, makeAdapterKey, measureLoadMs, type ModelSpec, type PromptPart, type RepeatClass, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
 export { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 export { FleetRunnerTable, type OpenRequest, type RunnerLoad, type RunnerView } from './FigquayFleetRunnerTable.js'
 export { chooseRunner, findHome, PREFILL_TOKENS_PER_MS, type CachedTokens, type ChoiceRequest } from './FigquayFleetRunnerChoice.js'
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,5 +1,5 @@
 /** A daemon that serves a fleet: its parts, what they tell its peers, and how it starts and stops. */
-import { TaskGroup, type Clock, type Logger } from 'figquay'
+import { hashText, TaskGroup, type Clock, type Logger } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetLeadership, FleetPlacement, FleetRunnerTable, HintExchange, OrderBook, PromptMemory, type FleetHints, type FleetStore, type Holdings, type RunnerOrderClient } from 'figquay-fleet'
 import { PeerMesh } from 'figquay-peers'
 import { CrashGuard, RetryBudget, type CrashCharge } from 'figquay-routing'
@@ -32,6 +32,10 @@
 const HINT_INTERVAL_MS = 200
 /** New needs are announced at once, but not more often than this, in milliseconds. */
 const NEED_INTERVAL_MS = 10
+/** Daemons beyond which hints go out less often, so that a daemon's share of them stays the same. */
+const HINTED_DAEMONS = 16
+/** Daemons up to which everybody hears everybody: the holder must hear what all of them need. */
+const FULL_MESH_LIMIT = 128
 const PLAN_INTERVAL_MS = 100
 const LEADERSHIP_INTERVAL_MS = 100
 /** Daemons that the retries of a service are divided among when fewer are known. */
@@ -43,6 +47,20 @@
   readonly holdings: Holdings
 }
 
+/** Daemons that read the list of runners for the others. */
+const READERS = 2
+
+/**
+ * Whether a daemon is among those that read the list of runners for the ones that it is connected to.
+ *
+ * @example
+ * isReader('10.0.0.1:80', []) // true: a daemon alone reads for itself
+ */
+export function isReader (self: string, connected: readonly string[]): boolean {
+  const ownRank = hashText(self)
+  return connected.filter((peer) => hashText(peer) < ownRank).length < READERS
+}
+
 /** One daemon of the fleet. */
 export class ServingDaemon {
   readonly configurations = ConfigurationHolder.create()
@@ -72,14 +90,14 @@
     const demand = FleetDemand.create(clock)
     const memory = PromptMemory.create(clock)
     const { table } = this
-    this.mesh = PeerMesh.create({ self: { id: address, zone, address }, secrets: options.peerSecrets, methods: this.makePeerMethods(), clock, logger })
+    this.mesh = PeerMesh.create({ self: { id: address, zone, address }, secrets: options.peerSecrets, methods: this.makePeerMethods(), clock, logger, fullMeshLimit: FULL_MESH_LIMIT })
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.mesh.connectedPeers })
     const { leadership } = this
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.announceHoldings({ runner, bornMs, holdings }) })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, countOpen: (runner, model) => this.hints.countOpen(runner, model) })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, announceNeeds: () => this.announceNeeds() })
     this.hints = HintExchange.create({ self: address, clock, table, demand, leadership, configurations, listNeeds: () => this.dispatcher.listNeeds(), noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key) })
-    this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), askPeer: (version, position, peer) => this.askPeer(version, position, peer) })
+    this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), askPeer: (version, position, peer) => this.askPeer(version, position, peer), isReader: () => isReader(address, this.mesh.connectedPeers) })
     this.router = ServingRouter.create({
       clock,
       configurations,
@@ -126,7 +144,7 @@
     this.setDaemons(new Map())
     this.follower.startTasks(this.tasks)
     this.tasks.startTask('announcement', (signal) => this.follower.announceSelf(this.options.address, this.options.zone, signal))
-    this.tasks.startLoop('hints', HINT_INTERVAL_MS, async () => this.sendHints())
+    this.tasks.startTask('hints', (signal) => this.runHints(signal))
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
     this.tasks.startLoop('placement', PLAN_INTERVAL_MS, async () => this.placement.runPlans())
   }
@@ -173,6 +191,13 @@
     return snapshot.ok ? snapshot.value : undefined
   }
 
+  private async runHints (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.sendHints()
+      await this.options.clock.waitFor(HINT_INTERVAL_MS * Math.max(1, this.daemonCount / HINTED_DAEMONS), signal)
+    }
+  }
+
   private sendHints (): void {
     this.lastHintsAtMs = this.options.clock.readMonotonicMs()
     this.mesh.sendToAll('fleet.hints', this.hints.makeHints())
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -27,6 +27,8 @@
   readonly leadership: FleetLeadership
   /** Called with the daemons' addresses and zones after each change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
+  /** Whether this daemon reads the list of runners for its peers. */
+  readonly isReader: () => boolean
   /** Asks a peer for what is newer than this daemon's picture; undefined when none answers. */
   readonly askPeer: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
 }
@@ -37,8 +39,10 @@
 const RUNNERS_INTERVAL_MS = 800
 /** A read of the list is kept waiting this long at most, in milliseconds: the time in which a dead path to the store shows. */
 const RUNNERS_WAIT_MS = 5_000
-/** A daemon that has been behind a peer for this long asks it, in milliseconds: longer than its own reads take. */
+/** A reader that has been behind a peer for this long asks it, in milliseconds: longer than its own reads take. */
 const BEHIND_MS = 1_200
+/** A daemon for which others read looks itself this often, in milliseconds, lest its readers are cut off. */
+const OWN_LOOK_MS = 4_000
 /** A failed read is repeated after this time, in milliseconds. */
 const FAILED_PAUSE_MS = 250
 /** Changes of the daemons' own records are gathered for this long before they are read, in milliseconds. */
@@ -164,7 +168,8 @@
   private async followRunners (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const startedAtMs = this.options.clock.readMonotonicMs()
-      const reading = await this.options.store.readRunners(this.options.table.position, RUNNERS_WAIT_MS, signal)
+      const isReader = this.options.isReader() || !this.hasReadRunners
+      const reading = await this.options.store.readRunners(this.options.table.position, isReader ? RUNNERS_WAIT_MS : 0, signal)
       if (reading.ok) {
         this.takeRunners(reading.value)
         this.noteHeard(true)
@@ -174,7 +179,8 @@
         await this.askPeers()
       }
       const spentMs = this.options.clock.readMonotonicMs() - startedAtMs
-      await this.options.clock.waitFor(Math.max(reading.ok ? 0 : FAILED_PAUSE_MS, RUNNERS_INTERVAL_MS - spentMs), signal)
+      const intervalMs = isReader || !reading.ok ? RUNNERS_INTERVAL_MS : OWN_LOOK_MS
+      await this.options.clock.waitFor(Math.max(reading.ok ? 0 : FAILED_PAUSE_MS, intervalMs - spentMs), signal)
     }
   }
 
@@ -212,11 +218,12 @@
       if (this.behindPeer === peer) this.behindSinceMs = undefined
       return
     }
+    const patienceMs = this.options.isReader() ? BEHIND_MS : 0
     if (this.behindSinceMs === undefined) {
       this.behindSinceMs = nowMs
       this.behindPeer = peer
     }
-    if (nowMs - this.behindSinceMs < BEHIND_MS) return
+    if (nowMs - this.behindSinceMs < patienceMs) return
     this.behindSinceMs = undefined
     this.askPeers(peer).catch((error: unknown) => this.options.logger.error('peer could not be asked', { peer, error: describeError(error) }))
   }
--- a/packages/figquay-serving/src/FigquayServingWaiting.ts
+++ b/packages/figquay-serving/src/FigquayServingWaiting.ts
@@ -4,7 +4,7 @@
  * Answers these load patterns: a rare model that is asked for while others fill the runners (its requests wait when it
  * can be there in time, and else are told when it will be), and more requests than the runners have room for.
  */
-import type { ModelSpec, Runner, RunnerView } from 'figquay-fleet'
+import { findSource, measureLoadMs, type ModelSpec, type Runner, type RunnerView } from 'figquay-fleet'
 
 /** What becomes of a request that can't be sent now. */
 export type WaitingDecision =
@@ -35,10 +35,8 @@
  * estimateLoadMs(spec, runners)
  */
 export function estimateLoadMs (spec: ModelSpec, runners: readonly Runner[]): number {
-  const times = runners.filter((runner) => !runner.isLeaving).map(({ holdings }) => {
-    if (holdings?.inMemory.includes(spec.name) === true) return spec.memoryLoadMs
-    return holdings?.onDisk.includes(spec.name) === true ? spec.diskLoadMs : spec.storeLoadMs
-  })
+  const times = runners.filter((runner) => !runner.isLeaving && runner.holdings !== undefined)
+    .map(({ holdings }) => measureLoadMs(spec, findSource(spec, holdings!)))
   return Math.min(spec.storeLoadMs, ...times) + ORDER_OVERHEAD_MS
 }
 
