--- a/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
+++ b/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
@@ -4,7 +4,7 @@
 /** Routes of one host, the longest prefix first. */
 type RouteIndex = ReadonlyMap<string, readonly Route[]>
 
-function indexRoutes (routes: readonly Route[]): RouteIndex {
+function makeIndex (routes: readonly Route[]): RouteIndex {
   const index = new Map<string, Route[]>()
   for (const route of routes) {
     const ofHost = index.get(route.host)
@@ -50,7 +50,7 @@
   adoptConfiguration (configuration: FleetConfiguration): boolean {
     if (configuration.version <= this.version) return false
     this.configuration = configuration
-    this.index = indexRoutes(configuration.routes)
+    this.index = makeIndex(configuration.routes)
     for (const listener of [...this.listeners]) listener(configuration)
     return true
   }
--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -73,7 +73,7 @@
    * demand.addArrivals('manual', { requests: 3, promptTokens: 2_400 })
    */
   addArrivals (model: string, arrivals: Arrivals): void {
-    const { requests, promptTokens } = this.decayRate(model)
+    const { requests, promptTokens } = this.measureDecayed(model)
     this.rates.set(model, {
       requests: requests + arrivals.requests * MS_PER_SECOND / DECAY_MS,
       tokens: promptTokens + arrivals.promptTokens * MS_PER_SECOND / DECAY_MS,
@@ -83,13 +83,13 @@
 
   /** Requests and prompt tokens a second for a model; a daemon that has just started knows of a short time only. */
   measureRate (model: string): Arrivals {
-    const { requests, promptTokens } = this.decayRate(model)
+    const { requests, promptTokens } = this.measureDecayed(model)
     const observedMs = Math.max(SHORTEST_OBSERVATION_MS, this.clock.readMonotonicMs() - this.startedAtMs)
     const part = 1 - Math.exp(-observedMs / DECAY_MS)
     return { requests: requests / part, promptTokens: promptTokens / part }
   }
 
-  private decayRate (model: string): Arrivals {
+  private measureDecayed (model: string): Arrivals {
     const rate = this.rates.get(model)
     if (rate === undefined) return { requests: 0, promptTokens: 0 }
     const part = Math.exp((rate.atMs - this.clock.readMonotonicMs()) / DECAY_MS)
--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 import type { Arrivals, FleetDemand, Need } from './FigquayFleetDemand.js'
 import type { FleetLeadership, Holder } from './FigquayFleetLeadership.js'
-import type { FleetRunnerTable, RunnerLoad } from './FigquayFleetRunnerTable.js'
+import { HINT_EXPIRES_MS, type FleetRunnerTable, type RunnerLoad } from './FigquayFleetRunnerTable.js'
 
 /** One message of hints. */
 export interface FleetHints {
@@ -38,9 +38,6 @@
   readonly noteAdapterUse: (runner: string, key: string) => void
 }
 
-/** Hints of a peer that has said nothing more for this long are dropped, in milliseconds: several hint intervals. */
-const HINT_EXPIRES_MS = 1_500
-
 /** Makes and takes in hints. */
 export class HintExchange {
   private readonly peerModels = new Map<string, { readonly loads: ModelLoads, readonly receivedAtMs: number }>()
--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -96,7 +96,7 @@
   }
 
   /** Notes that a runner has seen a higher fencing number than this daemon's. */
-  stepDown (reason: string): void {
+  releaseOffice (reason: string): void {
     if (this.ownFence === undefined) return
     this.options.logger.warn('no longer holder of the runners', { fence: this.ownFence, reason })
     this.current = { daemon: '', fence: this.ownFence }
--- a/packages/figquay-fleet/src/FigquayFleetLoadBudget.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLoadBudget.ts
@@ -42,7 +42,7 @@
   }
 
   /** Assumes that a predecessor has used its whole window: only what is tolerated beyond the rate is left. */
-  assumeSpent (loadsPerSecond: number, nowMs: number): void {
+  noteSpent (loadsPerSecond: number, nowMs: number): void {
     this.begunAtMs = Array.from({ length: Math.max(0, countMost(loadsPerSecond) - TOLERATED_LOADS) }, () => nowMs)
   }
 }
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -5,7 +5,8 @@
  * quickest, in place of what is missed least); demand that moves to another model within seconds (further copies as
  * soon as requests pile up on the copies there are); a runner that is lost with the only copy of a model.
  */
-import { findSource, measureLoadMs, type ModelSpec } from './FigquayFleetTypes.js'
+import { findSource, measureLoadMs } from './FigquayFleetCopies.js'
+import type { ModelSpec } from './FigquayFleetTypes.js'
 
 /** A model on a runner, as the plan sees it. */
 export interface PlannedCopy {
@@ -157,7 +158,7 @@
   private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
     const options = this.view.runners
       .filter((runner) => Number.isFinite(runner.freeInMs) && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
-      .filter((runner) => this.mayFetch(model) || findSource(model.spec, runner) !== 'store')
+      .filter((runner) => this.canFetch(model) || findSource(model.spec, runner) !== 'store')
       .flatMap((runner) => this.weighOption(model, runner, reason, mostLoss))
     const best = options.sort((a, b) => a.cost - b.cost)[0]
     if (best === undefined || best.isLater || !this.isSooner(model, best)) return []
@@ -172,7 +173,7 @@
   }
 
   /** A load from the weight store takes long and keeps its runner from other orders. */
-  private mayFetch (model: PlannedModel): boolean {
+  private canFetch (model: PlannedModel): boolean {
     const serving = this.view.runners.filter((runner) => runner.isServing).length
     const isNeeded = model.waiting > 0 && this.countCopies(model) === 0
     return this.canLoadFromStore && (isNeeded || this.view.storeLoads < Math.max(1, serving * HELD_UP_PART))
--- a/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
@@ -82,11 +82,6 @@
     for (const account of this.accounts.values()) account.needsReading = true
   }
 
-  /** Reads a runner's state before the next order to it. */
-  requireReading (runnerId: string): void {
-    this.findAccount(runnerId).needsReading = true
-  }
-
   /**
    * Gives an order if the runner has room for it.
    *
@@ -125,7 +120,7 @@
     // A report lags: one from before the last accepted order says nothing new.
     if (account.bornMs === state.value.bornMs && state.value.sequence < account.sequence) return undefined
     Object.assign(account, { sequence: state.value.sequence, holdings: state.value.holdings, bornMs: state.value.bornMs })
-    this.shareHoldings(runnerId, state.value.bornMs, state.value.holdings)
+    this.publishHoldings(runnerId, state.value.bornMs, state.value.holdings)
     return state.value.holdings
   }
 
@@ -135,7 +130,7 @@
     return account
   }
 
-  private shareHoldings (runnerId: string, bornMs: number, holdings: Holdings): void {
+  private publishHoldings (runnerId: string, bornMs: number, holdings: Holdings): void {
     this.options.table.putHoldings(runnerId, bornMs, holdings)
     this.options.announceHoldings(runnerId, bornMs, holdings)
   }
@@ -155,7 +150,7 @@
     if (objection !== undefined) {
       // The plan rests on another picture of the runner than its own: the next one shall not.
       logger.debug('order not sent', { runner: runner.id, model: request.model, adapter: request.adapter, objection })
-      this.distrustAccount(account)
+      this.markOutdated(account)
       return 'failed'
     }
     const expectedSequence = account.sequence
@@ -163,7 +158,7 @@
     const reply = await client.sendOrder(runner, { action, model, adapter, expectedSequence, holder: self, fence })
     logger.info('order', { runner: runner.id, action, model, adapter, reason, sequence: expectedSequence, fence, outcome: reply.ok ? reply.value : `unknown: ${reply.error.message}` })
     if (!reply.ok) {
-      this.distrustAccount(account)
+      this.markOutdated(account)
       return 'failed'
     }
     return await this.takeReply(account, request, reply.value, account.holdings)
@@ -178,18 +173,18 @@
       return 'done'
     }
     if (reply === 'already-holds') await this.readRunner(request.runner)
-    if (reply === 'stale-fence') this.options.leadership.stepDown(`runner ${request.runner} has seen a higher fencing number`)
+    if (reply === 'stale-fence') this.options.leadership.releaseOffice(`runner ${request.runner} has seen a higher fencing number`)
     if (reply === 'other-runner') this.options.table.restRunner(request.runner)
-    this.distrustAccount(account)
+    this.markOutdated(account)
     return 'failed'
   }
 
   private noteHoldings (account: RunnerAccount, runnerId: string, holdings: Holdings): void {
     account.holdings = holdings
-    this.shareHoldings(runnerId, account.bornMs, holdings)
+    this.publishHoldings(runnerId, account.bornMs, holdings)
   }
 
-  private distrustAccount (account: RunnerAccount): void {
+  private markOutdated (account: RunnerAccount): void {
     account.needsReading = true
     account.notBeforeMs = this.options.clock.readMonotonicMs() + RETRY_PAUSE_MS
   }
@@ -205,7 +200,7 @@
     }
     if (action === 'unload') {
       // Requests still use it: it keeps its place until a report no longer names it.
-      this.distrustAccount(account)
+      this.markOutdated(account)
       return 'accepted'
     }
     await this.options.clock.waitFor(ADAPTER_ARRIVAL_MS)
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -9,7 +9,8 @@
 import { planModels, type ModelMove, type ModelPlanView, type PlannedModel, type PlannedRunner } from './FigquayFleetModelPlan.js'
 import { measureHeldMb } from './FigquayFleetOrderCheck.js'
 import type { OrderBook } from './FigquayFleetOrderBook.js'
-import { findSource, makeAdapterKey, measureLoadMs, type CopySource, type EnginePool, type ModelSpec, type Service } from './FigquayFleetTypes.js'
+import { findSource, measureLoadMs, type CopySource } from './FigquayFleetCopies.js'
+import { makeAdapterKey, type EnginePool, type ModelSpec, type Service } from './FigquayFleetTypes.js'
 
 /** What placement needs. */
 export interface FleetPlacementOptions {
@@ -88,14 +89,13 @@
     }
   }
 
+  /** What the predecessor ordered isn't known: runners are read anew, and its loads are taken as begun. */
   private takeOver (fence: number): void {
-    const isFirst = fence === 1
     this.plannedFence = fence
     this.promises.clear()
     this.options.orders.clear()
-    if (isFirst) return
     for (const service of this.options.configurations.current?.services.values() ?? []) {
-      if (service.engine !== undefined) this.budget.assumeSpent(service.engine.loadsPerSecond, this.options.clock.readMonotonicMs())
+      if (service.engine !== undefined) this.budget.noteSpent(service.engine.loadsPerSecond, this.options.clock.readMonotonicMs())
     }
   }
 
@@ -223,7 +223,7 @@
     const key = makeAdapterKey(model, adapter)
     if (this.openAdapters.has(key)) return false
     const holders = views.filter(({ runner }) => !runner.isLeaving && runner.holdings?.models.some((held) => held.name === model))
-    if (holders.length === 0 || holders.some(({ runner }) => holdsAdapter(runner.holdings!.models, model, adapter))) return false
+    if (holders.length === 0 || holders.some(({ runner }) => hasAdapter(runner.holdings!.models, model, adapter))) return false
     const move = planAdapter(holders.map((view) => this.makeAdapterHolder(view)), pool.adapterSlots)
     if (move === undefined || (move.evicted !== undefined && !mayEvict)) return false
     this.openAdapters.add(key)
@@ -260,8 +260,8 @@
  * Whether an adapter is on a runner.
  *
  * @example
- * holdsAdapter(holdings.models, 'manual', 'a3')
+ * hasAdapter(holdings.models, 'manual', 'a3')
  */
-export function holdsAdapter (models: ReadonlyArray<{ readonly name: string, readonly adapters: readonly string[] }>, model: string, adapter: string): boolean {
+export function hasAdapter (models: ReadonlyArray<{ readonly name: string, readonly adapters: readonly string[] }>, model: string, adapter: string): boolean {
   return models.some((held) => held.name === model && held.adapters.includes(adapter))
 }
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -54,7 +54,7 @@
 /** Longest time without any byte from a runner that has work, in milliseconds, before it counts as silent. */
 const SILENCE_MS = 1_500
 /** Hints of a peer that has said nothing more for this long are dropped, in milliseconds: several hint intervals. */
-const HINT_EXPIRES_MS = 1_500
+export const HINT_EXPIRES_MS = 1_500
 /** Announcements may be this much older than what the holder has read, in milliseconds: a heartbeat and a read of the list. */
 const HEARTBEAT_LAG_MS = 2_200
 /** Time after which prompt tokens that were sent count for about a third, in milliseconds: some prompts' processing. */
--- a/packages/figquay-fleet/src/__tests__/unit/LoadBudget.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/LoadBudget.test.ts
@@ -20,7 +20,7 @@
         nowMs += pause
         if (index === changeAt) {
           budget = LoadBudget.create()
-          budget.assumeSpent(rate, nowMs)
+          budget.noteSpent(rate, nowMs)
         }
         while (budget.canLoad(rate, nowMs)) {
           budget.noteLoad(nowMs)
@@ -33,7 +33,7 @@
 
   it('lets a successor load at once what waits most', () => {
     const budget = LoadBudget.create()
-    budget.assumeSpent(1.1, 0)
+    budget.noteSpent(1.1, 0)
     expect(budget.canLoad(1.1, 0)).toEqual(true)
   })
 })
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -1,4 +1,5 @@
-export { type CallerLimits, type EnginePool, type FleetConfiguration, findSource, type CopySource, type HeldModel, type Holdings, makeAdapterKey, measureLoadMs, type ModelSpec, type PromptPart, type RepeatClass, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
+export { findSource, measureLoadMs, type CopySource } from './FigquayFleetCopies.js'
+export { type CallerLimits, type EnginePool, type FleetConfiguration, type HeldModel, type Holdings, makeAdapterKey, type ModelSpec, type PromptPart, type RepeatClass, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
 export { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 export { FleetRunnerTable, type OpenRequest, type RunnerLoad, type RunnerView } from './FigquayFleetRunnerTable.js'
 export { chooseRunner, findHome, PREFILL_TOKENS_PER_MS, type CachedTokens, type ChoiceRequest } from './FigquayFleetRunnerChoice.js'
@@ -11,5 +12,5 @@
 export { FleetLeadership, HOLDER_KEY, type Holder, type LeadershipOptions } from './FigquayFleetLeadership.js'
 export { checkOrder, countAdapters, measureHeldMb, type CheckedOrder } from './FigquayFleetOrderCheck.js'
 export { OrderBook, type OrderBookOptions, type OrderRequest, type OrderResult } from './FigquayFleetOrderBook.js'
-export { FleetPlacement, holdsAdapter, type FleetPlacementOptions } from './FigquayFleetPlacement.js'
+export { FleetPlacement, hasAdapter, type FleetPlacementOptions } from './FigquayFleetPlacement.js'
 export { HintExchange, type FleetHints, type HintExchangeOptions } from './FigquayFleetHints.js'
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -97,7 +97,7 @@
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, countOpen: (runner, model) => this.hints.countOpen(runner, model) })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, announceNeeds: () => this.announceNeeds() })
     this.hints = HintExchange.create({ self: address, clock, table, demand, leadership, configurations, listNeeds: () => this.dispatcher.listNeeds(), noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key) })
-    this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), askPeer: (version, position, peer) => this.askPeer(version, position, peer), isReader: () => isReader(address, this.mesh.connectedPeers) })
+    this.follower = StoreFollower.create({ clock, logger, store, configurations, table, leadership, setDaemons: (daemons) => this.setDaemons(daemons), requestSnapshot: (version, position, peer) => this.requestSnapshot(version, position, peer), isReader: () => isReader(address, this.mesh.connectedPeers) })
     this.router = ServingRouter.create({
       clock,
       configurations,
@@ -183,7 +183,7 @@
     this.mesh.setDaemons([...zones].map(([id, peerZone]) => ({ id, zone: peerZone, address: id })), this.tasks)
   }
 
-  private async askPeer (version: number, position: number, wanted: string | undefined): Promise<FleetSnapshot | undefined> {
+  private async requestSnapshot (version: number, position: number, wanted: string | undefined): Promise<FleetSnapshot | undefined> {
     const peers = this.mesh.connectedPeers
     const peer = wanted ?? peers[Math.floor(Math.random() * peers.length)]
     if (peer === undefined) return undefined
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -1,6 +1,6 @@
 /** Finds a runner for a request, and lets it wait while one is being made ready. */
 import { Refusal, type Clock } from 'figquay'
-import { chooseRunner, holdsAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerView } from 'figquay-fleet'
+import { chooseRunner, hasAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerView } from 'figquay-fleet'
 import { decideMissingModel, estimateLoadMs, hasRoom } from './FigquayServingWaiting.js'
 import type { ServedRequest } from './FigquayServingTypes.js'
 
@@ -37,7 +37,7 @@
   private readonly waiters = new Set<Waiter>()
 
   private constructor (private readonly options: ServingDispatcherOptions) {
-    options.table.registerListener(() => this.wakeWaiters())
+    options.table.registerListener(() => this.notifyWaiters())
   }
 
   /**
@@ -92,7 +92,7 @@
 
   private listHolders (service: string, model: string, adapter: string | undefined): RunnerView[] {
     return this.options.table.listCandidates(service).filter(({ runner: { holdings } }) =>
-      adapter === undefined ? holdings?.models.some((held) => held.name === model) === true : holdings !== undefined && holdsAdapter(holdings.models, model, adapter))
+      adapter === undefined ? holdings?.models.some((held) => held.name === model) === true : holdings !== undefined && hasAdapter(holdings.models, model, adapter))
   }
 
   private refuseFull (): Refusal {
@@ -138,7 +138,7 @@
     signal.removeEventListener('abort', stop)
   }
 
-  private wakeWaiters (): void {
+  private notifyWaiters (): void {
     for (const waiter of [...this.waiters]) waiter.wake()
   }
 }
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -98,11 +98,11 @@
     const { request, sink } = progress
     if (refusal === undefined) return 'answered'
     if (hasCallerLeft) {
-      this.options.traces.logDecision('caller left', request, { hasStarted: progress.hasStarted, lastEventId: progress.lastEventId, tried: [...progress.tried] })
+      this.options.traces.recordDecision('caller left', request, { hasStarted: progress.hasStarted, lastEventId: progress.lastEventId, tried: [...progress.tried] })
       sink.abandonAnswer()
       return 'caller-left'
     }
-    this.options.traces.logDecision('refused', request, { code: refusal.code, reason: refusal.message, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, tried: [...progress.tried] })
+    this.options.traces.recordDecision('refused', request, { code: refusal.code, reason: refusal.message, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, tried: [...progress.tried] })
     if (progress.hasStarted) {
       sink.abandonAnswer()
       return 'broken'
@@ -156,7 +156,7 @@
     const release = table.registerOpen(runner.id, open)
     memory.noteParts(runner.id, weights, request.parts)
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
-    const limit = Deadline.create(this.limitSilence(progress), progress.signal)
+    const limit = Deadline.create(this.chooseSilenceLimit(progress), progress.signal)
     // From here on bytes may have left, until the runner or the connection says otherwise.
     progress.maySent = true
     try {
@@ -171,10 +171,10 @@
   }
 
   /** How long the first byte of an attempt may take: a call that may run twice isn't left with a silent runner. */
-  private limitSilence ({ request, runs }: Progress): number {
+  private chooseSilenceLimit ({ request, runs }: Progress): number {
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
-    const mayRepeat = request.route.repeat === 'idempotent' && !request.route.isStream && runs + 1 < request.route.maxAttempts
-    return mayRepeat ? Math.min(remainingMs, Math.max(SHORTEST_SILENCE_MS, request.route.objectiveMs * SILENT_OBJECTIVES)) : remainingMs
+    const canRepeat = request.route.repeat === 'idempotent' && !request.route.isStream && runs + 1 < request.route.maxAttempts
+    return canRepeat ? Math.min(remainingMs, Math.max(SHORTEST_SILENCE_MS, request.route.objectiveMs * SILENT_OBJECTIVES)) : remainingMs
   }
 
   private async runExchange (progress: Progress, runner: Runner, limit: Deadline, open: OpenRequest): Promise<AttemptResult> {
@@ -201,7 +201,7 @@
     if (event.type === 'head') {
       // What follows a stream's first events must be more events, never another runner's error.
       const isUnfit = progress.hasStarted && event.status !== OK
-      if (isUnfit || (event.status >= SERVER_ERROR && this.mayRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
+      if (isUnfit || (event.status >= SERVER_ERROR && this.canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
       if (!progress.hasStarted) progress.sink.startAnswer(event.status, event.head)
       progress.hasStarted = true
       return undefined
@@ -218,7 +218,7 @@
     const nowMs = this.options.clock.readMonotonicMs()
     this.options.traces.noteFirstByte(request)
     if (nowMs - request.arrivedAtMs <= request.route.objectiveMs) return
-    this.options.traces.logDecision('late first byte', request, { waitedMs: Math.round(sentAtMs - request.arrivedAtMs), atRunnerMs: Math.round(nowMs - sentAtMs), tried: [...tried] })
+    this.options.traces.recordDecision('late first byte', request, { waitedMs: Math.round(sentAtMs - request.arrivedAtMs), atRunnerMs: Math.round(nowMs - sentAtMs), tried: [...tried] })
   }
 
   private noteAttempt (progress: Progress, runner: Runner, result: AttemptResult): void {
@@ -231,10 +231,10 @@
   }
 
   /** Whether a request that may have run `more` times beyond the counted ones may run once more. */
-  private mayRunAgain ({ request, runs, hasStarted }: Progress, more: number): boolean {
+  private canRunAgain ({ request, runs, hasStarted }: Progress, more: number): boolean {
     const { route } = request
-    const mayRepeat = route.isStream ? route.isResumable : route.repeat === 'idempotent' && !hasStarted
-    return mayRepeat && runs + more < route.maxAttempts
+    const canRepeat = route.isStream ? route.isResumable : route.repeat === 'idempotent' && !hasStarted
+    return canRepeat && runs + more < route.maxAttempts
   }
 
   /** Undefined when another attempt may be made; else the final answer. */
@@ -243,10 +243,10 @@
     const reason = result.type === 'failed' ? result.failure.reason : 'runner-error'
     const message = result.type === 'failed' ? result.failure.message : 'the runner failed'
     const execution = result.type === 'failed' ? result.failure.execution : 'unknown'
-    this.options.traces.logDecision('attempt failed', request, { runner: runner.id, reason, execution, detail: message })
+    this.options.traces.recordDecision('attempt failed', request, { runner: runner.id, reason, execution, detail: message })
     this.noteFailure(progress, runner, reason)
     if (execution === 'not-run') return await this.planAfterDecline(progress, reason)
-    const mayRun = this.mayRunAgain(progress, 1)
+    const mayRun = this.canRunAgain(progress, 1)
     progress.runs += 1
     if (mayRun && this.options.findBudget(request.service).spendRetry()) return undefined
     return Refusal.create('upstream_failed', `${reason}: ${message}`, { execution: 'unknown' })
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -30,7 +30,7 @@
   /** Whether this daemon reads the list of runners for its peers. */
   readonly isReader: () => boolean
   /** Asks a peer for what is newer than this daemon's picture; undefined when none answers. */
-  readonly askPeer: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
+  readonly requestSnapshot: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
 }
 
 /** Longest that a read of rarely changing records is kept waiting, in milliseconds. */
@@ -107,7 +107,7 @@
     const { configurations, table } = this.options
     const current = configurations.current
     return {
-      configuration: current === undefined || current.version <= configurationVersion ? undefined : serializeConfiguration(current),
+      configuration: current === undefined || current.version <= configurationVersion ? undefined : formatConfiguration(current),
       runners: table.listAnnouncements(position),
       removals: table.listRemovals(position),
       position: table.position,
@@ -176,7 +176,7 @@
       } else if (!signal.aborted) {
         this.noteFailure('runners', reading)
         this.noteHeard(false)
-        await this.askPeers()
+        await this.fetchFromPeer()
       }
       const spentMs = this.options.clock.readMonotonicMs() - startedAtMs
       const intervalMs = isReader || !reading.ok ? RUNNERS_INTERVAL_MS : OWN_LOOK_MS
@@ -225,12 +225,12 @@
     }
     if (nowMs - this.behindSinceMs < patienceMs) return
     this.behindSinceMs = undefined
-    this.askPeers(peer).catch((error: unknown) => this.options.logger.error('peer could not be asked', { peer, error: describeError(error) }))
+    this.fetchFromPeer(peer).catch((error: unknown) => this.options.logger.error('peer could not be asked', { peer, error: describeError(error) }))
   }
 
-  private async askPeers (peer?: string): Promise<void> {
+  private async fetchFromPeer (peer?: string): Promise<void> {
     const { configurations, table, logger } = this.options
-    const snapshot = await this.options.askPeer(configurations.version, table.position, peer)
+    const snapshot = await this.options.requestSnapshot(configurations.version, table.position, peer)
     if (snapshot === undefined) return
     this.takeSnapshot(snapshot)
     logger.debug('asked a peer', { version: configurations.version, position: table.position })
@@ -262,7 +262,7 @@
   }
 }
 
-function serializeConfiguration (configuration: FleetConfiguration): FleetSnapshot['configuration'] {
+function formatConfiguration (configuration: FleetConfiguration): FleetSnapshot['configuration'] {
   const services = [...configuration.services].map(([name, service]): readonly [string, SerialService] => [name, {
     ...service, engine: service.engine === undefined ? undefined : { ...service.engine, models: [...service.engine.models] }
   }])
--- a/packages/figquay-serving/src/FigquayServingTraces.ts
+++ b/packages/figquay-serving/src/FigquayServingTraces.ts
@@ -53,9 +53,9 @@
    * Logs a decision about a request.
    *
    * @example
-   * traces.logDecision('retry', request, { runner, reason: 'reset' })
+   * traces.recordDecision('retry', request, { runner, reason: 'reset' })
    */
-  logDecision (decision: string, request: ServedRequest, fields: LogFields): void {
+  recordDecision (decision: string, request: ServedRequest, fields: LogFields): void {
     const nowMs = this.clock.readMonotonicMs()
     if (nowMs - this.windowStartMs >= MS_PER_SECOND) {
       this.windowStartMs = nowMs
