Test the state that only goes forward, and what peers give a daemon that is cut off from the store

No change to what is built. Cause: leadership, the table of runners, demand and the follower of the store had tests through the router and the order book only.

--- /dev/null
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -0,0 +1,198 @@
+/** State that only goes forward: configuration, office, runners, demand. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { JsonLogger, makeFailure, makeSuccess, type Clock } from 'figquay'
+import { ConfigurationHolder, FleetDemand, FleetLeadership, FleetRunnerTable, type FleetConfiguration, type FleetStore, type Holdings, type Route, type Runner } from '../../index.js'
+
+/** A clock that stands until it is moved. */
+class ManualClock implements Clock {
+  nowMs = 0
+  now (): Date {
+    return new Date(this.nowMs)
+  }
+
+  readMonotonicMs (): number {
+    return this.nowMs
+  }
+
+  async waitFor (ms: number): Promise<void> {
+    this.nowMs += ms
+  }
+}
+
+function makeRoute (name: string, pathPrefix: string): Route {
+  return { name, host: 'h', pathPrefix, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1, objectiveMs: 1, patienceMs: 1, priority: 0, targets: [], maxAttempts: 1 }
+}
+
+function makeConfiguration (version: number, routes: readonly Route[]): FleetConfiguration {
+  return { version, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+}
+
+const HOLDINGS: Holdings = { models: [{ name: 'm', adapters: [] }], coming: [], isBusy: false, inMemory: [], onDisk: [] }
+
+function makeRunner (changes: Partial<Runner> = {}): Runner {
+  return { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 4, isLeaving: false, bornMs: 1, holdings: HOLDINGS, ...changes }
+}
+
+describe('configuration', () => {
+  it('never goes back, whoever sends it', () => {
+    const holder = ConfigurationHolder.create()
+    expect([7, 5, 7, 9].map((version) => holder.adoptConfiguration(makeConfiguration(version, [])))).toEqual([true, false, false, true])
+    expect(holder.version).toEqual(9)
+  })
+
+  it('finds the longest prefix of the host', () => {
+    const holder = ConfigurationHolder.create()
+    holder.adoptConfiguration(makeConfiguration(1, [makeRoute('short', '/a/'), makeRoute('long', '/a/b/')]))
+    expect([holder.findRoute('h', '/a/b/c')?.name, holder.findRoute('h', '/a/c')?.name, holder.findRoute('h', '/a'), holder.findRoute('i', '/a/c')]).toEqual(['long', 'short', undefined, undefined])
+  })
+})
+
+describe('office of the holder', () => {
+  function makeLeadership (clock: Clock, options: { readonly connected?: readonly string[], readonly result?: 'written' | 'overtaken' | 'down' } = {}): { readonly leadership: FleetLeadership, readonly writes: Array<number | undefined> } {
+    const writes: Array<number | undefined> = []
+    const store = {
+      writeShared: async (_key: string, _value: string, end: number | undefined) => {
+        writes.push(end)
+        if (options.result === 'down') return makeFailure({ sent: 'maybe', reason: 'timeout', message: 'down' })
+        return makeSuccess(options.result === 'overtaken' ? { type: 'overtaken' } : { type: 'written', position: end ?? 0 })
+      }
+    } as unknown as FleetStore
+    const leadership = FleetLeadership.create({ self: 'b', bootId: 'boot-2', store, clock, logger: JsonLogger.create('test', 'silent'), listConnected: () => options.connected ?? [] })
+    return { leadership, writes }
+  }
+
+  it('is vacant when an earlier process at this address held it', async () => {
+    const clock = new ManualClock()
+    const { leadership, writes } = makeLeadership(clock)
+    leadership.noteRecord(JSON.stringify({ daemon: 'b', boot: 'boot-1' }), 8)
+    expect(leadership.ownFence).toEqual(undefined)
+    leadership.noteEnd(9)
+    clock.nowMs = 5_000
+    await leadership.refresh()
+    expect([leadership.ownFence, writes]).toEqual([10, [9]])
+  })
+
+  it('is left alone while its holder is heard, and taken some time after', async () => {
+    const clock = new ManualClock()
+    const connected = ['a']
+    const { leadership, writes } = makeLeadership(clock, { connected })
+    leadership.noteRecord(JSON.stringify({ daemon: 'a', boot: 'x' }), 3)
+    clock.nowMs = 60_000
+    await leadership.refresh()
+    connected.pop()
+    clock.nowMs += 100
+    await leadership.refresh()
+    expect(writes.length).toEqual(0)
+    clock.nowMs += 1_000
+    await leadership.refresh()
+    expect(writes.length).toEqual(1)
+  })
+
+  it('is not taken by who is overtaken, or gets no answer', async () => {
+    for (const result of ['overtaken', 'down'] as const) {
+      const clock = new ManualClock()
+      const { leadership } = makeLeadership(clock, { result })
+      clock.nowMs = 5_000
+      await leadership.refresh()
+      expect(leadership.ownFence).toEqual(undefined)
+    }
+  })
+
+  it('only goes to higher fences, and not to oneself by rumour', () => {
+    const { leadership } = makeLeadership(new ManualClock())
+    leadership.noteHolder({ daemon: 'a', fence: 5 })
+    leadership.noteHolder({ daemon: 'c', fence: 4 })
+    leadership.noteRumour({ daemon: 'b', fence: 9 })
+    expect(leadership.holder).toEqual({ daemon: 'a', fence: 5 })
+  })
+})
+
+describe('table of runners', () => {
+  it('keeps the latest announcement, whatever the order in which they come', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    table.putRunner(makeRunner({ isLeaving: true }), 8)
+    table.putRunner(makeRunner(), 5)
+    expect(table.findRunner('r')?.isLeaving).toEqual(true)
+    table.removeRunner('r', 9)
+    table.putRunner(makeRunner(), 7)
+    expect(table.findRunner('r')).toEqual(undefined)
+  })
+
+  it('forgets what a complete list does not name, but not what came after it', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    table.putRunner(makeRunner(), 4)
+    table.putRunner(makeRunner({ id: 'late' }), 12)
+    table.keepOnly(new Set(), 10)
+    expect([table.findRunner('r'), table.findRunner('late')?.id]).toEqual([undefined, 'late'])
+  })
+
+  it('gives a runner that leaves no new work', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    table.putRunner(makeRunner({ isLeaving: true }), 1)
+    expect(table.listCandidates('s')).toEqual([])
+  })
+
+  it('trusts what the holder has read over an announcement that lags', () => {
+    const clock = new ManualClock()
+    const table = FleetRunnerTable.create(clock)
+    table.putRunner(makeRunner(), 1)
+    table.putHoldings('r', 1, { ...HOLDINGS, models: [] })
+    table.putRunner(makeRunner(), 2)
+    expect(table.findRunner('r')?.holdings?.models).toEqual([])
+    clock.nowMs = 10_000
+    table.putRunner(makeRunner(), 3)
+    expect(table.findRunner('r')?.holdings?.models.length).toEqual(1)
+  })
+
+  it('does not trust a runner from which nothing comes while a request waits', () => {
+    const clock = new ManualClock()
+    const table = FleetRunnerTable.create(clock)
+    table.putRunner(makeRunner(), 1)
+    const release = table.registerOpen('r', { requestId: 'a', fingerprint: 'f', model: 'm', pendingTokens: 10, sentAtMs: 0, hasAnswered: false })
+    clock.nowMs = 2_000
+    expect(table.listCandidates('s')[0]?.isTrusted).toEqual(false)
+    table.noteHeard('r')
+    expect(table.listCandidates('s')[0]?.isTrusted).toEqual(true)
+    release()
+    expect(table.listCandidates('s')[0]?.load.requests).toEqual(0)
+  })
+
+  it('counts what peers have said, until they have been silent for too long', () => {
+    const clock = new ManualClock()
+    const table = FleetRunnerTable.create(clock)
+    table.putRunner(makeRunner(), 1)
+    table.putPeerLoads('peer', new Map([['r', { requests: 3, pendingTokens: 900, recentTokens: 0 }]]))
+    expect(table.listCandidates('s')[0]?.load.requests).toEqual(3)
+    clock.nowMs = 10_000
+    expect(table.listCandidates('s')[0]?.load.requests).toEqual(0)
+  })
+})
+
+describe('demand', () => {
+  it('is told rightly soon after a start, and fades within seconds', () => {
+    const clock = new ManualClock()
+    const demand = FleetDemand.create(clock)
+    for (let second = 0; second < 2; second += 1) {
+      for (let request = 0; request < 10; request += 1) demand.noteArrival('m', 100)
+      clock.nowMs += 1_000
+    }
+    const { requests } = demand.measureRate('m')
+    expect(requests > 7 && requests < 13).toEqual(true)
+    clock.nowMs += 20_000
+    expect(demand.measureRate('m').requests < 0.2).toEqual(true)
+  })
+
+  it('sums what daemons wait for, and forgets a daemon that says no more', () => {
+    const clock = new ManualClock()
+    const demand = FleetDemand.create(clock)
+    const need = { service: 's', model: 'm', adapter: undefined, waiting: 2 }
+    demand.putNeeds('a', [need])
+    demand.putNeeds('b', [need])
+    expect(demand.listNeeds().map(({ waiting }) => waiting)).toEqual([4])
+    demand.putNeeds('a', [])
+    expect(demand.listNeeds().map(({ waiting }) => waiting)).toEqual([2])
+    clock.nowMs = 5_000
+    expect(demand.listNeeds()).toEqual([])
+  })
+})
--- /dev/null
+++ b/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
@@ -0,0 +1,70 @@
+/** What a daemon knows when the store can't be read: what its peers do. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure } from 'figquay'
+import { ConfigurationHolder, FleetLeadership, FleetRunnerTable, type FleetConfiguration, type FleetStore, type Runner } from 'figquay-fleet'
+import { StoreFollower, type FleetSnapshot } from '../../index.js'
+
+const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
+const CONFIGURATION: FleetConfiguration = {
+  version: 7,
+  routes: [],
+  services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 1, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map() } }]]),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+}
+const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
+
+/** A store that answers nothing, or the same thing always. */
+function makeStore (isUp: boolean): FleetStore {
+  const reply = async <T>(value: T) => {
+    await SystemClock.create().waitFor(20)
+    return isUp ? makeSuccess(value) : makeFailure(FAILURE)
+  }
+  return {
+    readConfiguration: () => reply({ configuration: CONFIGURATION, position: 1 }),
+    readRunners: () => reply({ changes: [{ type: 'announced', runner: RUNNER, position: 4 }], isComplete: true, position: 4 }),
+    readShared: () => reply({ records: [{ key: 'daemon/10.0.0.2:80', value: 'z', position: 0 }], end: 1 }),
+    writeShared: () => reply({ type: 'written', position: 0 })
+  } as unknown as FleetStore
+}
+
+function makeFollower (isUp: boolean, askPeer: () => Promise<FleetSnapshot | undefined>) {
+  const clock = SystemClock.create()
+  const logger = JsonLogger.create('test', 'silent')
+  const store = makeStore(isUp)
+  const configurations = ConfigurationHolder.create()
+  const table = FleetRunnerTable.create(clock)
+  const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [] })
+  const seen: string[] = []
+  const follower = StoreFollower.create({
+    clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, isReader: () => true, setDaemons: (daemons) => seen.push(...daemons.keys())
+  })
+  return { follower, configurations, table, seen, tasks: TaskGroup.create(clock, logger) }
+}
+
+describe('follower of the store', () => {
+  it('knows configuration, runners and daemons from the store, and gives them to peers whole', async () => {
+    const reader = makeFollower(true, async () => undefined)
+    reader.follower.startTasks(reader.tasks)
+    await SystemClock.create().waitFor(150)
+    await reader.tasks.stop()
+    expect([reader.follower.isInformed, reader.configurations.version, reader.seen.includes('10.0.0.2:80')]).toEqual([true, 7, true])
+    const wire = JSON.parse(JSON.stringify(reader.follower.makeSnapshot(-1, -1))) as FleetSnapshot
+    const other = makeFollower(false, async () => wire)
+    other.follower.takeSnapshot(wire)
+    expect([other.configurations.findService('s')?.engine?.models.size, other.table.findRunner('r')?.isLeaving]).toEqual([0, true])
+    expect(reader.follower.makeSnapshot(7, 4).configuration).toEqual(undefined)
+    expect(reader.follower.makeSnapshot(7, 4).runners).toEqual([])
+  })
+
+  it('asks a peer while the store answers nothing, and is informed by it', async () => {
+    const reader = makeFollower(true, async () => undefined)
+    reader.configurations.adoptConfiguration(CONFIGURATION)
+    reader.table.putRunner(RUNNER, 4)
+    const cutOff = makeFollower(false, async () => JSON.parse(JSON.stringify(reader.follower.makeSnapshot(-1, -1))) as FleetSnapshot)
+    cutOff.follower.startTasks(cutOff.tasks)
+    await SystemClock.create().waitFor(200)
+    await cutOff.tasks.stop()
+    expect([cutOff.follower.isInformed, cutOff.follower.isConnected, cutOff.configurations.version]).toEqual([true, false, 7])
+  })
+})
