--- a/packages/figquay-gateway/src/FigquayGatewayExchange.ts
+++ b/packages/figquay-gateway/src/FigquayGatewayExchange.ts
@@ -4,6 +4,8 @@
 
 /** Largest body that a caller may send. */
 export const LARGEST_BODY_BYTES = 4 * 2 ** 20
+/** Bodies up to this size are read to their end even when they are refused. */
+const LARGEST_DISCARDED_BYTES = 64 * 2 ** 20
 /** A body must arrive within this time, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9._-]{1,100}$/
@@ -62,6 +64,16 @@
     }
   }
 
+  /**
+   * A caller that is still sending reads its answer only if its connection isn't closed under it: what is left of
+   * the body is read and dropped. Of a body far too large, or without a length, nothing more is read.
+   */
+  private discardBody (): void {
+    const length = Number(this.request.headers['content-length'] ?? Number.POSITIVE_INFINITY)
+    if (length <= LARGEST_DISCARDED_BYTES && !this.request.destroyed) this.request.resume()
+    else this.response.setHeader('connection', 'close')
+  }
+
   /** Writes a whole JSON answer. */
   writeJson (status: number, body: unknown, execution?: Execution): void {
     if (this.response.headersSent || this.response.destroyed) return
@@ -77,8 +89,7 @@
       return
     }
     if (refusal.retryAfterMs !== undefined) this.response.setHeader('retry-after', String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000))))
-    // What is left of the body is not read: the connection cannot be used again.
-    if (!this.request.complete) this.response.setHeader('connection', 'close')
+    if (!this.request.complete) this.discardBody()
     this.writeJson(refusal.status, formatRefusal(refusal), refusal.execution)
   }
 }
