Give every open request a final answer before a stopping daemon exits

Ruled out: a connection closed between requests (the requests were read whole, 0.2 to 1.5 s after SIGTERM), and a runner's silence (no runner had them at the end).

Change: a stopping daemon lets nothing wait for a model that will be ready only after its end, and refuses it at once, to be asked for elsewhere. What is still open at the end gets "not run", or "unknown" if it was sent. While there: a request whose time is up while it waits is refused as such and not as a bad request.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -149,9 +149,16 @@
     this.tasks.startLoop('placement', PLAN_INTERVAL_MS, async () => this.placement.runPlans())
   }
 
-  /** Says from now on that callers should go elsewhere; what is under way goes on. */
-  beginStop (): void {
+  /**
+   * Says from now on that callers should go elsewhere; what is under way goes on.
+   *
+   * @param lastMs Time by which requests must have ended, on the monotonic clock.
+   * @example
+   * daemon.beginStop(clock.readMonotonicMs() + 7_000)
+   */
+  beginStop (lastMs: number): void {
     this.stopping = true
+    this.dispatcher.setLastWait(lastMs)
   }
 
   /** Ends tasks and connections. */
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -35,6 +35,7 @@
 /** Runners for requests. */
 export class ServingDispatcher {
   private readonly waiters = new Set<Waiter>()
+  private lastWaitMs = Number.POSITIVE_INFINITY
 
   private constructor (private readonly options: ServingDispatcherOptions) {
     options.table.registerListener(() => this.notifyWaiters())
@@ -48,6 +49,17 @@
     return new ServingDispatcher(options)
   }
 
+  /**
+   * Lets no request wait for what can't be there by a time: the daemon stops then, and another may still serve it.
+   *
+   * @example
+   * dispatcher.setLastWait(clock.readMonotonicMs() + 7_000)
+   */
+  setLastWait (atMs: number): void {
+    this.lastWaitMs = atMs
+    this.notifyWaiters()
+  }
+
   /** What this daemon's requests wait for. */
   listNeeds (): Need[] {
     const needs = new Map<string, Need>()
@@ -111,6 +123,7 @@
     }
     const hasModel = runners.some(({ holdings }) => holdings?.models.some((held) => held.name === spec.name) === true)
     const readyInMs = hasModel ? ADAPTER_READY_MS : estimateLoadMs(spec, runners)
+    if (this.lastWaitMs - nowMs < readyInMs) return Refusal.create('draining', 'the daemon stops before the model is ready', { retryAfterMs: 0 })
     const decision = decideMissingModel(remainingMs, readyInMs)
     if (decision.type === 'wait') return undefined
     // The load is still wanted: the caller is told to come back for it.
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -62,6 +62,8 @@
 /** Routes requests. */
 export class ServingRouter {
   private readonly checks = new Map<string, Promise<void>>()
+  private readonly openDeadlines = new Set<Deadline>()
+  private isEnding = false
 
   private constructor (private readonly options: ServingRouterOptions) {}
 
@@ -84,16 +86,29 @@
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
     const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined }
+    this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
       const result = this.finishRequest(progress, refusal, signal.aborted)
       this.options.traces.noteResult(request, result)
       return result
     } finally {
+      this.openDeadlines.delete(deadline)
       deadline.dispose()
     }
   }
 
+  /**
+   * Gives every request that is still open its final answer, as the daemon is about to exit.
+   *
+   * @example
+   * router.abandonRequests()
+   */
+  abandonRequests (): void {
+    this.isEnding = true
+    for (const deadline of this.openDeadlines) deadline.abandon()
+  }
+
   private finishRequest (progress: Progress, refusal: Refusal | undefined, hasCallerLeft: boolean): ServedResult {
     const { request, sink } = progress
     if (refusal === undefined) return 'answered'
@@ -119,6 +134,7 @@
         return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
       }
       const choice = await this.options.dispatcher.findRunner(request, progress.tried, signal)
+      if (signal.aborted) break
       if (choice instanceof Refusal) return this.restateRefusal(progress, choice)
       const result = await this.runAttempt(progress, choice)
       if (result.type === 'done') return undefined
@@ -130,7 +146,8 @@
   }
 
   private makeTimeout (progress: Progress): Refusal {
-    if (progress.maySent) return Refusal.create('outcome_unknown', 'no answer in time', { execution: 'unknown' })
+    if (progress.maySent) return Refusal.create('outcome_unknown', this.isEnding ? 'the daemon stops' : 'no answer in time', { execution: 'unknown' })
+    if (this.isEnding) return Refusal.create('draining', 'the daemon stops', { retryAfterMs: 0 })
     return Refusal.create('deadline_unreachable', 'no runner took the request in time', { retryAfterMs: FAILED_RETRY_AFTER_MS })
   }
 
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, SystemClock, type Refusal } from 'figquay'
-import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptMemory, type Route, type Runner } from 'figquay-fleet'
+import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptMemory, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
 import { CrashGuard, RetryBudget } from 'figquay-routing'
 import { AnswerSink, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTraces, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type ServedRequest } from '../../index.js'
 
@@ -79,14 +79,33 @@
   await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve(), { once: true }))
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, burst = 10): Promise<{ readonly sink: RecordingSink, readonly sent: readonly string[], readonly result: string }> {
+const MODEL: ModelSpec = { name: 'm', weightsMb: 1, storeLoadMs: 50, diskLoadMs: 50, memoryLoadMs: 50, adapterCount: 0, adapterMb: 0 }
+const CONFIGURATION: FleetConfiguration = {
+  version: 1,
+  routes: [],
+  services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 8, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map([['m', MODEL]]) } }]]),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+}
+
+interface ServeOptions {
+  readonly burst?: number
+  /** Model that is asked for; no runner holds it. */
+  readonly model?: string
+  readonly deadlineMs?: number
+  /** Called while the request is being served. */
+  readonly interfere?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
+}
+
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlineMs = 300, interfere }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly sent: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const table = FleetRunnerTable.create(clock)
   for (const id of ['r1', 'r2', 'r3']) {
-    table.putRunner({ id, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: undefined }, 0)
+    table.putRunner({ id, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
   }
   const configurations = ConfigurationHolder.create()
+  if (model !== undefined) configurations.adoptConfiguration(CONFIGURATION)
   const memory = PromptMemory.create(clock)
+  const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, announceNeeds: () => {} })
   const exchanges = new ScriptedExchanges(scripts)
   const budget = RetryBudget.create({ perRequest: 0, largestReserve: burst, firstReserve: burst })
   const router = ServingRouter.create({
@@ -96,7 +115,7 @@
     memory,
     exchanges,
     demand: FleetDemand.create(clock),
-    dispatcher: ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, announceNeeds: () => {} }),
+    dispatcher,
     findBudget: () => budget,
     crashes: CrashGuard.create(),
     chargeCrash: () => {},
@@ -106,10 +125,12 @@
   const sink = new RecordingSink()
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
-    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model: undefined, adapter: undefined, promptTokens: 0, parts: [], fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + 300, payload: undefined
+    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
-  const result = await router.serveRequest(request, sink, new AbortController().signal)
-  return { sink, sent: exchanges.sent, result }
+  const serving = router.serveRequest(request, sink, new AbortController().signal)
+  if (interfere !== undefined) await clock.waitFor(100).then(() => interfere(router, dispatcher))
+  const result = await serving
+  return { sink, sent: exchanges.sent, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
 }
 
 describe('serving of a request', () => {
@@ -140,7 +161,7 @@
   })
 
   it('does not say not run when an earlier attempt may have run', async () => {
-    const { sink } = await serve([makeScript(makeFailure('reset', 'unknown')), makeScript(makeFailure('declined', 'not-run'))], IDEMPOTENT, 1)
+    const { sink } = await serve([makeScript(makeFailure('reset', 'unknown')), makeScript(makeFailure('declined', 'not-run'))], IDEMPOTENT, { burst: 1 })
     expect(sink.ending).toEqual('refused 502 unknown')
   })
 
@@ -152,7 +173,7 @@
   })
 
   it('does not repeat a call without budget', async () => {
-    const { sent } = await serve([makeScript(makeFailure('reset', 'unknown'))], IDEMPOTENT, 0)
+    const { sent } = await serve([makeScript(makeFailure('reset', 'unknown'))], IDEMPOTENT, { burst: 0 })
     expect(sent.length).toEqual(1)
   })
 
@@ -177,4 +198,17 @@
     // The shortest silence is as long as this request's deadline: nothing is sent that could not be answered.
     expect([sink.ending, sent.length]).toEqual(['refused 504 unknown', 1])
   })
+
+  it('gives a final answer to what waits, or is at a runner, when the daemon exits', async () => {
+    const waiting = await serve([], {}, { model: 'm', deadlineMs: 3_000, interfere: (router) => router.abandonRequests() })
+    expect([waiting.sink.ending, waiting.sink.refusal?.retryAfterMs, waiting.tookMs < 1_000]).toEqual(['refused 503 not-run', 0, true])
+    const sent = await serve([staySilent], {}, { deadlineMs: 3_000, interfere: (router) => router.abandonRequests() })
+    expect([sent.sink.ending, sent.tookMs < 1_000]).toEqual(['refused 504 unknown', true])
+  })
+
+  it('does not let a request wait for a model that will be there only after the daemon has gone', async () => {
+    const interfere = (_router: ServingRouter, dispatcher: ServingDispatcher): void => dispatcher.setLastWait(SystemClock.create().readMonotonicMs() + 200)
+    const { sink, tookMs } = await serve([], {}, { model: 'm', deadlineMs: 3_000, interfere })
+    expect([sink.ending, sink.refusal?.code, tookMs < 1_000]).toEqual(['refused 503 not-run', 'draining', true])
+  })
 })
--- a/packages/figquay/src/FigquayDeadline.ts
+++ b/packages/figquay/src/FigquayDeadline.ts
@@ -39,6 +39,11 @@
     clearTimeout(this.timer)
   }
 
+  /** Ends the exchange before its time. */
+  abandon (): void {
+    this.controller.abort()
+  }
+
   /** Lets go of the timer and of the other signal. */
   dispose (): void {
     clearTimeout(this.timer)
