--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -3,7 +3,8 @@
 import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 import type { Arrivals, FleetDemand, Need } from './FigquayFleetDemand.js'
 import type { FleetLeadership, Holder } from './FigquayFleetLeadership.js'
-import { HINT_EXPIRES_MS, type FleetRunnerTable, type RunnerLoad } from './FigquayFleetRunnerTable.js'
+import { HINT_EXPIRES_MS, type RunnerLoad } from './FigquayFleetPeerLoads.js'
+import type { FleetRunnerTable } from './FigquayFleetRunnerTable.js'
 
 /** One message of hints. */
 export interface FleetHints {
@@ -42,6 +43,7 @@
 export class HintExchange {
   private readonly peerModels = new Map<string, { readonly loads: ModelLoads, readonly receivedAtMs: number }>()
   private usedAdapters = new Set<string>()
+  private reportedFence: number | undefined
 
   private constructor (private readonly options: HintExchangeOptions) {}
 
@@ -66,6 +68,32 @@
    * mesh.sendToAll('fleet.hints', exchange.makeHints())
    */
   makeHints (): FleetHints {
+    return this.makeMessage(this.options.demand.takeArrivals())
+  }
+
+  /**
+   * Report for the holder alone; a holder that has not had one before is told of earlier arrivals too.
+   *
+   * @example
+   * mesh.sendTo(holder.daemon, 'fleet.report', exchange.makeReport(holder.fence))
+   */
+  makeReport (fence: number): FleetHints {
+    const { demand } = this.options
+    const arrivals = demand.takeArrivals()
+    const isKnown = this.reportedFence === fence
+    this.reportedFence = fence
+    return this.makeMessage(isKnown ? arrivals : demand.listHistory())
+  }
+
+  /** Keeps what this daemon itself waits for up to date while there is nobody to tell. */
+  refreshOwn (): void {
+    const { self, demand, listNeeds } = this.options
+    demand.takeArrivals()
+    this.usedAdapters = new Set()
+    demand.putNeeds(self, listNeeds())
+  }
+
+  private makeMessage (arrivals: ReadonlyMap<string, Arrivals>): FleetHints {
     const { self, table, demand, leadership, configurations, listNeeds } = this.options
     const adapters = [...this.usedAdapters].map((text) => text.split('\n') as [string, string])
     this.usedAdapters = new Set()
@@ -77,7 +105,7 @@
       version: configurations.version,
       position: table.position,
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnModels(runner)]]),
-      arrivals: [...demand.takeArrivals()],
+      arrivals: [...arrivals],
       needs,
       adapters
     }
@@ -90,8 +118,13 @@
    * exchange.takeHints(message)
    */
   takeHints (hints: FleetHints): void {
-    const { table, demand, leadership, clock, noteAdapterUse } = this.options
-    table.putPeerLoads(hints.from, new Map(hints.loads.map(([runner, requests, pendingTokens, recentTokens]): [string, RunnerLoad] => [runner, { requests, pendingTokens, recentTokens }])))
+    this.options.table.putPeerLoads(hints.from, new Map(hints.loads.map(([runner, requests, pendingTokens, recentTokens]): [string, RunnerLoad] => [runner, { requests, pendingTokens, recentTokens }])))
+    this.takeReport(hints)
+  }
+
+  /** Takes in a report; the load of its daemon is heard of by other ways. */
+  takeReport (hints: FleetHints): void {
+    const { demand, leadership, clock, noteAdapterUse } = this.options
     const models = new Map(hints.loads.flatMap(([runner, , , , counts]) => counts.map(([model, count]): [string, number] => [`${runner}\n${model}`, count])))
     this.peerModels.set(hints.from, { loads: models, receivedAtMs: clock.readMonotonicMs() })
     for (const [model, arrivals] of hints.arrivals) demand.addArrivals(model, arrivals)
--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -21,6 +21,8 @@
   readonly logger: Logger
   /** Peers that can be reached now. */
   readonly listConnected: () => readonly string[]
+  /** Whether this daemon follows the store closely enough to apply. */
+  readonly mayApply: () => boolean
 }
 
 /** Key of the record that names the holder. */
@@ -118,6 +120,7 @@
       this.vacantSinceMs = nowMs
       return
     }
+    if (!this.options.mayApply()) return
     const candidates = [...connected, self].sort()
     const graceMs = this.current === undefined ? SETTLE_MS : HOLDER_SILENCE_MS
     if (nowMs - this.vacantSinceMs < graceMs + candidates.indexOf(self) * RANK_STEP_MS) return
--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetNews.ts
@@ -0,0 +1,86 @@
+/** Short-lived news that every daemon should hear once: what a runner holds now, and requests that crashed runners. */
+import type { Clock } from 'figquay'
+import type { Holdings } from './FigquayFleetTypes.js'
+
+/** What a runner holds, as its holder has read it. */
+export interface HoldingsNews {
+  readonly type: 'holdings'
+  readonly runner: string
+  readonly bornMs: number
+  readonly holdings: Holdings
+  /** Fencing number of the holder; a higher one makes the news newer. */
+  readonly fence: number
+  /** Count of the holder's news; a higher one under the same fence makes the news newer. */
+  readonly serial: number
+}
+
+/** A request that was under way at a runner when it crashed. */
+export interface ChargeNews {
+  readonly type: 'charge'
+  readonly fingerprint: string
+  readonly upstream: string
+}
+
+export type NewsItem = HoldingsNews | ChargeNews
+
+interface Entry {
+  readonly item: NewsItem
+  /** Place among this daemon's news. */
+  readonly revision: number
+  readonly atMs: number
+}
+
+/** News is passed on for this long, in milliseconds: announcements of runners and the crash guard's memory take over. */
+const NEWS_KEPT_MS = 10_000
+
+/** News of one daemon, by what it is about. */
+export class FleetNews {
+  private readonly entries = new Map<string, Entry>()
+  private latest = 0
+
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * @example
+   * const news = FleetNews.create(clock)
+   */
+  static create (clock: Clock): FleetNews {
+    return new FleetNews(clock)
+  }
+
+  /** Revision of the newest item. */
+  get revision (): number {
+    return this.latest
+  }
+
+  /**
+   * Keeps an item; false when it, or a newer one about the same, is known.
+   *
+   * @example
+   * if (news.addItem(item)) table.putHoldings(item.runner, item.bornMs, item.holdings)
+   */
+  addItem (item: NewsItem): boolean {
+    const key = item.type === 'holdings' ? item.runner : `${item.fingerprint}\n${item.upstream}`
+    const known = this.entries.get(key)?.item
+    if (known !== undefined && !isNewer(item, known)) return false
+    this.latest += 1
+    this.entries.delete(key)
+    this.entries.set(key, { item, revision: this.latest, atMs: this.clock.readMonotonicMs() })
+    return true
+  }
+
+  /** Items after a revision, oldest first. */
+  listAfter (revision: number): NewsItem[] {
+    const oldestMs = this.clock.readMonotonicMs() - NEWS_KEPT_MS
+    for (const [key, entry] of this.entries) {
+      if (entry.atMs >= oldestMs) break
+      this.entries.delete(key)
+    }
+    return [...this.entries.values()].filter((entry) => entry.revision > revision).map((entry) => entry.item)
+  }
+}
+
+function isNewer (item: NewsItem, known: NewsItem): boolean {
+  if (item.type !== 'holdings' || known.type !== 'holdings') return false
+  return item.fence === known.fence ? item.serial > known.serial : item.fence > known.fence
+}
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -1,17 +1,8 @@
 /** What is known of each runner: its announcement, what it holds, and the load that daemons put on it. */
 import type { Clock } from 'figquay'
+import { PeerLoads, RECENT_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 import type { Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
 
-/** Load on a runner, as one daemon sees its own part of it. */
-export interface RunnerLoad {
-  /** Requests that were sent and not finished. */
-  readonly requests: number
-  /** Prompt tokens of requests that have had no first event. */
-  readonly pendingTokens: number
-  /** Prompt tokens sent of late, the newest counting most: work that breaks into the streams there. */
-  readonly recentTokens: number
-}
-
 /** A request of this daemon at a runner. */
 export interface OpenRequest {
   readonly requestId: string
@@ -53,26 +44,23 @@
 const REST_MS = 700
 /** Longest time without any byte from a runner that has work, in milliseconds, before it counts as silent. */
 const SILENCE_MS = 1_500
-/** Hints of a peer that has said nothing more for this long are dropped, in milliseconds: several hint intervals. */
-export const HINT_EXPIRES_MS = 1_500
 /** Announcements may be this much older than what the holder has read, in milliseconds: a heartbeat and a read of the list. */
 const HEARTBEAT_LAG_MS = 2_200
-/** Time after which prompt tokens that were sent count for about a third, in milliseconds: some prompts' processing. */
-const RECENT_DECAY_MS = 1_500
 /** Fewer recent tokens than this aren't worth telling the peers. */
 const LEAST_RECENT_TOKENS = 200
-const NO_LOAD: RunnerLoad = { requests: 0, pendingTokens: 0, recentTokens: 0 }
 
 /** Runners by id. */
 export class FleetRunnerTable {
   private readonly states = new Map<string, RunnerState>()
   /** Positions at which runners were removed. */
   private readonly removals = new Map<string, number>()
-  private readonly peerLoads = new Map<string, { readonly loads: ReadonlyMap<string, RunnerLoad>, readonly receivedAtMs: number }>()
+  private readonly peerLoads: PeerLoads
   private readonly listeners = new Set<() => void>()
   private watermark = -1
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock) {
+    this.peerLoads = PeerLoads.create(clock)
+  }
 
   /**
    * @example
@@ -245,33 +233,28 @@
   }
 
   private sumLoad (state: RunnerState, nowMs: number): RunnerLoad {
-    let requests = state.open.size
-    let pendingTokens = sumPending(state.open.values())
-    let recentTokens = measureRecent(state, nowMs)
-    for (const peer of this.peerLoads.values()) {
-      if (nowMs - peer.receivedAtMs > HINT_EXPIRES_MS) continue
-      const load = peer.loads.get(state.runner.id) ?? NO_LOAD
-      requests += load.requests
-      pendingTokens += load.pendingTokens
-      recentTokens += load.recentTokens * Math.exp((peer.receivedAtMs - nowMs) / RECENT_DECAY_MS)
-    }
-    return { requests, pendingTokens, recentTokens }
+    return sumLoads(measureOwn(state, nowMs), this.peerLoads.sumRunner(state.runner.id))
   }
 
-  /** Notes what a peer has at the runners. */
+  /** Notes what a peer, and those it speaks for, have at the runners. */
   putPeerLoads (peer: string, loads: ReadonlyMap<string, RunnerLoad>): void {
-    this.peerLoads.set(peer, { loads, receivedAtMs: this.clock.readMonotonicMs() })
+    this.peerLoads.putBranch(peer, loads)
   }
 
-  /** This daemon's own load by runner, for its peers. */
-  exportLoads (): Map<string, RunnerLoad> {
+  /**
+   * This daemon's own load by runner, and that of the peers which are wanted.
+   *
+   * @example
+   * table.exportLoads((peer) => peer.startsWith('client '))
+   */
+  exportLoads (isWanted?: (peer: string) => boolean): Map<string, RunnerLoad> {
     const loads = new Map<string, RunnerLoad>()
     const nowMs = this.clock.readMonotonicMs()
     for (const [id, state] of this.states) {
-      const recentTokens = measureRecent(state, nowMs)
-      if (state.open.size === 0 && recentTokens < LEAST_RECENT_TOKENS) continue
-      loads.set(id, { requests: state.open.size, pendingTokens: sumPending(state.open.values()), recentTokens })
+      const load = measureOwn(state, nowMs)
+      if (load.requests > 0 || load.recentTokens >= LEAST_RECENT_TOKENS) loads.set(id, load)
     }
+    if (isWanted !== undefined) this.peerLoads.addTo(loads, isWanted)
     return loads
   }
 
@@ -323,6 +306,10 @@
   return state.recentTokens * Math.exp((state.recentAtMs - nowMs) / RECENT_DECAY_MS)
 }
 
+function measureOwn (state: RunnerState, nowMs: number): RunnerLoad {
+  return { requests: state.open.size, pendingTokens: sumPending(state.open.values()), recentTokens: measureRecent(state, nowMs) }
+}
+
 function sumPending (requests: Iterable<OpenRequest>): number {
   let sum = 0
   for (const request of requests) {
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -58,7 +58,7 @@
         return makeSuccess(options.result === 'overtaken' ? { type: 'overtaken' } : { type: 'written', position: end ?? 0 })
       }
     } as unknown as FleetStore
-    const leadership = FleetLeadership.create({ self: 'b', bootId: 'boot-2', store, clock, logger: JsonLogger.create('test', 'silent'), listConnected: () => options.connected ?? [] })
+    const leadership = FleetLeadership.create({ self: 'b', bootId: 'boot-2', store, clock, logger: JsonLogger.create('test', 'silent'), listConnected: () => options.connected ?? [], mayApply: () => true })
     return { leadership, writes }
   }
 
--- a/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
@@ -57,7 +57,7 @@
   const table = FleetRunnerTable.create(clock)
   table.putRunner({ id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 1, holdings }, 1)
   const store = { writeShared: async () => makeSuccess({ type: 'written', position: 4 }) } as unknown as FleetStore
-  const leadership = FleetLeadership.create({ self: 'd', bootId: 'b', store, clock, logger, listConnected: () => [] })
+  const leadership = FleetLeadership.create({ self: 'd', bootId: 'b', store, clock, logger, listConnected: () => [], mayApply: () => true })
   leadership.noteRecord(JSON.stringify({ daemon: 'd', boot: 'b' }), 4)
   const book = OrderBook.create({ self: 'd', client: runner, table, leadership, clock, logger, announceHoldings: () => {} })
   return { runner, table, book, leadership }
--- a/packages/figquay-peers/src/FigquayPeerMesh.ts
+++ b/packages/figquay-peers/src/FigquayPeerMesh.ts
@@ -18,8 +18,6 @@
   readonly methods: PeerMethods
   readonly clock: Clock
   readonly logger: Logger
-  /** Up to how many daemons everybody is everybody's neighbour; the default suits hints that are sent often. */
-  readonly fullMeshLimit?: number
 }
 
 /** Up to this many daemons everybody is everybody's neighbour. */
@@ -49,9 +47,9 @@
  * @example
  * selectNeighbours(self, daemons).length // bounded, however many daemons there are
  */
-export function selectNeighbours (self: PeerAddress, daemons: readonly PeerAddress[], fullMeshLimit = FULL_MESH_LIMIT): PeerAddress[] {
+export function selectNeighbours (self: PeerAddress, daemons: readonly PeerAddress[]): PeerAddress[] {
   const others = daemons.filter((peer) => peer.id !== self.id)
-  if (others.length < fullMeshLimit) return others
+  if (others.length < FULL_MESH_LIMIT) return others
   const near = others.filter((peer) => peer.zone === self.zone)
   const far = others.filter((peer) => peer.zone !== self.zone)
   return [...takeSuccessors(self, near, NEIGHBOURS_IN_ZONE), ...takeSuccessors(self, far, NEIGHBOURS_ELSEWHERE)]
@@ -114,13 +112,14 @@
   /**
    * Replaces the set of daemons; new neighbours get a task, those gone are dropped.
    *
+   * @param neighbours Daemons to stay connected to.
    * @example
    * mesh.setDaemons(daemons, tasks)
    */
-  setDaemons (daemons: readonly PeerAddress[], tasks: TaskGroup): void {
+  setDaemons (daemons: readonly PeerAddress[], tasks: TaskGroup, neighbours = selectNeighbours(this.options.self, daemons)): void {
     this.tasks = tasks
     this.known = new Map(daemons.filter((peer) => peer.id !== this.options.self.id).map((peer) => [peer.id, peer]))
-    this.setNeighbours(selectNeighbours(this.options.self, daemons, this.options.fullMeshLimit), tasks)
+    this.setNeighbours(neighbours, tasks)
   }
 
   private setNeighbours (neighbours: readonly PeerAddress[], tasks: TaskGroup): void {
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -0,0 +1,255 @@
+/** What a daemon and its peers tell each other: everybody everything in a small fleet, along a tree in a large one. */
+import type { Clock, Logger, TaskGroup } from 'figquay'
+import { FleetNews, HintExchange, type ConfigurationHolder, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsNews, type Need, type NewsItem } from 'figquay-fleet'
+import { PeerMesh, type PeerAddress } from 'figquay-peers'
+import type { CrashCharge } from 'figquay-routing'
+import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
+import { isReader, type FleetSnapshot, type StoreRole } from './FigquayServingStoreFollower.js'
+
+/** What the exchange with peers needs. */
+export interface ServingPeersOptions {
+  readonly self: PeerAddress
+  readonly bootId: string
+  readonly seeds: readonly string[]
+  readonly secrets: readonly string[]
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly tasks: TaskGroup
+  readonly table: FleetRunnerTable
+  readonly demand: FleetDemand
+  readonly configurations: ConfigurationHolder
+  readonly leadership: FleetLeadership
+  readonly listNeeds: () => readonly Need[]
+  readonly noteAdapterUse: (runner: string, key: string) => void
+  readonly addCharge: (charge: CrashCharge) => void
+  readonly makeSnapshot: (version: number, position: number) => FleetSnapshot
+  readonly notePeer: (peer: string, version: number, position: number) => void
+  readonly measureStoreAge: () => number
+  /** Plans soon, as requests wait for something. */
+  readonly planSoon: () => void
+}
+
+/** Hints go out this often, in milliseconds: a fraction of the time in which a runner's queue changes much. */
+const HINT_INTERVAL_MS = 200
+/** New needs are announced at once, but not more often than this, in milliseconds. */
+const NEED_INTERVAL_MS = 10
+/** Up to this many daemons everybody tells everybody; the messages of more would cost more than their requests. */
+const MESH_DAEMONS = 16
+/** In a large fleet the holder is told of demand this often, in milliseconds: well within the time in which it moves. */
+const REPORT_INTERVAL_MS = 400
+
+/** A daemon's exchange with its peers. */
+export class ServingPeers {
+  readonly hints: HintExchange
+  private readonly mesh: PeerMesh
+  private readonly relay: FleetRelay
+  private readonly news: FleetNews
+  private zones: ReadonlyMap<string, string> = new Map()
+  private relayNeighbours: readonly string[] = []
+  private knownHolder: string | undefined
+  private lastHintsAtMs = Number.NEGATIVE_INFINITY
+  private isHintPlanned = false
+  private newsSerial = 0
+
+  private constructor (private readonly options: ServingPeersOptions) {
+    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, leadership } = options
+    this.news = FleetNews.create(clock)
+    this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeMethods(), clock, logger })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse })
+    this.relay = FleetRelay.create({
+      self: self.id,
+      zone: self.zone,
+      bootId,
+      clock,
+      logger,
+      table,
+      leadership,
+      configurations,
+      news: this.news,
+      mesh: this.mesh,
+      measureStoreAge,
+      takeNews: (item) => this.takeNews(item),
+      notePeer,
+      setNeighbours: (neighbours) => {
+        this.relayNeighbours = neighbours
+        this.updateMesh()
+      }
+    })
+  }
+
+  /**
+   * @example
+   * const peers = ServingPeers.create(options)
+   */
+  static create (options: ServingPeersOptions): ServingPeers {
+    return new ServingPeers(options)
+  }
+
+  /** Daemons that can be called now. */
+  get connectedPeers (): readonly string[] {
+    return this.mesh.connectedPeers
+  }
+
+  /** Daemons that are known, this one included. */
+  get daemonCount (): number {
+    return this.zones.size
+  }
+
+  /** Whether the fleet is too large for everybody to tell everybody. */
+  get isTree (): boolean {
+    return this.zones.size > MESH_DAEMONS
+  }
+
+  /** How this daemon follows the store: in a small fleet two daemons read the list of runners for all. */
+  get storeRole (): StoreRole {
+    if (this.isTree) return this.relay.storeRole
+    return isReader(this.options.self.id, this.connectedPeers) ? 'reader' : 'looker'
+  }
+
+  /** Whether this daemon is one of those that follow the store for others. */
+  get isReader (): boolean {
+    return !this.isTree || this.relay.isReader
+  }
+
+  /**
+   * Listens for peers and starts telling them.
+   *
+   * @example
+   * await peers.start()
+   */
+  async start (): Promise<void> {
+    const [host, port] = this.options.self.address.split(':') as [string, string]
+    await this.mesh.listen(host, Number(port))
+    this.setDaemons(new Map())
+    this.options.tasks.startTask('hints', (signal) => this.runHints(signal))
+    this.options.tasks.startTask('exchanges', (signal) => this.runExchanges(signal))
+  }
+
+  /** Ends all connections. */
+  close (): void {
+    this.mesh.close()
+  }
+
+  /** Replaces the daemons that there are, with their data centres. */
+  setDaemons (daemons: ReadonlyMap<string, string>): void {
+    const { self, seeds } = this.options
+    this.zones = new Map([...seeds.map((seed): [string, string] => [seed, self.zone]), ...daemons, [self.id, self.zone]])
+    // A seed's data centre isn't known until its own record is read: it is left out of the ranking until then.
+    this.relay.setDaemons(new Map([...daemons, [self.id, self.zone]]))
+    this.updateMesh()
+  }
+
+  /** Asks a peer, or any, for what is newer than this daemon's picture. */
+  async requestSnapshot (version: number, position: number, wanted: string | undefined): Promise<FleetSnapshot | undefined> {
+    const peers = this.mesh.connectedPeers
+    const peer = wanted ?? peers[Math.floor(Math.random() * peers.length)]
+    if (peer === undefined) return undefined
+    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', { version, position })
+    return snapshot.ok ? snapshot.value : undefined
+  }
+
+  /** Tells the holder of a new need without waiting for the next hints. */
+  announceNeeds (): void {
+    if (this.isHintPlanned) return
+    const { clock, tasks, planSoon } = this.options
+    this.isHintPlanned = true
+    const sinceMs = clock.readMonotonicMs() - this.lastHintsAtMs
+    clock.waitFor(Math.max(0, NEED_INTERVAL_MS - sinceMs), tasks.signal).then(() => {
+      this.isHintPlanned = false
+      this.sendHints()
+      planSoon()
+    })
+  }
+
+  /** Tells what a runner holds: at once those that wait for it, the others soon. */
+  announceHoldings (runner: string, bornMs: number, holdings: Holdings): void {
+    const item: HoldingsNews = { type: 'holdings', runner, bornMs, holdings, fence: this.options.leadership.ownFence ?? 0, serial: ++this.newsSerial }
+    if (!this.isTree) {
+      this.mesh.sendToAll('fleet.news', [item])
+      return
+    }
+    this.news.addItem(item)
+    const needy = new Set(holdings.models.flatMap((held) => this.options.demand.listNeedy(held.name)))
+    for (const daemon of needy) this.sendDirectly(daemon, [item])
+  }
+
+  /** Tells of requests that were under way at a runner when it crashed. */
+  announceCharges (charges: readonly CrashCharge[]): void {
+    const items = charges.map((charge): NewsItem => ({ type: 'charge', ...charge }))
+    if (this.isTree) for (const item of items) this.news.addItem(item)
+    else this.mesh.sendToAll('fleet.news', items)
+  }
+
+  private makeMethods () {
+    return {
+      'fleet.hints': (hints: FleetHints) => {
+        this.hints.takeHints(hints)
+        this.options.notePeer(hints.from, hints.version, hints.position)
+        if (hints.needs.length > 0) this.options.planSoon()
+      },
+      'fleet.report': (hints: FleetHints) => this.takeReport(hints),
+      'fleet.exchange': (message: RelayMessage) => this.relay.answerExchange(message),
+      'fleet.news': (items: readonly NewsItem[]) => {
+        for (const item of items) if (this.news.addItem(item)) this.takeNews(item)
+      },
+      'fleet.read': ({ version, position }: { readonly version: number, readonly position: number }) => this.options.makeSnapshot(version, position)
+    }
+  }
+
+  private takeNews (item: NewsItem): void {
+    if (item.type === 'holdings') this.options.table.putHoldings(item.runner, item.bornMs, item.holdings)
+    else this.options.addCharge(item)
+  }
+
+  private takeReport (hints: FleetHints): void {
+    this.hints.takeReport(hints)
+    if (hints.needs.length === 0) return
+    // What a daemon waits for may be there already: the news hasn't reached it yet.
+    const models = new Set(hints.needs.map((need) => need.model))
+    const items = this.news.listAfter(0).filter((item) => item.type === 'holdings' && item.holdings.models.some((held) => models.has(held.name)))
+    if (items.length > 0) this.sendDirectly(hints.from, items)
+    this.options.planSoon()
+  }
+
+  private sendDirectly (daemon: string, items: readonly NewsItem[]): void {
+    this.mesh.callPeer(daemon, 'fleet.news', items).then((outcome) => {
+      if (!outcome.ok) this.options.logger.debug('news not delivered; it goes by the tree', { daemon, error: outcome.error })
+    })
+  }
+
+  private async runHints (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.sendHints()
+      await this.options.clock.waitFor(this.isTree ? REPORT_INTERVAL_MS : HINT_INTERVAL_MS, signal)
+    }
+  }
+
+  private async runExchanges (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.isTree) await this.relay.exchangeOnce(signal)
+      else await this.options.clock.waitFor(HINT_INTERVAL_MS, signal)
+    }
+  }
+
+  private sendHints (): void {
+    this.lastHintsAtMs = this.options.clock.readMonotonicMs()
+    if (!this.isTree) {
+      this.mesh.sendToAll('fleet.hints', this.hints.makeHints())
+      return
+    }
+    const holder = this.options.leadership.holder
+    if (holder?.daemon !== this.knownHolder) {
+      this.knownHolder = holder?.daemon
+      this.updateMesh()
+    }
+    if (holder === undefined || holder.daemon === this.options.self.id) this.hints.refreshOwn()
+    else if (this.mesh.isConnected(holder.daemon)) this.mesh.sendTo(holder.daemon, 'fleet.report', this.hints.makeReport(holder.fence))
+  }
+
+  private updateMesh (): void {
+    const { self, tasks } = this.options
+    const known = [...this.zones].filter(([id]) => id !== self.id).map(([id, zone]) => ({ id, zone, address: id }))
+    const wanted = new Set([...this.relayNeighbours, ...this.knownHolder === undefined ? [] : [this.knownHolder]])
+    this.mesh.setDaemons(known, tasks, this.isTree ? known.filter((peer) => wanted.has(peer.id)) : known)
+  }
+}
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -1,5 +1,5 @@
 /** Keeps a daemon's picture of the platform's store up to date; asks peers while the store can't be read. */
-import { describeError, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
+import { describeError, hashText, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { HOLDER_KEY, type ConfigurationHolder, type FleetConfiguration, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerReading, type SharedReading } from 'figquay-fleet'
 
 /** State that one daemon gives to another that can't read the store. */
@@ -17,6 +17,26 @@
 type EngineOf = NonNullable<ServiceOf['engine']>
 type ModelOf = EngineOf['models'] extends ReadonlyMap<string, infer M> ? M : never
 
+/**
+ * How a daemon follows the store: a reader for others as well; a looker follows all but the list of runners, at which it
+ * only looks now and then; a listener hears everything from its peers.
+ */
+export type StoreRole = 'reader' | 'looker' | 'listener'
+
+/** Daemons that read the list of runners for the others of a small fleet. */
+const READERS = 2
+
+/**
+ * Whether a daemon is among those that read the list of runners for the ones that it is connected to.
+ *
+ * @example
+ * isReader('10.0.0.1:80', []) // true: a daemon alone reads for itself
+ */
+export function isReader (self: string, connected: readonly string[]): boolean {
+  const ownRank = hashText(self)
+  return connected.filter((peer) => hashText(peer) < ownRank).length < READERS
+}
+
 /** What the follower needs. */
 export interface StoreFollowerOptions {
   readonly clock: Clock
@@ -27,8 +47,7 @@
   readonly leadership: FleetLeadership
   /** Called with the daemons' addresses and zones after each change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
-  /** Whether this daemon reads the list of runners for its peers. */
-  readonly isReader: () => boolean
+  readonly findRole: () => StoreRole
   /** Asks a peer for what is newer than this daemon's picture; undefined when none answers. */
   readonly requestSnapshot: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
 }
@@ -47,6 +66,8 @@
 const FAILED_PAUSE_MS = 250
 /** Changes of the daemons' own records are gathered for this long before they are read, in milliseconds. */
 const SHARED_INTERVAL_MS = 300
+/** A listener asks itself this often whether it must read, in milliseconds. */
+const LISTENER_PAUSE_MS = 250
 /** Prefix of the records by which daemons find each other. */
 const DAEMON_PREFIX = 'daemon/'
 
@@ -60,6 +81,7 @@
   private longReads = new AbortController()
   private behindSinceMs: number | undefined
   private behindPeer: string | undefined
+  private heardAtMs = Number.NEGATIVE_INFINITY
 
   private constructor (private readonly options: StoreFollowerOptions) {}
 
@@ -81,6 +103,11 @@
     return this.isStoreHeard
   }
 
+  /** Time since the list of runners was last read here, in milliseconds. */
+  get storeAgeMs (): number {
+    return this.options.clock.readMonotonicMs() - this.heardAtMs
+  }
+
   /**
    * Starts reading.
    *
@@ -118,6 +145,10 @@
   /** Runs a long read again and again; the runners' reads tell when the store is gone and the read must be begun anew. */
   private async followLong (signal: AbortSignal, read: (signal: AbortSignal) => Promise<boolean>): Promise<void> {
     while (!signal.aborted) {
+      if (this.isListening) {
+        await this.options.clock.waitFor(LISTENER_PAUSE_MS, signal)
+        continue
+      }
       const inner = this.longReads
       const stop = (): void => inner.abort()
       signal.addEventListener('abort', stop, { once: true })
@@ -127,6 +158,10 @@
     }
   }
 
+  private get isListening (): boolean {
+    return this.isInformed && this.options.findRole() === 'listener'
+  }
+
   private async readConfiguration (signal: AbortSignal): Promise<boolean> {
     const { store, configurations, logger } = this.options
     const reading = await store.readConfiguration(this.configurationPosition, LONG_WAIT_MS, signal)
@@ -167,11 +202,16 @@
 
   private async followRunners (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (this.isListening) {
+        await this.options.clock.waitFor(LISTENER_PAUSE_MS, signal)
+        continue
+      }
       const startedAtMs = this.options.clock.readMonotonicMs()
-      const isReader = this.options.isReader() || !this.hasReadRunners
+      const isReader = this.options.findRole() === 'reader' || !this.hasReadRunners
       const reading = await this.options.store.readRunners(this.options.table.position, isReader ? RUNNERS_WAIT_MS : 0, signal)
       if (reading.ok) {
         this.takeRunners(reading.value)
+        this.heardAtMs = this.options.clock.readMonotonicMs()
         this.noteHeard(true)
       } else if (!signal.aborted) {
         this.noteFailure('runners', reading)
@@ -218,7 +258,7 @@
       if (this.behindPeer === peer) this.behindSinceMs = undefined
       return
     }
-    const patienceMs = this.options.isReader() ? BEHIND_MS : 0
+    const patienceMs = this.options.findRole() === 'reader' ? BEHIND_MS : 0
     if (this.behindSinceMs === undefined) {
       this.behindSinceMs = nowMs
       this.behindPeer = peer
--- /dev/null
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -0,0 +1,102 @@
+/** Loads and news go to every daemon of a large fleet, also when daemons of the tree are lost. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { JsonLogger, makeFailure, makeSuccess, TaskGroup, type Clock, type Outcome } from 'figquay'
+import { ConfigurationHolder, FleetLeadership, FleetNews, FleetRunnerTable, type FleetStore, type Holdings, type Runner } from 'figquay-fleet'
+import { FleetRelay, type RelayMesh, type RelayMessage } from '../../index.js'
+
+const HOLDINGS: Holdings = { models: [{ name: 'm', adapters: [] }], coming: [], isBusy: false, inMemory: [], onDisk: [] }
+const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'a', slots: 8, isLeaving: false, bornMs: 0, holdings: undefined }
+const STEP_MS = 200
+
+/** Time that moves only when the test says so; whoever waits goes on at once. */
+class StepClock implements Clock {
+  nowMs = 1_000
+  readMonotonicMs (): number { return this.nowMs }
+  now (): Date { return new Date(this.nowMs) }
+  async waitFor (): Promise<void> {}
+}
+
+interface Node { readonly relay: FleetRelay, readonly table: FleetRunnerTable, readonly news: FleetNews }
+
+/** Connections between the nodes of a test; those of lost ones are gone. */
+class TestMesh implements RelayMesh {
+  constructor (private readonly self: string, private readonly nodes: ReadonlyMap<string, Node>, private readonly lost: ReadonlySet<string>) {}
+
+  isConnected (peer: string): boolean {
+    return !this.lost.has(peer)
+  }
+
+  async callPeer<T> (peer: string, _method: string, message: unknown): Promise<Outcome<T, string>> {
+    if (this.lost.has(peer) || this.lost.has(this.self)) return makeFailure('timeout')
+    return makeSuccess(JSON.parse(JSON.stringify(this.nodes.get(peer)!.relay.answerExchange(message as RelayMessage))) as T)
+  }
+}
+
+function makeFleet (count: number) {
+  const clock = new StepClock()
+  const logger = JsonLogger.create('test', 'silent')
+  const zones = new Map(Array.from({ length: count }, (_, index): [string, string] => [`10.0.0.${index}:80`, 'abc'[index % 3]!]))
+  const nodes = new Map<string, Node>()
+  const lost = new Set<string>()
+  const makeNode = (self: string, zone: string): Node => {
+    const table = FleetRunnerTable.create(clock)
+    const news = FleetNews.create(clock)
+    const leadership = FleetLeadership.create({ self, bootId: self, store: {} as FleetStore, clock, logger, listConnected: () => [], mayApply: () => false })
+    table.putRunner(RUNNER, 1)
+    const relay = FleetRelay.create({
+      self, zone, bootId: self, clock, logger, table, leadership, news, configurations: ConfigurationHolder.create(), mesh: new TestMesh(self, nodes, lost), measureStoreAge: () => 0, takeNews: (item) => item.type === 'holdings' && table.putHoldings(item.runner, item.bornMs, item.holdings), notePeer: () => {}, setNeighbours: () => {}
+    })
+    relay.setDaemons(zones)
+    return { relay, table, news }
+  }
+  for (const [self, zone] of zones) nodes.set(self, makeNode(self, zone))
+  const play = async (rounds: number): Promise<void> => {
+    for (let round = 0; round < rounds; round += 1) {
+      clock.nowMs += STEP_MS
+      for (const [self, { relay }] of nodes) if (!lost.has(self)) await relay.exchangeOnce(AbortSignal.any([]))
+    }
+  }
+  const countRequests = (): number[] => [...nodes].filter(([self]) => !lost.has(self)).map(([, { table }]) => table.listCandidates('s')[0]!.load.requests)
+  return { nodes, lost, play, countRequests, tasks: TaskGroup.create(clock, logger) }
+}
+
+function openRequest (table: FleetRunnerTable, requestId: string): () => void {
+  return table.registerOpen('r', { requestId, fingerprint: requestId, model: 'm', pendingTokens: 100, sentAtMs: 0, hasAnswered: false })
+}
+
+describe('exchange along a tree', () => {
+  it('lets every daemon know the load of all, each request once', async () => {
+    const { nodes, play, countRequests } = makeFleet(30)
+    const releases = [...nodes.values()].map(({ table }, index) => openRequest(table, `q${index}`))
+    await play(5)
+    expect([...new Set(countRequests())]).toEqual([30])
+    for (const release of releases.slice(0, 12)) release()
+    await play(5)
+    expect([...new Set(countRequests())]).toEqual([18])
+  })
+
+  it('goes on when a third of the daemons is lost', async () => {
+    const { nodes, lost, play, countRequests } = makeFleet(30)
+    for (const [index, { table }] of [...nodes.values()].entries()) openRequest(table, `q${index}`)
+    await play(3)
+    for (const daemon of [...nodes.keys()].filter((_, index) => index % 3 === 0).slice(0, 5)) lost.add(daemon)
+    for (const daemon of [...nodes.keys()].filter((_, index) => index % 3 === 1).slice(0, 5)) lost.add(daemon)
+    await play(20)
+    expect([...new Set(countRequests())]).toEqual([20])
+  })
+
+  it('brings news to everybody once, and the newest of two', async () => {
+    const { nodes, play } = makeFleet(30)
+    const [first] = [...nodes.values()]
+    first!.news.addItem({ type: 'holdings', runner: 'r', bornMs: 0, holdings: { ...HOLDINGS, isBusy: true }, fence: 3, serial: 1 })
+    first!.news.addItem({ type: 'holdings', runner: 'r', bornMs: 0, holdings: HOLDINGS, fence: 3, serial: 2 })
+    await play(4)
+    const others = [...nodes.values()].slice(1)
+    expect(others.every(({ table }) => table.findRunner('r')?.holdings?.isBusy === false)).toEqual(true)
+    expect(others.every(({ news }) => !news.addItem({ type: 'holdings', runner: 'r', bornMs: 0, holdings: HOLDINGS, fence: 3, serial: 1 }))).toEqual(true)
+    const revisions = others.map(({ news }) => news.revision)
+    await play(4)
+    expect(others.map(({ news }) => news.revision)).toEqual(revisions)
+  })
+})
--- a/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
@@ -34,10 +34,10 @@
   const store = makeStore(isUp)
   const configurations = ConfigurationHolder.create()
   const table = FleetRunnerTable.create(clock)
-  const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [] })
+  const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [], mayApply: () => true })
   const seen: string[] = []
   const follower = StoreFollower.create({
-    clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, isReader: () => true, setDaemons: (daemons) => seen.push(...daemons.keys())
+    clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, findRole: () => 'reader', setDaemons: (daemons) => seen.push(...daemons.keys())
   })
   return { follower, configurations, table, seen, tasks: TaskGroup.create(clock, logger) }
 }
