Make several copies of a rising model at once

Cause: one copy of a model was made at a time.

Ruled out: stale loads (the tree told them within 0.4 s, and the busiest runner stayed as busy).

Change: copies that lack by rate, or by requests under way, are begun together, as many as the model has and two at least; the budget of loads bounds them as before.

--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -44,6 +44,8 @@
   readonly waiting: number
   /** Time until a copy that is being made is ready, in milliseconds; undefined when none is. */
   readonly comingInMs: number | undefined
+  /** Copies that are being made. */
+  readonly comingCopies: number
 }
 
 /** What a plan is made from. */
@@ -72,6 +74,10 @@
 const CROWDED_REQUESTS = 8
 /** Prompt tokens a second that one copy takes without holding up the streams beside it: a third of a runner's speed. */
 const TOKENS_PER_COPY = 14_000
+/** Copies that are made of a model at once, as a part of those it has: a steep rise is met within a few loading times. */
+const COMING_PART = 1
+/** Copies that may be made of a model at once however few it has. */
+const FEWEST_COMING = 2
 /** Weight of a runner's waiting prompt tokens against a second of loading time. */
 const SECONDS_PER_PENDING_TOKEN = 1 / 10_000
 /** A copy that was loaded less long ago stays, in milliseconds, or two models would push each other out in turn. */
@@ -125,11 +131,11 @@
   planMoves (): ModelMove[] {
     const missing = this.view.models.filter((model) => this.countCopies(model) === 0)
     const wanted = missing.filter((model) => model.waiting > 0).sort((a, b) => b.waiting - a.waiting || b.rate - a.rate)
-    const crowded = this.view.models.filter((model) => this.isCrowded(model)).sort((a, b) => b.rate - a.rate)
+    const crowded = this.view.models.filter((model) => this.countLacking(model) > 0).sort((a, b) => b.rate - a.rate)
     const unwanted = missing.filter((model) => model.waiting === 0 && model.comingInMs === undefined).sort((a, b) => b.rate - a.rate)
     return [
       ...wanted.flatMap((model) => this.planCopy(model, 'requests wait and no runner holds it', Number.POSITIVE_INFINITY)),
-      ...crowded.flatMap((model) => this.planCopy(model, 'its copies are crowded', model.rate)),
+      ...crowded.flatMap((model) => this.planFurtherCopies(model)),
       ...unwanted.flatMap((model) => this.planCopy(model, 'no runner holds it', this.isNear(model) ? 0 : FETCH_LOSS))
     ]
   }
@@ -143,11 +149,18 @@
     return this.view.runners.some((runner) => runner.isServing && findSource(spec, runner) !== 'store')
   }
 
-  private isCrowded (model: PlannedModel): boolean {
+  /** Copies beyond those that there are and are being made, as many as may be begun now; none for a model without a copy. */
+  private countLacking (model: PlannedModel): number {
     const copies = this.countCopies(model)
-    if (copies === 0 || model.comingInMs !== undefined) return false
-    const wanted = 1 + Math.floor(model.tokenRate / TOKENS_PER_COPY)
-    return copies < wanted || this.sumOpen(model.spec.name) + model.waiting > CROWDED_REQUESTS * copies
+    if (copies === 0) return 0
+    const wantedByRate = 1 + Math.floor(model.tokenRate / TOKENS_PER_COPY)
+    const wantedByCrowd = Math.ceil((this.sumOpen(model.spec.name) + model.waiting) / CROWDED_REQUESTS)
+    const mostComing = Math.max(FEWEST_COMING, Math.floor(copies * COMING_PART))
+    return Math.min(Math.max(wantedByRate, wantedByCrowd) - copies, mostComing) - model.comingCopies
+  }
+
+  private planFurtherCopies (model: PlannedModel): ModelMove[] {
+    return Array.from({ length: this.countLacking(model) }).flatMap(() => this.planCopy({ ...model, comingInMs: undefined }, 'its copies are crowded', model.rate))
   }
 
   private sumOpen (name: string): number {
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -27,6 +27,7 @@
 
 /** A model that was promised a runner, until it is there or the promise has run out. */
 interface PlacementPromise {
+  readonly model: string
   readonly runner: string
   readonly expectedAtMs: number
   readonly expiresAtMs: number
@@ -45,7 +46,7 @@
 /** Plans and orders while this daemon is the holder. */
 export class FleetPlacement {
   private readonly budget = LoadBudget.create()
-  private readonly promises = new Map<string, PlacementPromise>()
+  private readonly promises = new Set<PlacementPromise>()
   private readonly loadedAtMs = new Map<string, number>()
   private readonly usedAtMs = new Map<string, number>()
   private readonly openAdapters = new Set<string>()
@@ -81,8 +82,8 @@
     }
     if (fence !== this.plannedFence) this.takeOver(fence)
     const nowMs = clock.readMonotonicMs()
-    for (const [model, promise] of this.promises) {
-      if (nowMs > promise.expiresAtMs) this.promises.delete(model)
+    for (const promise of this.promises) {
+      if (nowMs > promise.expiresAtMs) this.promises.delete(promise)
     }
     for (const service of configurations.current?.services.values() ?? []) {
       if (service.engine !== undefined) this.runServicePlans(service, service.engine, orders)
@@ -113,27 +114,29 @@
     for (const need of demand.listNeeds()) {
       if (need.service === service.name && need.adapter === undefined) waiting.set(need.model, need.waiting)
     }
-    const models = [...pool.models.values()].map((spec): PlannedModel => ({
-      spec, rate: demand.measureRate(spec.name).requests, tokenRate: demand.measureRate(spec.name).promptTokens, waiting: waiting.get(spec.name) ?? 0, comingInMs: this.measureComing(spec.name)
-    }))
+    const models = [...pool.models.values()].map((spec): PlannedModel => {
+      const { requests, promptTokens } = demand.measureRate(spec.name)
+      return { spec, rate: requests, tokenRate: promptTokens, waiting: waiting.get(spec.name) ?? 0, ...this.measureComing(spec.name) }
+    })
     return {
       runners: views.map((view) => this.makePlannedRunner(view, pool, orders)),
       models,
-      storeLoads: [...this.promises.values()].filter((promise) => promise.isFromStore).length,
+      storeLoads: [...this.promises].filter((promise) => promise.isFromStore).length,
       canLoadFromStore: this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())
     }
   }
 
-  private measureComing (model: string): number | undefined {
-    const promise = this.promises.get(model)
-    return promise === undefined ? undefined : Math.max(0, promise.expectedAtMs - this.options.clock.readMonotonicMs())
+  private measureComing (model: string): { readonly comingInMs: number | undefined, readonly comingCopies: number } {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const times = [...this.promises].filter((promise) => promise.model === model).map((promise) => Math.max(0, promise.expectedAtMs - nowMs))
+    return { comingInMs: times.length === 0 ? undefined : Math.min(...times), comingCopies: times.length }
   }
 
   /** Time until a runner may be given an order; infinite when it is of no use, or busy with what isn't known here. */
   private measureFree ({ runner, isTrusted }: RunnerView, orders: OrderBook): number {
     if (runner.isLeaving || !isTrusted || runner.holdings === undefined) return Number.POSITIVE_INFINITY
     const nowMs = this.options.clock.readMonotonicMs()
-    const promise = [...this.promises.values()].find((candidate) => candidate.runner === runner.id)
+    const promise = [...this.promises].find((candidate) => candidate.runner === runner.id)
     // An overdue order may end at any moment: a runner that is promised is never free at once.
     if (promise !== undefined) return Math.max(PLAN_STEP_MS, promise.expectedAtMs - nowMs)
     if (runner.holdings.isBusy) return Number.POSITIVE_INFINITY
@@ -169,16 +172,17 @@
     const source = findSource(spec, holdings)
     const nowMs = this.options.clock.readMonotonicMs()
     const promise: PlacementPromise = {
+      model: move.beneficiary,
       runner: move.runner,
       expectedAtMs: nowMs + measureLoadMs(spec, source) + UNLOAD_MS,
       expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR,
       isFromStore: source === 'store'
     }
-    this.promises.set(move.beneficiary, promise)
+    this.promises.add(promise)
     try {
       if (move.action === 'load' || await this.makeRoom(move, pool)) await this.loadModel(move, spec, source, pool)
     } finally {
-      if (this.promises.get(move.beneficiary) === promise) this.promises.delete(move.beneficiary)
+      this.promises.delete(promise)
     }
   }
 
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -6,7 +6,7 @@
 const SPEC = { weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 12 }
 
 function makeModel (name: string, changes: Partial<PlannedModel> = {}): PlannedModel {
-  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, comingInMs: undefined, ...changes }
+  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, comingInMs: undefined, comingCopies: 0, ...changes }
 }
 
 function makeCopy (model: string, changes: Partial<PlannedCopy> = {}): PlannedCopy {
@@ -49,9 +49,18 @@
     expect(moves.map(({ action, runner }) => `${action} on ${runner}`)).toEqual(['load on r3'])
   })
 
+  it('meets a steep rise with several copies at once, no more than the store allows and not all runners', () => {
+    const runners = [makeRunner('r1', [makeCopy('hot', { openRequests: 40 })]), ...['r2', 'r3', 'r4', 'r5'].map((id) => makeRunner(id, [], { inMemory: ['hot'] }))]
+    const hot = makeModel('hot', { rate: 20, tokenRate: 60_000 })
+    expect(planModels(makeView(runners, [hot])).length).toEqual(2)
+    expect(planModels(makeView(runners, [{ ...hot, comingInMs: 400, comingCopies: 1 }])).length).toEqual(1)
+    const fromStore = runners.map((runner) => ({ ...runner, inMemory: [] }))
+    expect(planModels(makeView(fromStore, [hot])).length).toEqual(1)
+  })
+
   it('puts no model where it is already, and none that is on its way', () => {
     expect(planModels(makeView([makeRunner('r1', [makeCopy('hot')])], [makeModel('hot', { tokenRate: 90_000 })]))).toEqual([])
-    expect(planModels(makeView([makeRunner('r1', [])], [makeModel('rare', { waiting: 3, comingInMs: 500 })]))).toEqual([])
+    expect(planModels(makeView([makeRunner('r1', [])], [makeModel('rare', { waiting: 3, comingInMs: 500, comingCopies: 1 })]))).toEqual([])
   })
 
   it('waits for a busy runner that has the model on disk rather than fetch it from the store', () => {
@@ -63,7 +72,7 @@
 
   it('loads from disk what a slow load from the store would bring much later', () => {
     const runners = [makeRunner('r1', [], { onDisk: ['rare'] })]
-    expect(planModels(makeView(runners, [makeModel('rare', { waiting: 4, comingInMs: 7_000 })])).map((move) => move.runner)).toEqual(['r1'])
+    expect(planModels(makeView(runners, [makeModel('rare', { waiting: 4, comingInMs: 7_000, comingCopies: 1 })])).map((move) => move.runner)).toEqual(['r1'])
   })
 
   it('begins one load from the store at a time, and none beyond the budget', () => {
