Prefer runners to which a connection stands; decide idle times in the product

Change: the choice of a runner counts a new connection as 150 prompt tokens; how long a connection may have been idle is a decision of figquay-serving, 3 s instead of 1.5 s for what must not repeat.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
@@ -3,11 +3,13 @@
  *
  * Answers these load patterns: many requests that share long prompt parts (kept together while that costs less than
  * processing the parts again); long prompts beside short streams, whose events pause while a prompt is processed (kept
- * apart as far as there are runners to choose from); and a runner that fails or lags behind (it gets less, or nothing).
+ * apart as far as there are runners to choose from); calls that are few and far between, each of which would open a
+ * connection (they stay where one stands while the loads are alike); and a runner that fails or lags behind (it gets
+ * less, or nothing).
  */
 import { createHash } from 'node:crypto'
 import type { RunnerView } from './FigquayFleetRunnerTable.js'
-import type { PromptPart } from './FigquayFleetTypes.js'
+import type { PromptPart, Runner } from './FigquayFleetTypes.js'
 
 /** What the choice needs to know of a request. */
 export interface ChoiceRequest {
@@ -20,8 +22,13 @@
   readonly triedRunners: ReadonlySet<string>
 }
 
-/** Prompt tokens that a runner has processed before, as this daemon remembers it. */
-export type CachedTokens = (runnerId: string) => number
+/** What this daemon knows of its own dealings with a runner. */
+export interface RunnerDealings {
+  /** Prompt tokens of the request that the runner has processed before. */
+  readonly cachedTokens: number
+  /** Whether a connection to it stands that the request may use. */
+  readonly isConnected: boolean
+}
 
 /** Prompt tokens that a runner processes in a millisecond, for a first estimate. */
 export const PREFILL_TOKENS_PER_MS = 40
@@ -37,6 +44,8 @@
 const TOKENS_PER_FAILURE_RATE = 40_000
 /** Cost of a path to another zone, in prompt tokens of equal time. */
 const TOKENS_PER_ZONE_HOP = 60
+/** Cost of a new connection, in prompt tokens: a runner accepts few, and each takes a slot and two round trips. */
+const TOKENS_PER_CONNECTION = 150
 /** Cost of not being the home of the request's shared parts, as a part of the tokens that the home would save. */
 const HOME_PART = 1
 
@@ -68,15 +77,16 @@
 }
 
 /** Cost of sending a request to a runner, in prompt tokens of equal time. */
-function weighRunner (view: RunnerView, request: ChoiceRequest, home: string | undefined, cached: number): number {
+function weighRunner (view: RunnerView, request: ChoiceRequest, home: string | undefined, { cachedTokens, isConnected }: RunnerDealings): number {
   const sharedTokens = sumTokens(listSharedParts(request.parts))
-  const expectedCached = view.runner.id === home ? Math.max(cached, HOME_PART * sharedTokens) : cached
+  const expectedCached = view.runner.id === home ? Math.max(cachedTokens, HOME_PART * sharedTokens) : cachedTokens
   const ownTokens = Math.max(0, request.promptTokens - expectedCached)
   return view.load.pendingTokens + ownTokens +
     (ownTokens > UNNOTICED_TOKENS ? 0 : view.load.recentTokens * EXPECTED_PART) +
     view.load.requests * (TOKENS_PER_RUNNING_REQUEST + (ownTokens > UNNOTICED_TOKENS ? TOKENS_PER_PAUSED_STREAM : 0)) +
     view.failureRate * TOKENS_PER_FAILURE_RATE +
-    (view.runner.zone === request.zone ? 0 : TOKENS_PER_ZONE_HOP)
+    (view.runner.zone === request.zone ? 0 : TOKENS_PER_ZONE_HOP) +
+    (isConnected ? 0 : TOKENS_PER_CONNECTION)
 }
 
 /**
@@ -84,9 +94,9 @@
  * Runners that are resting, or have had the request, are taken only when there are no others.
  *
  * @example
- * chooseRunner(candidates, request, () => 0)?.runner.id
+ * chooseRunner(candidates, request, () => ({ cachedTokens: 0, isConnected: true }))?.runner.id
  */
-export function chooseRunner (candidates: readonly RunnerView[], request: ChoiceRequest, readCached: CachedTokens): RunnerView | undefined {
+export function chooseRunner (candidates: readonly RunnerView[], request: ChoiceRequest, findDealings: (runner: Runner) => RunnerDealings): RunnerView | undefined {
   const fresh = candidates.filter((view) => !request.triedRunners.has(view.runner.id))
   const trusted = fresh.filter((view) => view.isTrusted)
   const usable = trusted.length > 0 ? trusted : fresh.length > 0 ? fresh : candidates
@@ -96,7 +106,7 @@
   let best: RunnerView | undefined
   let lowest = Number.POSITIVE_INFINITY
   for (const view of usable) {
-    const cost = weighRunner(view, request, home, readCached(view.runner.id))
+    const cost = weighRunner(view, request, home, findDealings(view.runner))
     if (cost >= lowest) continue
     best = view
     lowest = cost
--- a/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
@@ -1,7 +1,7 @@
 /** Choices for the load patterns that they answer. */
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { chooseRunner, findHome, type ChoiceRequest, type RunnerLoad, type RunnerView } from '../../index.js'
+import { chooseRunner, findHome, type ChoiceRequest, type RunnerDealings, type RunnerLoad, type Runner, type RunnerView } from '../../index.js'
 
 function makeView (id: string, load: Partial<RunnerLoad> = {}, changes: Partial<RunnerView> = {}): RunnerView {
   return {
@@ -18,7 +18,7 @@
 }
 
 const LONG = makeRequest({ promptTokens: 9_000, parts: [{ id: 'manual', tokens: 6_000 }, { id: 'own', tokens: 3_000 }] })
-const readNothing = (): number => 0
+const readNothing = (): RunnerDealings => ({ cachedTokens: 0, isConnected: true })
 
 describe('choice of a runner', () => {
   it('keeps requests that share a prompt together', () => {
@@ -59,4 +59,11 @@
     const moved = keys.filter((key) => findHome(key, ids) !== 'r4' && findHome(key, ids) !== findHome(key, ids.slice(0, 3)))
     expect(moved).toEqual([])
   })
+
+  it('stays where a connection stands while the loads are alike, and no longer', () => {
+    const connectTo = (id: string) => (runner: Runner): RunnerDealings => ({ cachedTokens: 0, isConnected: runner.id === id })
+    const call = makeRequest({ model: undefined, promptTokens: 0 })
+    expect(chooseRunner([makeView('r1'), makeView('r2', { requests: 1 })], call, connectTo('r2'))?.runner.id).toEqual('r2')
+    expect(chooseRunner([makeView('r1'), makeView('r2', { requests: 4 })], call, connectTo('r2'))?.runner.id).toEqual('r1')
+  })
 })
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -67,7 +67,7 @@
     const { leadership } = this
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings) })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, countOpen: (runner, model) => this.peers.hints.countOpen(runner, model) })
-    this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, announceNeeds: () => this.peers.announceNeeds() })
+    this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, announceNeeds: () => this.peers.announceNeeds() })
     this.peers = ServingPeers.create({
       self: { id: address, zone, address },
       bootId,
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -1,8 +1,9 @@
 /** Finds a runner for a request, and lets it wait while one is being made ready. */
 import { Refusal, type Clock } from 'figquay'
-import { chooseRunner, hasAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerView } from 'figquay-fleet'
+import { chooseRunner, hasAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerDealings, type RunnerView } from 'figquay-fleet'
 import { decideMissingModel, estimateLoadMs, hasRoom } from './FigquayServingWaiting.js'
-import type { ServedRequest } from './FigquayServingTypes.js'
+import { chooseMostIdle } from './FigquayServingReuse.js'
+import type { RunnerExchangeClient, ServedRequest } from './FigquayServingTypes.js'
 
 /** What the dispatcher needs. */
 export interface ServingDispatcherOptions {
@@ -11,6 +12,7 @@
   readonly configurations: ConfigurationHolder
   readonly table: FleetRunnerTable
   readonly memory: PromptMemory
+  readonly exchanges: RunnerExchangeClient
   /** Called when something is needed that nobody waited for before. */
   readonly announceNeeds: () => void
 }
@@ -84,7 +86,7 @@
     while (true) {
       const candidates = this.listCandidates(request)
       const roomy = candidates.filter(hasRoom)
-      const view = chooseRunner(roomy, { ...request, zone: this.options.zone, triedRunners: tried }, (runner) => this.countCached(runner, request))
+      const view = chooseRunner(roomy, { ...request, zone: this.options.zone, triedRunners: tried }, (runner) => this.findDealings(runner, request))
       if (view !== undefined) return view.runner
       const refusal = candidates.length > 0 ? this.refuseFull() : this.judgeMissing(request)
       if (refusal !== undefined) return refusal
@@ -93,8 +95,13 @@
     }
   }
 
-  private countCached (runnerId: string, request: ServedRequest): number {
-    return this.options.memory.countCached(runnerId, request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter), request.parts)
+  private findDealings (runner: Runner, request: ServedRequest): RunnerDealings {
+    const { memory, exchanges } = this.options
+    const weights = request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter)
+    return {
+      cachedTokens: memory.countCached(runner.id, weights, request.parts),
+      isConnected: exchanges.hasConnection(runner, chooseMostIdle(request.route.repeat))
+    }
   }
 
   private listCandidates (request: ServedRequest): RunnerView[] {
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -2,6 +2,7 @@
 import { Deadline, Refusal, type Clock } from 'figquay'
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type OpenRequest, type PromptMemory, type Runner } from 'figquay-fleet'
 import type { CrashGuard, RetryBudget } from 'figquay-routing'
+import { chooseMostIdle } from './FigquayServingReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { ServingTraces } from './FigquayServingTraces.js'
 import type { AnswerSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, ServedRequest, ServedResult } from './FigquayServingTypes.js'
@@ -198,7 +199,7 @@
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const rank = Math.min(LOWEST_RANK, request.route.priority)
-    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfter: progress.lastEventId, rank }, limit.signal)
+    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfter: progress.lastEventId, rank, mostIdleMs: chooseMostIdle(request.route.repeat) }, limit.signal)
     for await (const event of events) {
       this.options.table.noteHeard(runner.id)
       if (event.type === 'head') limit.stopTimer()
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -66,12 +66,16 @@
   readonly resumeAfter: string | undefined
   /** Rank among the runner's requests; the lower goes first. */
   readonly rank: number
+  /** Longest time that a connection may have been idle, in milliseconds. */
+  readonly mostIdleMs: number
 }
 
 /** Carries out exchanges with runners. */
 export abstract class RunnerExchangeClient {
   /** Sends a request and yields its answer; ends with `end` or `failed`, and with nothing after an abort. */
   abstract runExchange (runner: Runner, request: ServedRequest, options: ExchangeOptions, signal: AbortSignal): AsyncGenerator<ExchangeEvent, void, void>
+  /** Whether a connection stands that has been idle for no longer than `mostIdleMs`. */
+  abstract hasConnection (runner: Runner, mostIdleMs: number): boolean
   /** Whether the process that was known at an address still runs there. */
   abstract checkAlive (runner: Runner): Promise<boolean>
 }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -25,6 +25,10 @@
     return this.scripts.shift()!(runner.id, options, signal)
   }
 
+  override hasConnection (): boolean {
+    return false
+  }
+
   override async checkAlive (): Promise<boolean> {
     return true
   }
@@ -105,8 +109,8 @@
   const configurations = ConfigurationHolder.create()
   if (model !== undefined) configurations.adoptConfiguration(CONFIGURATION)
   const memory = PromptMemory.create(clock)
-  const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, announceNeeds: () => {} })
   const exchanges = new ScriptedExchanges(scripts)
+  const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, exchanges, announceNeeds: () => {} })
   const budget = RetryBudget.create({ perRequest: 0, largestReserve: burst, firstReserve: burst })
   const router = ServingRouter.create({
     clock,
