Keep runners whose entries lapsed with the store for two seconds

Cause: entries of runners expire while the store is away, and those that live are back about two seconds after its return; they were taken as gone at once and served nothing until then.

Change: what the first readings after an outage remove, or a complete list leaves out, is removed only when two seconds since the return are over, and not at all if it is announced again. Other removals take effect at once as before.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -54,6 +54,8 @@
   private readonly states = new Map<string, RunnerState>()
   /** Positions at which runners were removed. */
   private readonly removals = new Map<string, number>()
+  /** Removals that are put off: the runner may announce itself again. */
+  private readonly lapsing = new Map<string, { readonly position: number, readonly atMs: number }>()
   private readonly peerLoads: PeerLoads
   private readonly listeners = new Set<() => void>()
   private watermark = -1
@@ -104,6 +106,7 @@
     const known = this.states.get(runner.id)
     if ((known?.position ?? this.removals.get(runner.id) ?? -1) >= position) return
     this.removals.delete(runner.id)
+    this.lapsing.delete(runner.id)
     if (known === undefined || known.runner.bornMs !== runner.bornMs || known.runner.address !== runner.address) {
       this.states.set(runner.id, this.makeState(runner, position))
     } else {
@@ -126,29 +129,42 @@
   }
 
   /**
-   * Forgets a runner that the registry no longer lists.
+   * Forgets a runner that the registry no longer lists, at once or unless it announces itself again within `graceMs`.
    *
    * @example
    * table.removeRunner('runner-7', 813)
    */
-  removeRunner (id: string, position: number): void {
+  removeRunner (id: string, position: number, graceMs = 0): void {
     this.notePosition(position)
     const known = this.states.get(id)
     if (known === undefined || known.position > position) return
+    if (graceMs > 0) {
+      this.lapsing.set(id, { position, atMs: this.clock.readMonotonicMs() + graceMs })
+      return
+    }
+    this.lapsing.delete(id)
     this.removals.set(id, position)
     this.states.delete(id)
     this.notifyListeners()
   }
 
+  /** Carries out the removals whose grace is over. */
+  private dropLapsed (): void {
+    const nowMs = this.clock.readMonotonicMs()
+    for (const [id, { position, atMs }] of this.lapsing) {
+      if (atMs <= nowMs) this.removeRunner(id, position)
+    }
+  }
+
   /**
    * Forgets every runner that a complete list doesn't name.
    *
    * @example
    * table.keepOnly(new Set(['runner-1']), 900)
    */
-  keepOnly (ids: ReadonlySet<string>, position: number): void {
+  keepOnly (ids: ReadonlySet<string>, position: number, graceMs = 0): void {
     for (const id of [...this.states.keys()]) {
-      if (!ids.has(id)) this.removeRunner(id, position)
+      if (!ids.has(id)) this.removeRunner(id, position, graceMs)
     }
     this.notePosition(position)
   }
@@ -197,9 +213,13 @@
     return [...this.states.values()].filter((state) => state.position > after).map(({ runner, position }) => ({ runner, position }))
   }
 
-  /** Runners removed after a position. */
-  listRemovals (after: number): Array<{ readonly id: string, readonly position: number }> {
-    return [...this.removals].filter(([, position]) => position > after).map(([id, position]) => ({ id, position }))
+  /** Runners removed after a position, and those that will be unless they announce themselves again. */
+  listRemovals (after: number): Array<{ readonly id: string, readonly position: number, readonly graceMs: number }> {
+    this.dropLapsed()
+    const nowMs = this.clock.readMonotonicMs()
+    const removed = [...this.removals].map(([id, position]) => ({ id, position, graceMs: 0 }))
+    const lapsing = [...this.lapsing].map(([id, { position, atMs }]) => ({ id, position, graceMs: atMs - nowMs }))
+    return [...removed, ...lapsing].filter(({ position }) => position > after)
   }
 
   /**
@@ -214,6 +234,7 @@
 
   /** All runners of a service, leaving ones included. */
   listViews (service: string): RunnerView[] {
+    this.dropLapsed()
     const nowMs = this.clock.readMonotonicMs()
     return [...this.states.values()].filter((state) => state.runner.service === service).map((state) => ({
       runner: state.runner,
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -127,6 +127,22 @@
     expect([table.findRunner('r'), table.findRunner('late')?.id]).toEqual([undefined, 'late'])
   })
 
+  it('keeps a runner whose entry lapsed with the registry, until it is back or its grace is over', () => {
+    const clock = new ManualClock()
+    const table = FleetRunnerTable.create(clock)
+    for (const id of ['back', 'gone']) table.putRunner(makeRunner({ id }), 4)
+    for (const [index, id] of ['back', 'gone'].entries()) table.removeRunner(id, 8 + index, 2_000)
+    const listIds = (): string[] => table.listCandidates('s').map((view) => view.runner.id)
+    expect(listIds()).toEqual(['back', 'gone'])
+    clock.nowMs = 500
+    // A peer that asks now learns of the removal with what is left of its grace.
+    expect(table.listRemovals(8)).toEqual([{ id: 'gone', position: 9, graceMs: 1_500 }])
+    table.putRunner(makeRunner({ id: 'back' }), 12)
+    clock.nowMs = 2_001
+    expect(listIds()).toEqual(['back'])
+    expect(table.listRemovals(8)).toEqual([{ id: 'gone', position: 9, graceMs: 0 }])
+  })
+
   it('gives a runner that leaves no new work', () => {
     const table = FleetRunnerTable.create(new ManualClock())
     table.putRunner(makeRunner({ isLeaving: true }), 1)
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -7,7 +7,7 @@
   /** Undefined when the asker's is as new. */
   readonly configuration: (Omit<FleetConfiguration, 'services'> & { readonly services: ReadonlyArray<readonly [string, SerialService]> }) | undefined
   readonly runners: ReadonlyArray<{ readonly runner: Runner, readonly position: number }>
-  readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number }>
+  readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number, readonly graceMs: number }>
   readonly position: number
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
 }
@@ -68,6 +68,10 @@
 const SHARED_INTERVAL_MS = 300
 /** A listener asks itself this often whether it must read, in milliseconds. */
 const LISTENER_PAUSE_MS = 250
+/** Entries of runners lapse while the store is away; those that live are back this long after its return, in milliseconds (platform). */
+const LAPSE_GRACE_MS = 2_000
+/** A read that takes this much longer than it was to wait found the store away, in milliseconds. */
+const AWAY_MS = 500
 /** Prefix of the records by which daemons find each other. */
 const DAEMON_PREFIX = 'daemon/'
 
@@ -82,6 +86,7 @@
   private behindSinceMs: number | undefined
   private behindPeer: string | undefined
   private heardAtMs = Number.NEGATIVE_INFINITY
+  private returnedAtMs = Number.NEGATIVE_INFINITY
 
   private constructor (private readonly options: StoreFollowerOptions) {}
 
@@ -208,8 +213,11 @@
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
       const isReader = this.options.findRole() === 'reader' || !this.hasReadRunners
-      const reading = await this.options.store.readRunners(this.options.table.position, isReader ? RUNNERS_WAIT_MS : 0, signal)
+      const waitMs = isReader ? RUNNERS_WAIT_MS : 0
+      const reading = await this.options.store.readRunners(this.options.table.position, waitMs, signal)
       if (reading.ok) {
+        const nowMs = this.options.clock.readMonotonicMs()
+        if (!this.isStoreHeard || nowMs - startedAtMs > waitMs + AWAY_MS) this.returnedAtMs = nowMs
         this.takeRunners(reading.value)
         this.heardAtMs = this.options.clock.readMonotonicMs()
         this.noteHeard(true)
@@ -225,12 +233,15 @@
   }
 
   private takeRunners (reading: RunnerReading): void {
-    const { table } = this.options
+    const { table, clock, logger } = this.options
+    const graceMs = Math.max(0, this.returnedAtMs + LAPSE_GRACE_MS - clock.readMonotonicMs())
     for (const change of reading.changes) {
       if (change.type === 'announced') table.putRunner(change.runner, change.position)
-      else table.removeRunner(change.id, change.position)
+      else table.removeRunner(change.id, change.position, graceMs)
     }
-    if (reading.isComplete) table.keepOnly(new Set(reading.changes.flatMap((change) => change.type === 'announced' ? [change.runner.id] : [])), reading.position)
+    if (reading.isComplete) table.keepOnly(new Set(reading.changes.flatMap((change) => change.type === 'announced' ? [change.runner.id] : [])), reading.position, graceMs)
+    const lapsed = reading.changes.filter((change) => change.type === 'removed').map((change) => change.type === 'removed' ? change.id : '')
+    if (graceMs > 0 && lapsed.length > 0) logger.info('entries lapsed while the store was away; kept for a while', { runners: lapsed, graceMs: Math.round(graceMs) })
     table.notePosition(reading.position)
     this.hasReadRunners = true
   }
@@ -283,7 +294,7 @@
       logger.info('configuration in force', { version: configurations.version, source: 'peer' })
     }
     for (const { runner, position } of snapshot.runners) table.putRunner(runner, position)
-    for (const { id, position } of snapshot.removals) table.removeRunner(id, position)
+    for (const { id, position, graceMs } of snapshot.removals) table.removeRunner(id, position, graceMs)
     if (snapshot.position >= 0) this.hasReadRunners = true
     let hasNew = false
     for (const [address, zone] of snapshot.daemons) {
--- a/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
@@ -1,8 +1,8 @@
 /** What a daemon knows when the store can't be read: what its peers do. */
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure } from 'figquay'
-import { ConfigurationHolder, FleetLeadership, FleetRunnerTable, type FleetConfiguration, type FleetStore, type Runner } from 'figquay-fleet'
+import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
+import { ConfigurationHolder, FleetLeadership, FleetRunnerTable, type FleetConfiguration, type FleetStore, type Runner, type RunnerReading } from 'figquay-fleet'
 import { StoreFollower, type FleetSnapshot } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
@@ -15,14 +15,14 @@
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
 /** A store that answers nothing, or the same thing always. */
-function makeStore (isUp: boolean): FleetStore {
+function makeStore (isUp: boolean, readings: Array<Outcome<RunnerReading, CallFailure>>): FleetStore {
   const reply = async <T>(value: T) => {
     await SystemClock.create().waitFor(20)
     return isUp ? makeSuccess(value) : makeFailure(FAILURE)
   }
   return {
     readConfiguration: () => reply({ configuration: CONFIGURATION, position: 1 }),
-    readRunners: () => reply({ changes: [{ type: 'announced', runner: RUNNER, position: 4 }], isComplete: true, position: 4 }),
+    readRunners: async () => readings.shift() ?? await reply({ changes: [{ type: 'announced', runner: RUNNER, position: 4 }], isComplete: true, position: 4 }),
     readShared: () => reply({ records: [{ key: 'daemon/10.0.0.2:80', value: 'z', position: 0 }], end: 1 }),
     writeShared: () => reply({ type: 'written', position: 0 })
   } as unknown as FleetStore
@@ -31,7 +31,8 @@
 function makeFollower (isUp: boolean, askPeer: () => Promise<FleetSnapshot | undefined>) {
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
-  const store = makeStore(isUp)
+  const readings: Array<Outcome<RunnerReading, CallFailure>> = []
+  const store = makeStore(isUp, readings)
   const configurations = ConfigurationHolder.create()
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [], mayApply: () => true })
@@ -39,7 +40,7 @@
   const follower = StoreFollower.create({
     clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, findRole: () => 'reader', setDaemons: (daemons) => seen.push(...daemons.keys())
   })
-  return { follower, configurations, table, seen, tasks: TaskGroup.create(clock, logger) }
+  return { follower, configurations, table, seen, readings, tasks: TaskGroup.create(clock, logger) }
 }
 
 describe('follower of the store', () => {
@@ -67,4 +68,25 @@
     await cutOff.tasks.stop()
     expect([cutOff.follower.isInformed, cutOff.follower.isConnected, cutOff.configurations.version]).toEqual([true, false, 7])
   })
+
+  it('keeps runners whose entries lapsed with the store for two seconds, and takes other removals at once', async () => {
+    const { follower, table, tasks, readings } = makeFollower(true, async () => undefined)
+    const remove = (id: string, position: number): RunnerReading => ({ changes: [{ type: 'removed', id, position }], isComplete: false, position })
+    table.putRunner({ ...RUNNER, id: 'leaver' }, 4)
+    table.putRunner({ ...RUNNER, id: 'lapsed' }, 4)
+    readings.push(makeSuccess(remove('leaver', 5)), makeFailure(FAILURE), makeSuccess(remove('lapsed', 6)))
+    const idle = makeSuccess<RunnerReading>({ changes: [], isComplete: false, position: 6 })
+    readings.push(...Array.from({ length: 9 }, () => idle))
+    follower.startTasks(tasks)
+    await SystemClock.create().waitFor(700)
+    expect([table.findRunner('leaver'), table.findRunner('lapsed')?.id]).toEqual([undefined, 'lapsed'])
+    // The failed read and the one after it take more than a second; then the grace begins.
+    await SystemClock.create().waitFor(1_500)
+    table.listViews('s')
+    expect(table.findRunner('lapsed')?.id).toEqual('lapsed')
+    await SystemClock.create().waitFor(1_800)
+    table.listViews('s')
+    expect(table.findRunner('lapsed')).toEqual(undefined)
+    await tasks.stop()
+  })
 })
