--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -104,11 +104,6 @@
     return this.part.isReader
   }
 
-  /** The daemon above, if there is one. */
-  get uplink (): string | undefined {
-    return this.part.uplink
-  }
-
   /**
    * Replaces the daemons that there are, with their data centres.
    *
