Let one unreadable answer of a peer end one exchange, not all of them

Cause, found by reading the change once more: the exchanges of the tree were one task without a guard.

Change: each exchange is a step of a loop, and the relay owns that loop. The test spoils 25 answers; with the earlier form it fails, with this it passes.

--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -122,7 +122,7 @@
     await this.mesh.listen(host, Number(port))
     this.setDaemons(new Map())
     this.options.tasks.startTask('hints', (signal) => this.runHints(signal))
-    this.options.tasks.startTask('exchanges', (signal) => this.runExchanges(signal))
+    this.relay.startExchanges(this.options.tasks, () => this.isTree)
   }
 
   /** Ends all connections. */
@@ -224,13 +224,6 @@
     }
   }
 
-  private async runExchanges (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      if (this.isTree) await this.relay.exchangeOnce(signal)
-      else await this.options.clock.waitFor(HINT_INTERVAL_MS, signal)
-    }
-  }
-
   private sendHints (): void {
     this.lastHintsAtMs = this.options.clock.readMonotonicMs()
     if (!this.isTree) {
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,5 +1,5 @@
 /** Exchanges what every daemon must know along a tree: up to the first of the data centre, across, and down again. */
-import { describeError, type Clock, type Logger, type Outcome } from 'figquay'
+import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { formatLoads, parseLoads, type ConfigurationHolder, type FleetLeadership, type FleetNews, type FleetRunnerTable, type Holder, type LoadRow, type NewsItem } from 'figquay-fleet'
 import type { StoreRole } from './FigquayServingStoreFollower.js'
 import { measureDepth, rankDaemons, READERS_PER_ZONE, selectPart, type FleetPart, type RankedDaemons } from './FigquayServingTopology.js'
@@ -117,20 +117,35 @@
   }
 
   /**
-   * Exchanges once with the daemon above or, as the first of a data centre, with the other firsts; waits for the next turn.
+   * Exchanges again and again while `isWanted`; a peer's answer that can't be read ends one exchange, not the series.
    *
    * @example
-   * while (!signal.aborted) await relay.exchangeOnce(signal)
+   * relay.startExchanges(tasks, () => daemons.size > 16)
    */
-  async exchangeOnce (signal: AbortSignal): Promise<void> {
-    const { clock } = this.options
-    const startedAtMs = clock.readMonotonicMs()
+  startExchanges (tasks: TaskGroup, isWanted: () => boolean): void {
+    tasks.startLoop('exchanges', 0, async (signal) => {
+      const { clock } = this.options
+      const startedAtMs = clock.readMonotonicMs()
+      try {
+        if (isWanted()) await this.exchangeOnce()
+      } finally {
+        const intervalMs = EXCHANGE_INTERVAL_MS * Math.max(1, this.daemonCount / EXCHANGING_DAEMONS)
+        await clock.waitFor(Math.max(1, startedAtMs + intervalMs - clock.readMonotonicMs()), signal)
+      }
+    })
+  }
+
+  /**
+   * Exchanges once with the daemon above or, as the first of a data centre, with the other firsts.
+   *
+   * @example
+   * await relay.exchangeOnce()
+   */
+  async exchangeOnce (): Promise<void> {
     this.choosePart()
     const { uplink, heads } = this.part
     if (uplink !== undefined) await this.exchangeWith(uplink)
     else await Promise.all(heads.map((head) => this.exchangeWith(head)))
-    const intervalMs = EXCHANGE_INTERVAL_MS * Math.max(1, this.daemonCount / EXCHANGING_DAEMONS)
-    await clock.waitFor(Math.max(1, startedAtMs + intervalMs - clock.readMonotonicMs()), signal)
   }
 
   private choosePart (): void {
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -14,14 +14,16 @@
   nowMs = 1_000
   readMonotonicMs (): number { return this.nowMs }
   now (): Date { return new Date(this.nowMs) }
-  async waitFor (): Promise<void> {}
+  async waitFor (): Promise<void> {
+    await new Promise((resolve) => setImmediate(resolve))
+  }
 }
 
 interface Node { readonly relay: FleetRelay, readonly table: FleetRunnerTable, readonly news: FleetNews }
 
 /** Connections between the nodes of a test; those of lost ones are gone. */
 class TestMesh implements RelayMesh {
-  constructor (private readonly self: string, private readonly nodes: ReadonlyMap<string, Node>, private readonly lost: ReadonlySet<string>) {}
+  constructor (private readonly self: string, private readonly nodes: ReadonlyMap<string, Node>, private readonly lost: ReadonlySet<string>, private readonly garbled: string[]) {}
 
   isConnected (peer: string): boolean {
     return !this.lost.has(peer)
@@ -29,6 +31,7 @@
 
   async callPeer<T> (peer: string, _method: string, message: unknown): Promise<Outcome<T, string>> {
     if (this.lost.has(peer) || this.lost.has(this.self)) return makeFailure('timeout')
+    if (this.garbled.pop() !== undefined) return makeSuccess({ from: 7, loads: 'none' } as T)
     return makeSuccess(JSON.parse(JSON.stringify(this.nodes.get(peer)!.relay.answerExchange(message as RelayMessage))) as T)
   }
 }
@@ -39,13 +42,15 @@
   const zones = new Map(Array.from({ length: count }, (_, index): [string, string] => [`10.0.0.${index}:80`, 'abc'[index % 3]!]))
   const nodes = new Map<string, Node>()
   const lost = new Set<string>()
+  /** One entry for each answer that is spoilt. */
+  const garbled: string[] = []
   const makeNode = (self: string, zone: string): Node => {
     const table = FleetRunnerTable.create(clock)
     const news = FleetNews.create(clock)
     const leadership = FleetLeadership.create({ self, bootId: self, store: {} as FleetStore, clock, logger, listConnected: () => [], mayApply: () => false })
     table.putRunner(RUNNER, 1)
     const relay = FleetRelay.create({
-      self, zone, bootId: self, clock, logger, table, leadership, news, configurations: ConfigurationHolder.create(), mesh: new TestMesh(self, nodes, lost), measureStoreAge: () => 0, takeNews: (item) => item.type === 'holdings' && table.putHoldings(item.runner, item.bornMs, item.holdings), notePeer: () => {}, setNeighbours: () => {}
+      self, zone, bootId: self, clock, logger, table, leadership, news, configurations: ConfigurationHolder.create(), mesh: new TestMesh(self, nodes, lost, garbled), measureStoreAge: () => 0, takeNews: (item) => item.type === 'holdings' && table.putHoldings(item.runner, item.bornMs, item.holdings), notePeer: () => {}, setNeighbours: () => {}
     })
     relay.setDaemons(zones)
     return { relay, table, news }
@@ -54,11 +59,11 @@
   const play = async (rounds: number): Promise<void> => {
     for (let round = 0; round < rounds; round += 1) {
       clock.nowMs += STEP_MS
-      for (const [self, { relay }] of nodes) if (!lost.has(self)) await relay.exchangeOnce(AbortSignal.any([]))
+      for (const [self, { relay }] of nodes) if (!lost.has(self)) await relay.exchangeOnce()
     }
   }
   const countRequests = (): number[] => [...nodes].filter(([self]) => !lost.has(self)).map(([, { table }]) => table.listCandidates('s')[0]!.load.requests)
-  return { nodes, lost, play, countRequests, tasks: TaskGroup.create(clock, logger) }
+  return { nodes, lost, garbled, play, countRequests, tasks: TaskGroup.create(clock, logger) }
 }
 
 function openRequest (table: FleetRunnerTable, requestId: string): () => void {
@@ -99,4 +104,14 @@
     await play(4)
     expect(others.map(({ news }) => news.revision)).toEqual(revisions)
   })
+
+  it('goes on after answers that can not be read', async () => {
+    const { nodes, garbled, tasks, countRequests } = makeFleet(20)
+    for (const [index, { table }] of [...nodes.values()].entries()) openRequest(table, `q${index}`)
+    garbled.push(...Array.from({ length: 25 }, () => 'spoilt'))
+    for (const { relay } of nodes.values()) relay.startExchanges(tasks, () => true)
+    for (let turn = 0; turn < 200; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    await tasks.stop()
+    expect([garbled.length, ...new Set(countRequests())]).toEqual([0, 20])
+  })
 })
