Honour what runners say of themselves: leaving, and wanting nothing for a while

Cause: Server-Leaving and Retry-After on a runner's answers were not read, and a leaving runner was learnt only by comparing positions: list read every 800 ms, hints every 200 ms, then a question; a looker whose readers were frozen waited 4 s for its own look. Ruled out: a queue at the daemon (the request of the trace was sent on 5 ms after its arrival). The list is read every 400 ms; lookers look when nothing new came for 900 ms.

--- a/packages/figquay-fleet/src/FigquayFleetNews.ts
+++ b/packages/figquay-fleet/src/FigquayFleetNews.ts
@@ -1,4 +1,4 @@
-/** Short-lived news that every daemon should hear once: what a runner holds now, and requests that crashed runners. */
+/** Short-lived news that every daemon should hear once: what a runner holds now, that it leaves, and requests that crashed runners. */
 import type { Clock } from 'figquay'
 import type { Holdings } from './FigquayFleetTypes.js'
 
@@ -21,7 +21,15 @@
   readonly upstream: string
 }
 
-export type NewsItem = HoldingsNews | ChargeNews
+/** A runner that leaves, as it has said itself or its announcement has. */
+export interface LeavingNews {
+  readonly type: 'leaving'
+  readonly runner: string
+  /** Start of the runner that leaves. */
+  readonly bornMs: number
+}
+
+export type NewsItem = HoldingsNews | ChargeNews | LeavingNews
 
 interface Entry {
   readonly item: NewsItem
@@ -60,7 +68,7 @@
    * if (news.addItem(item)) table.putHoldings(item.runner, item.bornMs, item.holdings)
    */
   addItem (item: NewsItem): boolean {
-    const key = item.type === 'holdings' ? item.runner : `${item.fingerprint}\n${item.upstream}`
+    const key = makeKey(item)
     const known = this.entries.get(key)?.item
     if (known !== undefined && !isNewer(item, known)) return false
     this.latest += 1
@@ -80,7 +88,14 @@
   }
 }
 
+/** Items with the same key are about the same. */
+function makeKey (item: NewsItem): string {
+  if (item.type === 'charge') return `charge\n${item.fingerprint}\n${item.upstream}`
+  return `${item.type}\n${item.runner}`
+}
+
 function isNewer (item: NewsItem, known: NewsItem): boolean {
+  if (item.type === 'leaving' && known.type === 'leaving') return item.bornMs > known.bornMs
   if (item.type !== 'holdings' || known.type !== 'holdings') return false
   return item.fence === known.fence ? item.serial > known.serial : item.fence > known.fence
 }
--- a/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
@@ -22,6 +22,8 @@
   readonly logger: Logger
   /** Tells the peers what a runner holds now. */
   readonly announceHoldings: (runnerId: string, bornMs: number, holdings: Holdings) => void
+  /** Tells the peers that a runner leaves. */
+  readonly announceLeaving: (runnerId: string, bornMs: number) => void
 }
 
 /** What an order is about. */
@@ -116,6 +118,7 @@
       this.options.logger.debug('runner did not tell its state', { runner: runnerId, error: state.error.message })
       return undefined
     }
+    if (state.value.isLeaving && this.options.table.markLeaving(runnerId, state.value.bornMs)) this.options.announceLeaving(runnerId, state.value.bornMs)
     const account = this.findAccount(runnerId)
     // A report lags: one from before the last accepted order says nothing new.
     if (account.bornMs === state.value.bornMs && state.value.sequence < account.sequence) return undefined
--- a/packages/figquay-fleet/src/FigquayFleetPlatform.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlatform.ts
@@ -66,6 +66,7 @@
 /** What a runner tells of itself when asked. */
 export interface RunnerState {
   readonly bornMs: number
+  readonly isLeaving: boolean
   /** Orders accepted since the runner's start. */
   readonly sequence: number
   readonly holdings: Holdings
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -21,6 +21,8 @@
   readonly failureRate: number
   /** Neither resting after a failure nor silent. */
   readonly isTrusted: boolean
+  /** Time for which it has asked this daemon to send nothing, in milliseconds; 0 when it takes requests. */
+  readonly refusesForMs: number
 }
 
 interface RunnerState {
@@ -46,6 +48,8 @@
 const SILENCE_MS = 1_500
 /** Announcements may be this much older than what the holder has read, in milliseconds: a heartbeat and a read of the list. */
 const HEARTBEAT_LAG_MS = 2_200
+/** Runners whose leaving or refusal is remembered, gone ones included: more than restart in some weeks. */
+const MOST_REMEMBERED = 10_000
 /** Fewer recent tokens than this aren't worth telling the peers. */
 const LEAST_RECENT_TOKENS = 200
 
@@ -56,6 +60,10 @@
   private readonly removals = new Map<string, number>()
   /** Removals that are put off: the runner may announce itself again. */
   private readonly lapsing = new Map<string, { readonly position: number, readonly atMs: number }>()
+  /** Starts of runners that leave, by id: what has once said that it leaves stays so until it starts anew. */
+  private readonly leaving = new Map<string, number>()
+  /** What runners have asked of this daemon, by id; it holds while their entries come and go. */
+  private readonly refusals = new Map<string, { readonly bornMs: number, readonly untilMs: number }>()
   private readonly peerLoads: PeerLoads
   private readonly listeners = new Set<() => void>()
   private watermark = -1
@@ -111,12 +119,28 @@
       this.states.set(runner.id, this.makeState(runner, position))
     } else {
       const holdings = this.chooseHoldings(known, runner.holdings)
-      known.runner = { ...runner, isLeaving: runner.isLeaving || known.runner.isLeaving, holdings }
+      known.runner = { ...runner, holdings }
       known.position = position
     }
+    this.applyLeaving(this.states.get(runner.id)!)
     this.notifyListeners()
   }
 
+  /** An announcement may be older than what the runner itself, or a peer, has said: only a later start undoes a leaving. */
+  private applyLeaving (state: RunnerState): void {
+    const { runner } = state
+    if (runner.isLeaving) this.rememberLeaving(runner.id, runner.bornMs)
+    else if (this.isKnownLeaving(runner.id, runner.bornMs)) state.runner = { ...runner, isLeaving: true }
+  }
+
+  private rememberLeaving (id: string, bornMs: number): void {
+    keepNewest(this.leaving, id, Math.max(bornMs, this.leaving.get(id) ?? bornMs))
+  }
+
+  private isKnownLeaving (id: string, bornMs: number): boolean {
+    return bornMs <= (this.leaving.get(id) ?? Number.NEGATIVE_INFINITY)
+  }
+
   private makeState (runner: Runner, position: number): RunnerState {
     return { runner, position, open: new Map(), failureRate: 0, recentTokens: 0, recentAtMs: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
   }
@@ -195,12 +219,39 @@
     this.notifyListeners()
   }
 
-  /** Marks a runner as leaving before the registry's log says so here: a peer or the runner itself has. */
-  markLeaving (id: string): void {
+  /**
+   * Notes that a runner leaves, as it or a peer has said; true when that is new here.
+   *
+   * @param bornMs Start of the runner that leaves; a later start undoes it.
+   * @example
+   * if (table.markLeaving('runner-7', runner.bornMs)) announceLeaving()
+   */
+  markLeaving (id: string, bornMs: number): boolean {
+    if (this.isKnownLeaving(id, bornMs)) return false
+    this.rememberLeaving(id, bornMs)
     const state = this.states.get(id)
-    if (state === undefined || state.runner.isLeaving) return
+    if (state === undefined || state.runner.bornMs > bornMs) return true
     state.runner = { ...state.runner, isLeaving: true }
     this.notifyListeners()
+    return true
+  }
+
+  /**
+   * Notes that a runner wants nothing from this daemon for a while.
+   *
+   * @example
+   * table.noteRefusal('runner-7', runner.bornMs, 2_500)
+   */
+  noteRefusal (id: string, bornMs: number, forMs: number): void {
+    const untilMs = this.clock.readMonotonicMs() + forMs
+    const known = this.refusals.get(id)
+    const isExtended = known !== undefined && known.bornMs === bornMs && known.untilMs >= untilMs
+    if (!isExtended) keepNewest(this.refusals, id, { bornMs, untilMs })
+  }
+
+  private measureRefusal ({ id, bornMs }: Runner, nowMs: number): number {
+    const refusal = this.refusals.get(id)
+    return refusal === undefined || refusal.bornMs !== bornMs ? 0 : Math.max(0, refusal.untilMs - nowMs)
   }
 
   /** A runner by id. */
@@ -240,7 +291,8 @@
       runner: state.runner,
       load: this.sumLoad(state, nowMs),
       failureRate: state.failureRate,
-      isTrusted: nowMs >= state.restUntilMs && !this.isSilent(state, nowMs)
+      isTrusted: nowMs >= state.restUntilMs && !this.isSilent(state, nowMs),
+      refusesForMs: this.measureRefusal(state.runner, nowMs)
     }))
   }
 
@@ -323,6 +375,13 @@
   }
 }
 
+/** Puts an entry at the end of a map and drops the oldest beyond the bound. */
+function keepNewest<T> (map: Map<string, T>, key: string, value: T): void {
+  map.delete(key)
+  map.set(key, value)
+  if (map.size > MOST_REMEMBERED) map.delete(map.keys().next().value!)
+}
+
 function measureRecent (state: RunnerState, nowMs: number): number {
   return state.recentTokens * Math.exp((state.recentAtMs - nowMs) / RECENT_DECAY_MS)
 }
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -149,6 +149,43 @@
     expect(table.listCandidates('s')).toEqual([])
   })
 
+  it('keeps a leaving runner leaving through silence, a return and older entries, until it starts anew', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    table.putRunner(makeRunner({ bornMs: 5 }), 1)
+    expect([table.markLeaving('r', 5), table.markLeaving('r', 5)]).toEqual([true, false])
+    table.putRunner(makeRunner({ bornMs: 5 }), 2)
+    table.removeRunner('r', 3)
+    table.putRunner(makeRunner({ bornMs: 5, address: '127.0.0.1:2' }), 4)
+    expect(table.listCandidates('s')).toEqual([])
+    table.putRunner(makeRunner({ bornMs: 9 }), 5)
+    expect(table.listCandidates('s').length).toEqual(1)
+    // Late news of the start before says nothing of this one.
+    expect([table.markLeaving('r', 5), table.listCandidates('s').length]).toEqual([false, 1])
+  })
+
+  it('learns that a runner leaves before it knows the runner', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    table.markLeaving('r', 5)
+    table.putRunner(makeRunner({ bornMs: 5 }), 1)
+    expect(table.listCandidates('s')).toEqual([])
+  })
+
+  it('remembers for how long a runner wants nothing, while its entry comes and goes', () => {
+    const clock = new ManualClock()
+    const table = FleetRunnerTable.create(clock)
+    table.putRunner(makeRunner(), 1)
+    table.noteRefusal('r', 1, 2_000)
+    table.noteRefusal('r', 1, 500)
+    table.removeRunner('r', 2)
+    table.putRunner(makeRunner(), 3)
+    expect(table.listCandidates('s')[0]?.refusesForMs).toEqual(2_000)
+    clock.nowMs = 2_000
+    expect(table.listCandidates('s')[0]?.refusesForMs).toEqual(0)
+    table.noteRefusal('r', 1, 2_000)
+    table.putRunner(makeRunner({ bornMs: 2 }), 4)
+    expect(table.listCandidates('s')[0]?.refusesForMs).toEqual(0)
+  })
+
   it('trusts what the holder has read over an announcement that lags', () => {
     const clock = new ManualClock()
     const table = FleetRunnerTable.create(clock)
--- a/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
@@ -17,6 +17,7 @@
 class FakeRunner extends RunnerOrderClient {
   sequence = 0
   bornMs = 1
+  isLeaving = false
   highestFence = 0
   losesAnswers = false
   readonly accepted: FleetOrder[] = []
@@ -25,7 +26,7 @@
   }
 
   override async readState (): Promise<Outcome<RunnerState, CallFailure>> {
-    return makeSuccess({ bornMs: this.bornMs, sequence: this.sequence, holdings: this.holdings })
+    return makeSuccess({ bornMs: this.bornMs, isLeaving: this.isLeaving, sequence: this.sequence, holdings: this.holdings })
   }
 
   override async sendOrder (_runner: Runner, order: FleetOrder): Promise<Outcome<FleetOrderReply, CallFailure>> {
@@ -48,19 +49,22 @@
   readonly table: FleetRunnerTable
   readonly book: OrderBook
   readonly leadership: FleetLeadership
+  /** Runners that the peers were told of as leaving. */
+  readonly leaving: readonly string[]
 }
 
 async function makeBench (holdings: Holdings): Promise<Bench> {
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
   const runner = new FakeRunner(holdings)
+  const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
   table.putRunner({ id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 1, holdings }, 1)
   const store = { writeShared: async () => makeSuccess({ type: 'written', position: 4 }) } as unknown as FleetStore
   const leadership = FleetLeadership.create({ self: 'd', bootId: 'b', store, clock, logger, listConnected: () => [], mayApply: () => true })
   leadership.noteRecord(JSON.stringify({ daemon: 'd', boot: 'b' }), 4)
-  const book = OrderBook.create({ self: 'd', client: runner, table, leadership, clock, logger, announceHoldings: () => {} })
-  return { runner, table, book, leadership }
+  const book = OrderBook.create({ self: 'd', client: runner, table, leadership, clock, logger, announceHoldings: () => {}, announceLeaving: (id) => leaving.push(id) })
+  return { runner, table, book, leadership, leaving }
 }
 
 function makeRequest (changes: Partial<OrderRequest> = {}): OrderRequest {
@@ -108,6 +112,12 @@
     expect(runner.accepted.at(-1)?.expectedSequence).toEqual(0)
   })
 
+  it('gives no order to a runner whose report says that it leaves, and tells the peers', async () => {
+    const { runner, book, leaving } = await makeBench(makeHoldings(['a']))
+    runner.isLeaving = true
+    expect([await book.sendOrder(makeRequest()), runner.accepted.length, leaving]).toEqual(['failed', 0, ['r']])
+  })
+
   it('gives the office up when a runner has seen a higher fence, and orders no more', async () => {
     const { runner, book, leadership } = await makeBench(makeHoldings(['a']))
     runner.highestFence = 9
--- a/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
@@ -9,6 +9,7 @@
     load: { requests: 0, pendingTokens: 0, recentTokens: 0, ...load },
     failureRate: 0,
     isTrusted: true,
+    refusesForMs: 0,
     ...changes
   }
 }
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -65,7 +65,8 @@
     const { table } = this
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.peers.isReader })
     const { leadership } = this
-    const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings) })
+    const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
+    const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, countOpen: (runner, model) => this.peers.hints.countOpen(runner, model) })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, announceNeeds: () => this.peers.announceNeeds() })
     this.peers = ServingPeers.create({
@@ -97,7 +98,8 @@
       leadership,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
       requestSnapshot: (version, position, peer) => this.peers.requestSnapshot(version, position, peer),
-      findRole: () => this.peers.storeRole
+      findRole: () => this.peers.storeRole,
+      announceLeaving
     })
     this.router = ServingRouter.create({
       clock,
@@ -111,7 +113,8 @@
       traces: this.traces,
       findBudget: (service) => this.findBudget(service),
       chargeCrash: (fingerprints, upstream) => this.chargeCrash(fingerprints, upstream),
-      noteAdapterUse: (runner, key) => this.peers.hints.noteAdapterUse(runner, key)
+      noteAdapterUse: (runner, key) => this.peers.hints.noteAdapterUse(runner, key),
+      announceLeaving
     })
   }
 
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -1,7 +1,7 @@
 /** Finds a runner for a request, and lets it wait while one is being made ready. */
 import { Refusal, type Clock } from 'figquay'
 import { chooseRunner, hasAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerDealings, type RunnerView } from 'figquay-fleet'
-import { decideMissingModel, estimateLoadMs, hasRoom } from './FigquayServingWaiting.js'
+import { chooseFullRetry, decideMissingModel, estimateLoadMs, hasRoom } from './FigquayServingWaiting.js'
 import { chooseMostIdle } from './FigquayServingReuse.js'
 import type { RunnerExchangeClient, ServedRequest } from './FigquayServingTypes.js'
 
@@ -29,8 +29,6 @@
 const ADAPTER_READY_MS = 150
 /** A service without any runner may get one within this time, in milliseconds: a runner's usual restart. */
 const NO_RUNNER_RETRY_MS = 800
-/** Requests that no runner has room for are told to come back after about this time, in milliseconds. */
-const FULL_RETRY_MS = 400
 /** Retry times are spread by this part of them, so that the callers don't return together. */
 const RETRY_SPREAD = 0.5
 
@@ -88,7 +86,7 @@
       const roomy = candidates.filter(hasRoom)
       const view = chooseRunner(roomy, { ...request, zone: this.options.zone, triedRunners: tried }, (runner) => this.findDealings(runner, request))
       if (view !== undefined) return view.runner
-      const refusal = candidates.length > 0 ? this.refuseFull() : this.judgeMissing(request)
+      const refusal = candidates.length > 0 ? this.refuseFull(candidates) : this.judgeMissing(request)
       if (refusal !== undefined) return refusal
       await this.waitForChange(request, signal)
       if (signal.aborted) return Refusal.create('bad_request', 'the caller went away')
@@ -114,8 +112,9 @@
       adapter === undefined ? holdings?.models.some((held) => held.name === model) === true : holdings !== undefined && hasAdapter(holdings.models, model, adapter))
   }
 
-  private refuseFull (): Refusal {
-    return Refusal.create('overloaded', 'no runner has room', { retryAfterMs: spreadRetry(FULL_RETRY_MS) })
+  private refuseFull (candidates: readonly RunnerView[]): Refusal {
+    const message = candidates.every((view) => view.refusesForMs > 0) ? 'every runner wants nothing for a while' : 'no runner has room'
+    return Refusal.create('overloaded', message, { retryAfterMs: spreadRetry(chooseFullRetry(candidates)) })
   }
 
   /** Undefined when the request waits. */
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -173,9 +173,17 @@
     for (const daemon of needy) this.sendDirectly(daemon, [item])
   }
 
+  /** Tells that a runner leaves; the list of runners may say so later, or not at all to a peer that can't read it. */
+  announceLeaving (runner: string, bornMs: number): void {
+    this.announceNews([{ type: 'leaving', runner, bornMs }])
+  }
+
   /** Tells of requests that were under way at a runner when it crashed. */
   announceCharges (charges: readonly CrashCharge[]): void {
-    const items = charges.map((charge): NewsItem => ({ type: 'charge', ...charge }))
+    this.announceNews(charges.map((charge): NewsItem => ({ type: 'charge', ...charge })))
+  }
+
+  private announceNews (items: readonly NewsItem[]): void {
     if (this.isTree) for (const item of items) this.news.addItem(item)
     else this.mesh.sendToAll('fleet.news', items)
   }
@@ -198,6 +206,7 @@
 
   private takeNews (item: NewsItem): void {
     if (item.type === 'holdings') this.options.table.putHoldings(item.runner, item.bornMs, item.holdings)
+    else if (item.type === 'leaving') this.options.table.markLeaving(item.runner, item.bornMs)
     else this.options.addCharge(item)
   }
 
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -64,7 +64,7 @@
 /** Connections are chosen anew this often, in milliseconds: longer than connecting takes. */
 const CHOICE_INTERVAL_MS = 500
 /** A daemon whose source has not read the store for this long reads it itself, in milliseconds: longer than a read that finds nothing new. */
-const STALE_STORE_MS = 7_000
+const STALE_STORE_MS = 3_000
 /** A daemon that has had no exchange for this long reads the store itself, in milliseconds. */
 const STALE_UPLINK_MS = 1_000
 
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -5,7 +5,7 @@
 import { chooseMostIdle } from './FigquayServingReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { ServingTraces } from './FigquayServingTraces.js'
-import type { AnswerSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, ServedRequest, ServedResult } from './FigquayServingTypes.js'
+import type { AnswerSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, RunnerNotice, ServedRequest, ServedResult } from './FigquayServingTypes.js'
 
 /** What the router needs. */
 export interface ServingRouterOptions {
@@ -22,6 +22,8 @@
   /** Charges requests with a runner's crash, here and at the peers. */
   readonly chargeCrash: (fingerprints: readonly string[], upstream: string) => void
   readonly noteAdapterUse: (runner: string, key: string) => void
+  /** Tells the peers that a runner leaves. */
+  readonly announceLeaving: (runner: string, bornMs: number) => void
   readonly traces: ServingTraces
 }
 
@@ -202,6 +204,10 @@
     const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfter: progress.lastEventId, rank, mostIdleMs: chooseMostIdle(request.route.repeat) }, limit.signal)
     for await (const event of events) {
       this.options.table.noteHeard(runner.id)
+      if (event.type === 'notice') {
+        this.takeNotice(request, runner, event.notice)
+        continue
+      }
       if (event.type === 'head') limit.stopTimer()
       const result = await this.takeEvent(progress, event, open)
       if (result !== undefined) return result
@@ -209,8 +215,20 @@
     return { type: 'failed', failure: { execution: 'unknown', reason: 'silent', message: limit.hasExpired ? 'no answer in time' : 'the caller went away' } }
   }
 
+  /** What a runner says of itself holds from now on, for this daemon at least. */
+  private takeNotice (request: ServedRequest, runner: Runner, { isLeaving, refusesForMs }: RunnerNotice): void {
+    const { table, traces, announceLeaving } = this.options
+    if (isLeaving && table.markLeaving(runner.id, runner.bornMs)) {
+      traces.recordDecision('runner says that it leaves', request, { runner: runner.id, bornMs: runner.bornMs })
+      announceLeaving(runner.id, runner.bornMs)
+    }
+    if (refusesForMs === undefined) return
+    table.noteRefusal(runner.id, runner.bornMs, refusesForMs)
+    traces.recordDecision('runner wants nothing for a while', request, { runner: runner.id, refusesForMs })
+  }
+
   /** Passes one event on; returns the result once the attempt is over. */
-  private async takeEvent (progress: Progress, event: ExchangeEvent, open: OpenRequest): Promise<AttemptResult | undefined> {
+  private async takeEvent (progress: Progress, event: Exclude<ExchangeEvent, { type: 'notice' }>, open: OpenRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
     if (event.type === 'end') {
       progress.sink.finishAnswer()
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -48,6 +48,8 @@
   /** Called with the daemons' addresses and zones after each change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
   readonly findRole: () => StoreRole
+  /** Tells the peers that a runner leaves, without waiting until they compare what they have read. */
+  readonly announceLeaving: (runner: string, bornMs: number) => void
   /** Asks a peer for what is newer than this daemon's picture; undefined when none answers. */
   readonly requestSnapshot: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
 }
@@ -55,13 +57,20 @@
 /** Longest that a read of rarely changing records is kept waiting, in milliseconds. */
 const LONG_WAIT_MS = 20_000
 /** Changes in the list of runners are gathered for this long, in milliseconds: well within the time in which a leaving runner must be left alone. */
-const RUNNERS_INTERVAL_MS = 800
+const RUNNERS_INTERVAL_MS = 400
 /** A read of the list is kept waiting this long at most, in milliseconds: the time in which a dead path to the store shows. */
-const RUNNERS_WAIT_MS = 5_000
+const RUNNERS_WAIT_MS = 1_500
 /** A reader that has been behind a peer for this long asks it, in milliseconds: longer than its own reads take. */
 const BEHIND_MS = 1_200
 /** A daemon for which others read looks itself this often, in milliseconds, lest its readers are cut off. */
 const OWN_LOOK_MS = 4_000
+/**
+ * It looks at once when nothing new has come by its readers for this long, in milliseconds: runners write every second or
+ * so, and readers tell within two intervals of theirs.
+ */
+const QUIET_MS = 900
+/** A daemon that waits for its next look checks this often whether its readers have gone quiet, in milliseconds. */
+const QUIET_CHECK_MS = 100
 /** A failed read is repeated after this time, in milliseconds. */
 const FAILED_PAUSE_MS = 250
 /** Changes of the daemons' own records are gathered for this long before they are read, in milliseconds. */
@@ -227,8 +236,24 @@
         await this.fetchFromPeer()
       }
       const spentMs = this.options.clock.readMonotonicMs() - startedAtMs
-      const intervalMs = isReader || !reading.ok ? RUNNERS_INTERVAL_MS : OWN_LOOK_MS
-      await this.options.clock.waitFor(Math.max(reading.ok ? 0 : FAILED_PAUSE_MS, intervalMs - spentMs), signal)
+      if (isReader || !reading.ok) await this.options.clock.waitFor(Math.max(reading.ok ? 0 : FAILED_PAUSE_MS, RUNNERS_INTERVAL_MS - spentMs), signal)
+      else await this.waitForLook(startedAtMs, signal)
+    }
+  }
+
+  /** Waits until the next look is due, or the readers have told nothing new for too long. */
+  private async waitForLook (lastLookMs: number, signal: AbortSignal): Promise<void> {
+    const { clock, table, findRole } = this.options
+    let knownPosition = table.position
+    let changedAtMs = clock.readMonotonicMs()
+    while (!signal.aborted && findRole() === 'looker') {
+      await clock.waitFor(QUIET_CHECK_MS, signal)
+      const nowMs = clock.readMonotonicMs()
+      if (table.position !== knownPosition) {
+        knownPosition = table.position
+        changedAtMs = nowMs
+      }
+      if (nowMs - changedAtMs >= QUIET_MS || nowMs - lastLookMs >= OWN_LOOK_MS) return
     }
   }
 
@@ -236,7 +261,7 @@
     const { table, clock, logger } = this.options
     const graceMs = Math.max(0, this.returnedAtMs + LAPSE_GRACE_MS - clock.readMonotonicMs())
     for (const change of reading.changes) {
-      if (change.type === 'announced') table.putRunner(change.runner, change.position)
+      if (change.type === 'announced') this.takeAnnouncement(change.runner, change.position)
       else table.removeRunner(change.id, change.position, graceMs)
     }
     if (reading.isComplete) table.keepOnly(new Set(reading.changes.flatMap((change) => change.type === 'announced' ? [change.runner.id] : [])), reading.position, graceMs)
@@ -246,6 +271,15 @@
     this.hasReadRunners = true
   }
 
+  private takeAnnouncement (runner: Runner, position: number): void {
+    const { table, logger, announceLeaving } = this.options
+    const isNew = runner.isLeaving && table.markLeaving(runner.id, runner.bornMs)
+    table.putRunner(runner, position)
+    if (!isNew) return
+    logger.info('runner leaves', { runner: runner.id, service: runner.service, position })
+    announceLeaving(runner.id, runner.bornMs)
+  }
+
   private noteHeard (isHeard: boolean): void {
     if (isHeard === this.isStoreHeard) return
     this.isStoreHeard = isHeard
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -49,8 +49,18 @@
   readonly message: string
 }
 
+/** What a runner says of itself beside an answer. */
+export interface RunnerNotice {
+  /** It takes no more work. */
+  readonly isLeaving: boolean
+  /** Time for which it wants nothing from this daemon, in milliseconds. */
+  readonly refusesForMs: number | undefined
+}
+
 /** One event of an exchange with a runner. */
 export type ExchangeEvent =
+  /** Comes before the answer, or the failure, that it was said beside. */
+  | { readonly type: 'notice', readonly notice: RunnerNotice }
   /** The answer begins; `head` is the codec's. */
   | { readonly type: 'head', readonly status: number, readonly head: unknown, readonly load: ReportedLoad | undefined }
   /** Bytes of the answer; on streams, whole events. */
--- a/packages/figquay-serving/src/FigquayServingWaiting.ts
+++ b/packages/figquay-serving/src/FigquayServingWaiting.ts
@@ -2,7 +2,8 @@
  * Whether a request waits for a model that no runner holds, or is refused at once. Pure: no clock, no I/O.
  *
  * Answers these load patterns: a rare model that is asked for while others fill the runners (its requests wait when it
- * can be there in time, and else are told when it will be), and more requests than the runners have room for.
+ * can be there in time, and else are told when it will be), more requests than the runners have room for, and runners
+ * that ask for nothing for a while, one of them or all.
  */
 import { findSource, measureLoadMs, type ModelSpec, type Runner, type RunnerView } from 'figquay-fleet'
 
@@ -18,14 +19,27 @@
 /** Requests beyond a runner's slots that may stand in its own queue, as a part of the slots. */
 const QUEUE_PART = 1
 
+/** Requests that no runner has room for are told to come back after about this time, in milliseconds: some answers' time. */
+const FULL_RETRY_MS = 400
+
 /**
- * Whether a runner has room for one more request, its own queue included.
+ * Whether a runner has room for one more request, its own queue included, and wants it.
  *
  * @example
  * hasRoom(view)
  */
 export function hasRoom (view: RunnerView): boolean {
-  return view.load.requests < view.runner.slots * (1 + QUEUE_PART)
+  return view.refusesForMs === 0 && view.load.requests < view.runner.slots * (1 + QUEUE_PART)
+}
+
+/**
+ * When a request should come back that no runner has room for, in milliseconds: never before one wants it.
+ *
+ * @example
+ * chooseFullRetry([{ ...view, refusesForMs: 3_000 }]) // 3_000
+ */
+export function chooseFullRetry (views: readonly RunnerView[]): number {
+  return Math.max(FULL_RETRY_MS, Math.min(...views.map((view) => view.refusesForMs)))
 }
 
 /**
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -50,7 +50,23 @@
     const leadership = FleetLeadership.create({ self, bootId: self, store: {} as FleetStore, clock, logger, listConnected: () => [], mayApply: () => false })
     table.putRunner(RUNNER, 1)
     const relay = FleetRelay.create({
-      self, zone, bootId: self, clock, logger, table, leadership, news, configurations: ConfigurationHolder.create(), mesh: new TestMesh(self, nodes, lost, garbled), measureStoreAge: () => 0, takeNews: (item) => item.type === 'holdings' && table.putHoldings(item.runner, item.bornMs, item.holdings), notePeer: () => {}, setNeighbours: () => {}
+      self,
+      zone,
+      bootId: self,
+      clock,
+      logger,
+      table,
+      leadership,
+      news,
+      configurations: ConfigurationHolder.create(),
+      mesh: new TestMesh(self, nodes, lost, garbled),
+      measureStoreAge: () => 0,
+      takeNews: (item) => {
+        if (item.type === 'holdings') table.putHoldings(item.runner, item.bornMs, item.holdings)
+        if (item.type === 'leaving') table.markLeaving(item.runner, item.bornMs)
+      },
+      notePeer: () => {},
+      setNeighbours: () => {}
     })
     relay.setDaemons(zones)
     return { relay, table, news }
@@ -105,6 +121,14 @@
     expect(others.map(({ news }) => news.revision)).toEqual(revisions)
   })
 
+  it('lets every daemon know that a runner leaves, in a few exchanges', async () => {
+    const { nodes, play } = makeFleet(30)
+    nodes.get('10.0.0.29:80')!.news.addItem({ type: 'leaving', runner: 'r', bornMs: 0 })
+    nodes.get('10.0.0.29:80')!.table.markLeaving('r', 0)
+    await play(4)
+    expect([...nodes.values()].filter(({ table }) => table.listCandidates('s').length > 0).length).toEqual(0)
+  })
+
   it('goes on after answers that can not be read', async () => {
     const { nodes, garbled, tasks, countRequests } = makeFleet(20)
     for (const [index, { table }] of [...nodes.values()].entries()) openRequest(table, `q${index}`)
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -63,6 +63,7 @@
 const HEAD: ExchangeEvent = { type: 'head', status: 200, head: [], load: undefined }
 const ERROR_HEAD: ExchangeEvent = { type: 'head', status: 500, head: [], load: undefined }
 const END: ExchangeEvent = { type: 'end' }
+const LEAVING: ExchangeEvent = { type: 'notice', notice: { isLeaving: true, refusesForMs: undefined } }
 
 function makeData (text: string, lastEventId?: string): ExchangeEvent {
   return { type: 'data', bytes: Buffer.from(text), lastEventId }
@@ -96,12 +97,15 @@
   /** Model that is asked for; no runner holds it. */
   readonly model?: string
   readonly deadlineMs?: number
+  /** How often the request is sent, one after the other. */
+  readonly calls?: number
   /** Called while the request is being served. */
   readonly interfere?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlineMs = 300, interfere }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly sent: readonly string[], readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlineMs = 300, calls = 1, interfere }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
+  const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
   for (const id of ['r1', 'r2', 'r3']) {
     table.putRunner({ id, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
@@ -124,17 +128,23 @@
     crashes: CrashGuard.create(),
     chargeCrash: () => {},
     noteAdapterUse: () => {},
+    announceLeaving: (runner) => leaving.push(runner),
     traces: ServingTraces.create(clock, JsonLogger.create('test', 'silent'))
   })
-  const sink = new RecordingSink()
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
     id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
-  const serving = router.serveRequest(request, sink, new AbortController().signal)
-  if (interfere !== undefined) await clock.waitFor(100).then(() => interfere(router, dispatcher))
-  const result = await serving
-  return { sink, sent: exchanges.sent, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
+  const answers: RecordingSink[] = []
+  let result = ''
+  for (let call = 0; call < calls; call += 1) {
+    const sink = new RecordingSink()
+    answers.push(sink)
+    const serving = router.serveRequest(request, sink, new AbortController().signal)
+    if (interfere !== undefined) await clock.waitFor(100).then(() => interfere(router, dispatcher))
+    result = await serving
+  }
+  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
 }
 
 describe('serving of a request', () => {
@@ -203,6 +213,20 @@
     expect([sink.ending, sent.length]).toEqual(['refused 504 unknown', 1])
   })
 
+  it('sends nothing more to a runner that has said on an answer that it leaves, and tells the peers once', async () => {
+    const answer = makeScript(HEAD, makeData('ok'), END)
+    const { sent, leaving } = await serve([makeScript(LEAVING, HEAD, makeData('ok'), END), answer, answer, answer], {}, { calls: 4 })
+    expect([sent.slice(1).includes(sent[0]!), leaving]).toEqual([false, [sent[0]!]])
+  })
+
+  it('sends nothing to a runner for as long as it asked, and refuses at once when all have asked', async () => {
+    const refuse = (refusesForMs: number): Script => makeScript({ type: 'notice', notice: { isLeaving: false, refusesForMs } }, makeFailure('declined', 'not-run'))
+    const { sent, answers, tookMs } = await serve([refuse(5_000), refuse(3_000), refuse(4_000)], {}, { calls: 3, deadlineMs: 2_000 })
+    expect([new Set(sent).size, sent.length]).toEqual([3, 3])
+    expect(answers.map((sink) => sink.ending)).toEqual(Array.from({ length: 3 }, () => 'refused 503 not-run'))
+    expect([answers[2]!.refusal!.retryAfterMs! > 2_500, tookMs < 1_000]).toEqual([true, true])
+  })
+
   it('gives a final answer to what waits, or is at a runner, when the daemon exits', async () => {
     const waiting = await serve([], {}, { model: 'm', deadlineMs: 3_000, interfere: (router) => router.abandonRequests() })
     expect([waiting.sink.ending, waiting.sink.refusal?.retryAfterMs, waiting.tookMs < 1_000]).toEqual(['refused 503 not-run', 0, true])
--- a/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
@@ -37,10 +37,11 @@
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [], mayApply: () => true })
   const seen: string[] = []
+  const leaving: string[] = []
   const follower = StoreFollower.create({
-    clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, findRole: () => 'reader', setDaemons: (daemons) => seen.push(...daemons.keys())
+    clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, findRole: () => 'reader', announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seen.push(...daemons.keys())
   })
-  return { follower, configurations, table, seen, readings, tasks: TaskGroup.create(clock, logger) }
+  return { follower, configurations, table, seen, leaving, readings, tasks: TaskGroup.create(clock, logger) }
 }
 
 describe('follower of the store', () => {
@@ -50,6 +51,7 @@
     await SystemClock.create().waitFor(150)
     await reader.tasks.stop()
     expect([reader.follower.isInformed, reader.configurations.version, reader.seen.includes('10.0.0.2:80')]).toEqual([true, 7, true])
+    expect(reader.leaving).toEqual(['r'])
     const wire = JSON.parse(JSON.stringify(reader.follower.makeSnapshot(-1, -1))) as FleetSnapshot
     const other = makeFollower(false, async () => wire)
     other.follower.takeSnapshot(wire)
--- a/packages/figquay-serving/src/__tests__/unit/Waiting.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Waiting.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import type { ModelSpec, Runner, RunnerView } from 'figquay-fleet'
-import { decideMissingModel, estimateLoadMs, hasRoom } from '../../index.js'
+import { chooseFullRetry, decideMissingModel, estimateLoadMs, hasRoom } from '../../index.js'
 
 const SPEC: ModelSpec = { name: 'rare', weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 0 }
 
@@ -26,9 +26,17 @@
 })
 
 describe('room at a runner', () => {
+  const view: RunnerView = { runner: makeRunner([], []), load: { requests: 0, pendingTokens: 0, recentTokens: 0 }, failureRate: 0, isTrusted: true, refusesForMs: 0 }
+
   it('ends with its own queue', () => {
-    const view: RunnerView = { runner: makeRunner([], []), load: { requests: 0, pendingTokens: 0, recentTokens: 0 }, failureRate: 0, isTrusted: true }
     expect(hasRoom({ ...view, load: { ...view.load, requests: 7 } })).toEqual(true)
     expect(hasRoom({ ...view, load: { ...view.load, requests: 8 } })).toEqual(false)
   })
+
+  it('is none while the runner wants nothing, and the callers come back when the first does again', () => {
+    const refusing = (refusesForMs: number): RunnerView => ({ ...view, refusesForMs })
+    expect(hasRoom(refusing(1))).toEqual(false)
+    expect(chooseFullRetry([refusing(9_000), refusing(3_000)])).toEqual(3_000)
+    expect(chooseFullRetry([refusing(9_000), refusing(0)]) < 3_000).toEqual(true)
+  })
 })
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -1,5 +1,5 @@
-export { AnswerSink, RunnerExchangeClient, type ExchangeEvent, type ExchangeFailure, type ExchangeFailureReason, type ExchangeOptions, type ServedRequest, type ServedResult } from './FigquayServingTypes.js'
-export { decideMissingModel, estimateLoadMs, hasRoom, type WaitingDecision } from './FigquayServingWaiting.js'
+export { AnswerSink, RunnerExchangeClient, type ExchangeEvent, type ExchangeFailure, type ExchangeFailureReason, type ExchangeOptions, type RunnerNotice, type ServedRequest, type ServedResult } from './FigquayServingTypes.js'
+export { chooseFullRetry, decideMissingModel, estimateLoadMs, hasRoom, type WaitingDecision } from './FigquayServingWaiting.js'
 export { chooseMostIdle } from './FigquayServingReuse.js'
 export { ServingTraces } from './FigquayServingTraces.js'
 export { ServingDispatcher, spreadRetry, type ServingDispatcherOptions } from './FigquayServingDispatcher.js'
