Let the work of needs and plans follow what changes

Cause: with a model missing, every wake of a waiting request told all peers of its needs, each of these called for a plan 10 ms later, each plan's news and every sign of life of a runner woke every waiting request. The holder answered nothing for seconds. By reading: plans grew with runners x models x runners. A model is given up for a load from the weight store only once that load has its place in the store's rate.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -23,6 +23,16 @@
   readonly adapters: ReadonlyArray<readonly [runner: string, key: string]>
 }
 
+/**
+ * Joins a runner and a model on it.
+ *
+ * @example
+ * makeOpenKey('runner-1', 'manual')
+ */
+export function makeOpenKey (runner: string, model: string): string {
+  return `${runner}\n${model}`
+}
+
 /** Requests by model that peers have at runners. */
 type ModelLoads = ReadonlyMap<string, number>
 
@@ -125,7 +135,7 @@
   /** Takes in a report; the load of its daemon is heard of by other ways. */
   takeReport (hints: FleetHints): void {
     const { demand, leadership, clock, noteAdapterUse } = this.options
-    const models = new Map(hints.loads.flatMap(([runner, , , , counts]) => counts.map(([model, count]): [string, number] => [`${runner}\n${model}`, count])))
+    const models = new Map(hints.loads.flatMap(([runner, , , , counts]) => counts.map(([model, count]): [string, number] => [makeOpenKey(runner, model), count])))
     this.peerModels.set(hints.from, { loads: models, receivedAtMs: clock.readMonotonicMs() })
     for (const [model, arrivals] of hints.arrivals) demand.addArrivals(model, arrivals)
     demand.putNeeds(hints.from, hints.needs)
@@ -133,14 +143,26 @@
     if (hints.holder !== undefined) leadership.noteRumour(hints.holder)
   }
 
-  /** Requests under way on a model at a runner, here and at the peers. */
-  countOpen (runner: string, model: string): number {
+  /**
+   * Requests under way here and at the peers, by runner and model.
+   *
+   * @example
+   * hints.sumOpen().get(makeOpenKey('runner-1', 'manual'))
+   */
+  sumOpen (): ReadonlyMap<string, number> {
     const nowMs = this.options.clock.readMonotonicMs()
-    let count = this.countOwnModels(runner).get(model) ?? 0
-    for (const peer of this.peerModels.values()) {
-      if (nowMs - peer.receivedAtMs < HINT_EXPIRES_MS) count += peer.loads.get(`${runner}\n${model}`) ?? 0
+    const sums = new Map<string, number>()
+    const add = (key: string, count: number): void => {
+      sums.set(key, (sums.get(key) ?? 0) + count)
+    }
+    for (const runner of this.options.table.exportLoads().keys()) {
+      for (const [model, count] of this.countOwnModels(runner)) add(makeOpenKey(runner, model), count)
+    }
+    for (const [peer, { loads, receivedAtMs }] of this.peerModels) {
+      if (nowMs - receivedAtMs >= HINT_EXPIRES_MS) this.peerModels.delete(peer)
+      else for (const [key, count] of loads) add(key, count)
     }
-    return count
+    return sums
   }
 
   private countOwnModels (runner: string): Map<string, number> {
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -66,6 +66,7 @@
   readonly model: string
   /** Model that the step is for. */
   readonly beneficiary: string
+  /** Whether the beneficiary comes from the weight store. */
   readonly fromStore: boolean
   readonly reason: string
 }
@@ -105,25 +106,59 @@
   readonly isLater: boolean
 }
 
-/** Copies that serve, by model. */
-function countCopies (view: ModelPlanView): Map<string, number> {
-  const counts = new Map<string, number>()
-  for (const runner of view.runners) {
-    if (!runner.isServing) continue
-    for (const copy of runner.copies) counts.set(copy.model, (counts.get(copy.model) ?? 0) + 1)
+/** What a view says of each model, gathered in one pass over its runners. */
+class ModelIndex {
+  /** Copies on runners that serve. */
+  private readonly copies = new Map<string, number>()
+  /** Requests under way, over all copies. */
+  private readonly open = new Map<string, number>()
+  /** Runners that have a copy at hand, or hold one. */
+  private readonly atHand = new Map<string, PlannedRunner[]>()
+  readonly servingCount: number
+
+  constructor (runners: readonly PlannedRunner[]) {
+    this.servingCount = runners.filter((runner) => runner.isServing).length
+    for (const runner of runners) {
+      for (const { model, openRequests } of runner.copies) {
+        this.open.set(model, (this.open.get(model) ?? 0) + openRequests)
+        if (runner.isServing) this.copies.set(model, (this.copies.get(model) ?? 0) + 1)
+      }
+      for (const model of new Set([...runner.inMemory, ...runner.onDisk])) {
+        const known = this.atHand.get(model) ?? []
+        this.atHand.set(model, known)
+        known.push(runner)
+      }
+    }
+  }
+
+  countCopies (model: string): number {
+    return this.copies.get(model) ?? 0
+  }
+
+  sumOpen (model: string): number {
+    return this.open.get(model) ?? 0
+  }
+
+  listAtHand (model: string): readonly PlannedRunner[] {
+    return this.atHand.get(model) ?? []
   }
-  return counts
+}
+
+interface Victim {
+  readonly model: string
+  readonly loss: number
 }
 
 /** One way of planning, over a view that doesn't change meanwhile. */
 class ModelPlanner {
-  private readonly copies: ReadonlyMap<string, number>
+  private readonly index: ModelIndex
   private readonly models: ReadonlyMap<string, PlannedModel>
   private readonly taken = new Set<string>()
+  private readonly victims = new Map<string, Victim | undefined>()
   private canLoadFromStore: boolean
 
   constructor (private readonly view: ModelPlanView) {
-    this.copies = countCopies(view)
+    this.index = new ModelIndex(view.runners)
     this.models = new Map(view.models.map((model) => [model.spec.name, model]))
     this.canLoadFromStore = view.canLoadFromStore
   }
@@ -141,12 +176,12 @@
   }
 
   private countCopies (model: PlannedModel): number {
-    return this.copies.get(model.spec.name) ?? 0
+    return this.index.countCopies(model.spec.name)
   }
 
   /** Whether a runner has a copy at hand from which the model would be ready soon. */
   private isNear ({ spec }: PlannedModel): boolean {
-    return this.view.runners.some((runner) => runner.isServing && findSource(spec, runner) !== 'store')
+    return this.index.listAtHand(spec.name).some((runner) => runner.isServing)
   }
 
   /** Copies beyond those that there are and are being made, as many as may be begun now; none for a model without a copy. */
@@ -154,7 +189,7 @@
     const copies = this.countCopies(model)
     if (copies === 0) return 0
     const wantedByRate = 1 + Math.floor(model.tokenRate / TOKENS_PER_COPY)
-    const wantedByCrowd = Math.ceil((this.sumOpen(model.spec.name) + model.waiting) / CROWDED_REQUESTS)
+    const wantedByCrowd = Math.ceil((this.index.sumOpen(model.spec.name) + model.waiting) / CROWDED_REQUESTS)
     const mostComing = Math.max(FEWEST_COMING, Math.floor(copies * COMING_PART))
     return Math.min(Math.max(wantedByRate, wantedByCrowd) - copies, mostComing) - model.comingCopies
   }
@@ -163,17 +198,15 @@
     return Array.from({ length: this.countLacking(model) }).flatMap(() => this.planCopy({ ...model, comingInMs: undefined }, 'its copies are crowded', model.rate))
   }
 
-  private sumOpen (name: string): number {
-    return this.view.runners.reduce((sum, runner) => sum + (runner.copies.find((copy) => copy.model === name)?.openRequests ?? 0), 0)
-  }
-
   /** The cheapest way to a further copy, if what it pushes out is worth less than `mostLoss`. */
   private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
-    const options = this.view.runners
-      .filter((runner) => Number.isFinite(runner.freeInMs) && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === model.spec.name))
-      .filter((runner) => this.canFetch(model) || findSource(model.spec, runner) !== 'store')
-      .flatMap((runner) => this.weighOption(model, runner, reason, mostLoss))
-    const best = options.sort((a, b) => a.cost - b.cost)[0]
+    const canFetch = this.canFetch(model)
+    let best: Option | undefined
+    for (const runner of canFetch ? this.view.runners : this.index.listAtHand(model.spec.name)) {
+      if (!Number.isFinite(runner.freeInMs) || this.taken.has(runner.id) || runner.copies.some((copy) => copy.model === model.spec.name)) continue
+      const option = this.weighOption(model, runner, reason, mostLoss)
+      if (option !== undefined && (best === undefined || option.cost < best.cost)) best = option
+    }
     if (best === undefined || best.isLater || !this.isSooner(model, best)) return []
     this.taken.add(best.move.runner)
     if (best.move.fromStore) this.canLoadFromStore = false
@@ -187,34 +220,36 @@
 
   /** A load from the weight store takes long and keeps its runner from other orders. */
   private canFetch (model: PlannedModel): boolean {
-    const serving = this.view.runners.filter((runner) => runner.isServing).length
     const isNeeded = model.waiting > 0 && this.countCopies(model) === 0
-    return this.canLoadFromStore && (isNeeded || this.view.storeLoads < Math.max(1, serving * HELD_UP_PART))
+    return this.canLoadFromStore && (isNeeded || this.view.storeLoads < Math.max(1, this.index.servingCount * HELD_UP_PART))
   }
 
-  private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option[] {
+  private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option | undefined {
     const { spec } = model
-    const readyInSeconds = measureLoadMs(spec, findSource(spec, runner)) / MS_PER_SECOND + runner.freeInMs / MS_PER_SECOND
+    const source = findSource(spec, runner)
+    const readyInSeconds = measureLoadMs(spec, source) / MS_PER_SECOND + runner.freeInMs / MS_PER_SECOND
     const isLater = runner.freeInMs > 0
-    const fromStore = findSource(spec, runner) === 'store'
+    const fromStore = source === 'store'
     const crowding = runner.openRequests / CROWDED_REQUESTS + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
     if (runner.freeMb >= spec.weightsMb) {
-      return [{ cost: readyInSeconds + crowding, readyInSeconds, isLater, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }]
+      return { cost: readyInSeconds + crowding, readyInSeconds, isLater, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }
     }
     const victim = this.findVictim(runner)
-    if (victim === undefined || victim.loss > mostLoss) return []
-    return [{ cost: readyInSeconds + crowding + victim.loss, readyInSeconds, isLater, move: { action: 'unload', runner: runner.id, model: victim.model, beneficiary: spec.name, fromStore: false, reason } }]
+    if (victim === undefined || victim.loss > mostLoss) return undefined
+    return { cost: readyInSeconds + crowding + victim.loss, readyInSeconds, isLater, move: { action: 'unload', runner: runner.id, model: victim.model, beneficiary: spec.name, fromStore, reason } }
   }
 
   /** The copy on a runner that is missed least; none that works or has just come. */
-  private findVictim (runner: PlannedRunner): { readonly model: string, readonly loss: number } | undefined {
+  private findVictim (runner: PlannedRunner): Victim | undefined {
+    if (this.victims.has(runner.id)) return this.victims.get(runner.id)
     const idle = runner.copies.filter((copy) => copy.openRequests === 0 && copy.ageMs >= SETTLING_MS && (this.models.get(copy.model)?.waiting ?? 0) === 0)
-    const ranked = idle.map((copy) => ({ model: copy.model, loss: this.measureLoss(copy.model, runner) })).sort((a, b) => a.loss - b.loss)
-    return ranked[0]
+    const [victim] = idle.map((copy) => ({ model: copy.model, loss: this.measureLoss(copy.model) })).sort((a, b) => a.loss - b.loss)
+    this.victims.set(runner.id, victim)
+    return victim
   }
 
   /** What giving up a copy costs, in seconds of loading weighed by the requests that would miss it. */
-  private measureLoss (name: string, runner: PlannedRunner): number {
+  private measureLoss (name: string): number {
     const model = this.models.get(name)
     if (model === undefined) return 0
     const copies = this.countCopies(model)
@@ -225,7 +260,8 @@
 }
 
 /**
- * Plans the next loads and unloads; each runner gets one at most.
+ * Plans the next loads and unloads; each runner gets one at most. The work grows with the runners and with the models,
+ * not with their product: what is at hand is looked up, and a plan fetches at most one model from the weight store.
  *
  * @example
  * planModels(view).forEach((move) => orders.runMove(move))
--- a/packages/figquay-fleet/src/FigquayFleetOrderCheck.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderCheck.ts
@@ -8,6 +8,23 @@
   readonly adapter: string | undefined
 }
 
+interface PoolSizes {
+  readonly largestMb: number
+  readonly adapterMb: number
+}
+
+/** Sizes by pool, which is immutable: a plan asks for every runner. */
+const poolSizes = new WeakMap<EnginePool, PoolSizes>()
+
+function findPoolSizes (pool: EnginePool): PoolSizes {
+  const known = poolSizes.get(pool)
+  if (known !== undefined) return known
+  const specs = [...pool.models.values()]
+  const sizes = { largestMb: Math.max(0, ...specs.map((spec) => spec.weightsMb)), adapterMb: Math.max(0, ...specs.map((spec) => spec.adapterMb)) }
+  poolSizes.set(pool, sizes)
+  return sizes
+}
+
 /**
  * Memory that models take on a runner, with room kept for as many adapters as it may hold.
  *
@@ -15,9 +32,7 @@
  * measureHeldMb(holdings.models, pool) // 150_000
  */
 export function measureHeldMb (models: ReadonlyArray<{ readonly name: string }>, pool: EnginePool): number {
-  const specs = [...pool.models.values()]
-  const largestMb = Math.max(0, ...specs.map((spec) => spec.weightsMb))
-  const adapterMb = Math.max(0, ...specs.map((spec) => spec.adapterMb))
+  const { largestMb, adapterMb } = findPoolSizes(pool)
   // A model that the configuration no longer names takes as much as the largest that it does.
   const modelsMb = models.reduce((sum, { name }) => sum + (pool.models.get(name)?.weightsMb ?? largestMb), 0)
   return modelsMb + pool.adapterSlots * adapterMb
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -7,8 +7,9 @@
 import { LoadBudget } from './FigquayFleetLoadBudget.js'
 import { planAdapter, type AdapterHolder } from './FigquayFleetAdapterPlan.js'
 import { planModels, type ModelMove, type ModelPlanView, type PlannedModel, type PlannedRunner } from './FigquayFleetModelPlan.js'
-import { measureHeldMb } from './FigquayFleetOrderCheck.js'
+import { countAdapters, measureHeldMb } from './FigquayFleetOrderCheck.js'
 import type { OrderBook } from './FigquayFleetOrderBook.js'
+import { makeOpenKey } from './FigquayFleetHints.js'
 import { findSource, measureLoadMs, type CopySource } from './FigquayFleetCopies.js'
 import { makeAdapterKey, type EnginePool, type ModelSpec, type Service } from './FigquayFleetTypes.js'
 
@@ -21,11 +22,17 @@
   readonly demand: FleetDemand
   readonly leadership: FleetLeadership
   readonly orders: OrderBook
-  /** Requests under way on a model at a runner, over all daemons. */
-  readonly countOpen: (runner: string, model: string) => number
+  /** Requests under way over all daemons, by runner and model as `makeOpenKey` joins them. */
+  readonly sumOpen: () => ReadonlyMap<string, number>
 }
 
 /** A model that was promised a runner, until it is there or the promise has run out. */
+/** What the promises say, gathered once for a plan. */
+interface PromiseIndex {
+  readonly byRunner: ReadonlyMap<string, PlacementPromise>
+  readonly byModel: ReadonlyMap<string, readonly PlacementPromise[]>
+}
+
 interface PlacementPromise {
   readonly model: string
   readonly runner: string
@@ -108,59 +115,68 @@
     }
   }
 
+  private indexPromises (): PromiseIndex {
+    const promises = [...this.promises]
+    const byModel = new Map<string, PlacementPromise[]>()
+    for (const promise of promises) byModel.set(promise.model, [...byModel.get(promise.model) ?? [], promise])
+    return { byRunner: new Map(promises.map((promise) => [promise.runner, promise])), byModel }
+  }
+
   private makeModelView (service: Service, pool: EnginePool, views: readonly RunnerView[], orders: OrderBook): ModelPlanView {
     const { demand, clock } = this.options
     const waiting = new Map<string, number>()
     for (const need of demand.listNeeds()) {
       if (need.service === service.name && need.adapter === undefined) waiting.set(need.model, need.waiting)
     }
+    const promises = this.indexPromises()
+    const open = this.options.sumOpen()
     const models = [...pool.models.values()].map((spec): PlannedModel => {
       const { requests, promptTokens } = demand.measureRate(spec.name)
-      return { spec, rate: requests, tokenRate: promptTokens, waiting: waiting.get(spec.name) ?? 0, ...this.measureComing(spec.name) }
+      return { spec, rate: requests, tokenRate: promptTokens, waiting: waiting.get(spec.name) ?? 0, ...this.measureComing(promises.byModel.get(spec.name) ?? []) }
     })
     return {
-      runners: views.map((view) => this.makePlannedRunner(view, pool, orders)),
+      runners: views.map((view) => this.makePlannedRunner(view, pool, orders, promises, open)),
       models,
       storeLoads: [...this.promises].filter((promise) => promise.isFromStore).length,
       canLoadFromStore: this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())
     }
   }
 
-  private measureComing (model: string): { readonly comingInMs: number | undefined, readonly comingCopies: number } {
+  private measureComing (promises: readonly PlacementPromise[]): { readonly comingInMs: number | undefined, readonly comingCopies: number } {
     const nowMs = this.options.clock.readMonotonicMs()
-    const times = [...this.promises].filter((promise) => promise.model === model).map((promise) => Math.max(0, promise.expectedAtMs - nowMs))
+    const times = promises.map((promise) => Math.max(0, promise.expectedAtMs - nowMs))
     return { comingInMs: times.length === 0 ? undefined : Math.min(...times), comingCopies: times.length }
   }
 
   /** Time until a runner may be given an order; infinite when it is of no use, or busy with what isn't known here. */
-  private measureFree ({ runner, isTrusted }: RunnerView, orders: OrderBook): number {
+  private measureFree ({ runner, isTrusted }: RunnerView, orders: OrderBook, promise: PlacementPromise | undefined): number {
     if (runner.isLeaving || !isTrusted || runner.holdings === undefined) return Number.POSITIVE_INFINITY
     const nowMs = this.options.clock.readMonotonicMs()
-    const promise = [...this.promises].find((candidate) => candidate.runner === runner.id)
     // An overdue order may end at any moment: a runner that is promised is never free at once.
     if (promise !== undefined) return Math.max(PLAN_STEP_MS, promise.expectedAtMs - nowMs)
     if (runner.holdings.isBusy) return Number.POSITIVE_INFINITY
     return orders.isReady(runner.id) ? 0 : PLAN_STEP_MS
   }
 
-  private makePlannedRunner (view: RunnerView, pool: EnginePool, orders: OrderBook): PlannedRunner {
+  private makePlannedRunner (view: RunnerView, pool: EnginePool, orders: OrderBook, promises: PromiseIndex, open: ReadonlyMap<string, number>): PlannedRunner {
     const { runner, load } = view
     const nowMs = this.options.clock.readMonotonicMs()
     const holdings = runner.holdings
     const copies = (holdings?.models ?? []).map((held) => ({
       model: held.name,
-      openRequests: this.options.countOpen(runner.id, held.name),
+      openRequests: open.get(makeOpenKey(runner.id, held.name)) ?? 0,
       ageMs: nowMs - (this.loadedAtMs.get(`${runner.id}\n${held.name}`) ?? -Infinity)
     }))
     return {
       id: runner.id,
-      freeInMs: this.measureFree(view, orders),
+      freeInMs: this.measureFree(view, orders, promises.byRunner.get(runner.id)),
       isServing: !runner.isLeaving,
       freeMb: pool.weightsMb - measureHeldMb(runner.holdings?.models ?? [], pool),
       copies,
       inMemory: holdings?.inMemory ?? [],
       onDisk: holdings?.onDisk ?? [],
-      openRequests: load.requests,
+      // A runner that wants nothing has no room, whatever its load looks like from here.
+      openRequests: view.refusesForMs > 0 ? Math.max(load.requests, runner.slots) : load.requests,
       pendingTokens: load.pendingTokens
     }
   }
@@ -178,6 +194,11 @@
       expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR,
       isFromStore: source === 'store'
     }
+    if (source === 'store') {
+      // Taken before room is made: a model is given up only for a load that may begin.
+      if (!this.budget.canLoad(pool.loadsPerSecond, nowMs)) return
+      this.budget.noteLoad(nowMs)
+    }
     this.promises.add(promise)
     try {
       if (move.action === 'load' || await this.makeRoom(move, pool)) await this.loadModel(move, spec, source, pool)
@@ -196,10 +217,6 @@
 
   private async loadModel (move: ModelMove, spec: ModelSpec, source: CopySource, pool: EnginePool): Promise<void> {
     const { orders, clock } = this.options
-    if (source === 'store') {
-      if (!this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())) return
-      this.budget.noteLoad(clock.readMonotonicMs())
-    }
     const result = await orders.sendOrder({ runner: move.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: move.reason })
     if (result === 'failed') return
     await orders.waitForOrder(move.runner, measureLoadMs(spec, source))
@@ -207,28 +224,31 @@
   }
 
   private runAdapterPlans (service: Service, pool: EnginePool, views: readonly RunnerView[]): void {
+    const index = indexHolders(views)
     const wanted = this.options.demand.listNeeds().filter((need) => need.service === service.name && need.adapter !== undefined)
-    for (const need of wanted) this.startAdapter(need.model, need.adapter!, pool, views, 'requests wait for it', true)
-    this.spreadAdapters(pool, views)
+    for (const need of wanted) this.startAdapter(need.model, need.adapter!, pool, index, 'requests wait for it', true)
+    this.spreadAdapters(pool, index)
   }
 
   /** Loads adapters that nobody has asked for yet into free places. */
-  private spreadAdapters (pool: EnginePool, views: readonly RunnerView[]): void {
+  private spreadAdapters (pool: EnginePool, index: HolderIndex): void {
     let begun = 0
-    for (const spec of pool.models.values()) {
-      for (let number = 1; number <= spec.adapterCount; number += 1) {
+    for (const [model, holders] of index.holders) {
+      const hasPlace = holders.some(({ runner }) => countAdapters(runner.holdings!) < pool.adapterSlots)
+      const count = hasPlace ? pool.models.get(model)?.adapterCount ?? 0 : 0
+      for (let number = 1; number <= count; number += 1) {
         if (begun >= SPREAD_AT_ONCE) return
-        if (this.startAdapter(spec.name, `a${number}`, pool, views, 'a place is free', false)) begun += 1
+        if (this.startAdapter(model, `a${number}`, pool, index, 'a place is free', false)) begun += 1
       }
     }
   }
 
-  private startAdapter (model: string, adapter: string, pool: EnginePool, views: readonly RunnerView[], reason: string, mayEvict: boolean): boolean {
+  private startAdapter (model: string, adapter: string, pool: EnginePool, { holders, adapters }: HolderIndex, reason: string, mayEvict: boolean): boolean {
     const key = makeAdapterKey(model, adapter)
-    if (this.openAdapters.has(key)) return false
-    const holders = views.filter(({ runner }) => !runner.isLeaving && runner.holdings?.models.some((held) => held.name === model))
-    if (holders.length === 0 || holders.some(({ runner }) => hasAdapter(runner.holdings!.models, model, adapter))) return false
-    const move = planAdapter(holders.map((view) => this.makeAdapterHolder(view)), pool.adapterSlots)
+    if (this.openAdapters.has(key) || adapters.has(key)) return false
+    const candidates = holders.get(model)
+    if (candidates === undefined) return false
+    const move = planAdapter(candidates.map((view) => this.makeAdapterHolder(view)), pool.adapterSlots)
     if (move === undefined || (move.evicted !== undefined && !mayEvict)) return false
     this.openAdapters.add(key)
     this.runAdapterMove(move.runner, move.evicted, model, adapter, pool, reason)
@@ -260,12 +280,21 @@
   }
 }
 
-/**
- * Whether an adapter is on a runner.
- *
- * @example
- * hasAdapter(holdings.models, 'manual', 'a3')
- */
-export function hasAdapter (models: ReadonlyArray<{ readonly name: string, readonly adapters: readonly string[] }>, model: string, adapter: string): boolean {
-  return models.some((held) => held.name === model && held.adapters.includes(adapter))
+/** Which runners that take requests hold each model, and which adapters are somewhere. */
+interface HolderIndex {
+  readonly holders: ReadonlyMap<string, readonly RunnerView[]>
+  readonly adapters: ReadonlySet<string>
+}
+
+function indexHolders (views: readonly RunnerView[]): HolderIndex {
+  const holders = new Map<string, RunnerView[]>()
+  const adapters = new Set<string>()
+  for (const view of views) {
+    if (view.runner.isLeaving) continue
+    for (const { name, adapters: held } of view.runner.holdings?.models ?? []) {
+      holders.set(name, [...holders.get(name) ?? [], view])
+      for (const adapter of held) adapters.add(makeAdapterKey(name, adapter))
+    }
+  }
+  return { holders, adapters }
 }
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -1,7 +1,7 @@
 /** What is known of each runner: its announcement, what it holds, and the load that daemons put on it. */
 import type { Clock } from 'figquay'
 import { PeerLoads, RECENT_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
-import type { Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
+import type { HeldModel, Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
 
 /** A request of this daemon at a runner. */
 export interface OpenRequest {
@@ -25,7 +25,15 @@
   readonly refusesForMs: number
 }
 
+/** A runner that callers' requests may find changed. */
+export interface RunnerTableChange {
+  readonly service: string
+  /** Undefined when the runner is gone. */
+  readonly runner: Runner | undefined
+}
+
 interface RunnerState {
+  /** Replaced by `replaceRunner` alone, which keeps the indexes. */
   runner: Runner
   /** Position in the registry's log; a later announcement replaces an earlier one. */
   position: number
@@ -56,6 +64,9 @@
 /** Runners by id. */
 export class FleetRunnerTable {
   private readonly states = new Map<string, RunnerState>()
+  /** The same by service, and by service and model: a request looks only at those that may serve it. */
+  private readonly byService = new Map<string, Set<RunnerState>>()
+  private readonly byModel = new Map<string, Set<RunnerState>>()
   /** Positions at which runners were removed. */
   private readonly removals = new Map<string, number>()
   /** Removals that are put off: the runner may announce itself again. */
@@ -65,7 +76,7 @@
   /** What runners have asked of this daemon, by id; it holds while their entries come and go. */
   private readonly refusals = new Map<string, { readonly bornMs: number, readonly untilMs: number }>()
   private readonly peerLoads: PeerLoads
-  private readonly listeners = new Set<() => void>()
+  private readonly listeners = new Set<(change: RunnerTableChange) => void>()
   private watermark = -1
 
   private constructor (private readonly clock: Clock) {
@@ -91,12 +102,13 @@
   }
 
   /**
-   * Calls `listener` after each change of what runners there are and what they hold; returns its undo.
+   * Calls `listener` after each change of what runners there are, what they hold and whether they leave; returns its undo.
+   * Announcements that change none of it, as most do, are passed over.
    *
    * @example
-   * const undo = table.registerListener(() => queue.wake())
+   * const undo = table.registerListener(({ service }) => queue.wake(service))
    */
-  registerListener (listener: () => void): () => void {
+  registerListener (listener: (change: RunnerTableChange) => void): () => void {
     this.listeners.add(listener)
     return () => {
       this.listeners.delete(listener)
@@ -115,22 +127,57 @@
     if ((known?.position ?? this.removals.get(runner.id) ?? -1) >= position) return
     this.removals.delete(runner.id)
     this.lapsing.delete(runner.id)
+    if (runner.isLeaving) this.rememberLeaving(runner.id, runner.bornMs)
+    // An announcement may be older than what the runner itself, or a peer, has said: only a later start undoes a leaving.
+    const isLeaving = this.isKnownLeaving(runner.id, runner.bornMs)
     if (known === undefined || known.runner.bornMs !== runner.bornMs || known.runner.address !== runner.address) {
-      this.states.set(runner.id, this.makeState(runner, position))
+      if (known !== undefined) this.dropState(known)
+      this.addState(this.makeState({ ...runner, isLeaving }, position))
     } else {
-      const holdings = this.chooseHoldings(known, runner.holdings)
-      known.runner = { ...runner, holdings }
       known.position = position
+      this.replaceRunner(known, { ...runner, isLeaving, holdings: this.chooseHoldings(known, runner.holdings) })
     }
-    this.applyLeaving(this.states.get(runner.id)!)
-    this.notifyListeners()
   }
 
-  /** An announcement may be older than what the runner itself, or a peer, has said: only a later start undoes a leaving. */
-  private applyLeaving (state: RunnerState): void {
-    const { runner } = state
-    if (runner.isLeaving) this.rememberLeaving(runner.id, runner.bornMs)
-    else if (this.isKnownLeaving(runner.id, runner.bornMs)) state.runner = { ...runner, isLeaving: true }
+  private addState (state: RunnerState): void {
+    this.states.set(state.runner.id, state)
+    this.addToIndexes(state)
+    this.notifyListeners({ service: state.runner.service, runner: state.runner })
+  }
+
+  private dropState (state: RunnerState): void {
+    this.states.delete(state.runner.id)
+    this.dropFromIndexes(state)
+  }
+
+  private replaceRunner (state: RunnerState, runner: Runner): void {
+    const isSame = isSameForRequests(state.runner, runner)
+    if (!isSame) this.dropFromIndexes(state)
+    state.runner = runner
+    if (isSame) return
+    this.addToIndexes(state)
+    this.notifyListeners({ service: runner.service, runner })
+  }
+
+  private addToIndexes (state: RunnerState): void {
+    for (const { index, key } of this.listIndexKeys(state.runner)) {
+      const states = index.get(key) ?? new Set<RunnerState>()
+      index.set(key, states)
+      states.add(state)
+    }
+  }
+
+  private dropFromIndexes (state: RunnerState): void {
+    for (const { index, key } of this.listIndexKeys(state.runner)) {
+      const states = index.get(key)
+      states?.delete(state)
+      if (states?.size === 0) index.delete(key)
+    }
+  }
+
+  private listIndexKeys ({ service, holdings }: Runner): Array<{ readonly index: Map<string, Set<RunnerState>>, readonly key: string }> {
+    const models = (holdings?.models ?? []).map(({ name }) => ({ index: this.byModel, key: makeModelKey(service, name) }))
+    return [{ index: this.byService, key: service }, ...models]
   }
 
   private rememberLeaving (id: string, bornMs: number): void {
@@ -168,8 +215,8 @@
     }
     this.lapsing.delete(id)
     this.removals.set(id, position)
-    this.states.delete(id)
-    this.notifyListeners()
+    this.dropState(known)
+    this.notifyListeners({ service: known.runner.service, runner: undefined })
   }
 
   /** Carries out the removals whose grace is over. */
@@ -202,9 +249,8 @@
   putHoldings (id: string, bornMs: number, holdings: Holdings): void {
     const state = this.states.get(id)
     if (state === undefined || state.runner.bornMs !== bornMs) return
-    state.runner = { ...state.runner, holdings }
     state.holdingsFreshUntilMs = this.clock.readMonotonicMs() + HEARTBEAT_LAG_MS
-    this.notifyListeners()
+    this.replaceRunner(state, { ...state.runner, holdings })
   }
 
   /** Notes that a runner has refused a model or adapter that it was thought to hold. */
@@ -215,8 +261,7 @@
     const models = adapter === undefined
       ? holdings.models.filter((held) => held.name !== model)
       : holdings.models.map((held) => held.name === model ? { ...held, adapters: held.adapters.filter((name) => name !== adapter) } : held)
-    state.runner = { ...state.runner, holdings: { ...holdings, models } }
-    this.notifyListeners()
+    this.replaceRunner(state, { ...state.runner, holdings: { ...holdings, models } })
   }
 
   /**
@@ -230,9 +275,7 @@
     if (this.isKnownLeaving(id, bornMs)) return false
     this.rememberLeaving(id, bornMs)
     const state = this.states.get(id)
-    if (state === undefined || state.runner.bornMs > bornMs) return true
-    state.runner = { ...state.runner, isLeaving: true }
-    this.notifyListeners()
+    if (state !== undefined && state.runner.bornMs <= bornMs) this.replaceRunner(state, { ...state.runner, isLeaving: true })
     return true
   }
 
@@ -286,8 +329,30 @@
   /** All runners of a service, leaving ones included. */
   listViews (service: string): RunnerView[] {
     this.dropLapsed()
+    return this.makeViews(this.byService.get(service))
+  }
+
+  /**
+   * Runners that hold a model, and the adapter if one is named, and take new requests.
+   *
+   * @example
+   * table.listHolders('assistant', 'manual', 'a3')
+   */
+  listHolders (service: string, model: string, adapter: string | undefined): RunnerView[] {
+    this.dropLapsed()
+    const isWanted = ({ runner }: RunnerState): boolean => !runner.isLeaving && (adapter === undefined || hasAdapter(runner.holdings?.models ?? [], model, adapter))
+    return this.makeViews([...this.byModel.get(makeModelKey(service, model)) ?? []].filter(isWanted))
+  }
+
+  /** Whether a runner that takes new requests holds a model. */
+  hasHolder (service: string, model: string): boolean {
+    this.dropLapsed()
+    return [...this.byModel.get(makeModelKey(service, model)) ?? []].some(({ runner }) => !runner.isLeaving)
+  }
+
+  private makeViews (states: Iterable<RunnerState> = []): RunnerView[] {
     const nowMs = this.clock.readMonotonicMs()
-    return [...this.states.values()].filter((state) => state.runner.service === service).map((state) => ({
+    return Array.from(states, (state) => ({
       runner: state.runner,
       load: this.sumLoad(state, nowMs),
       failureRate: state.failureRate,
@@ -370,11 +435,34 @@
     if (state !== undefined) state.restUntilMs = this.clock.readMonotonicMs() + REST_MS
   }
 
-  private notifyListeners (): void {
-    for (const listener of [...this.listeners]) listener()
+  private notifyListeners (change: RunnerTableChange): void {
+    for (const listener of [...this.listeners]) listener(change)
   }
 }
 
+function makeModelKey (service: string, model: string): string {
+  return `${service}\n${model}`
+}
+
+/** Whether two announcements of one runner are the same to every request. */
+function isSameForRequests (a: Runner, b: Runner): boolean {
+  return a.service === b.service && a.zone === b.zone && a.slots === b.slots && a.isLeaving === b.isLeaving && isSameHeld(a.holdings?.models ?? [], b.holdings?.models ?? [])
+}
+
+function isSameHeld (a: readonly HeldModel[], b: readonly HeldModel[]): boolean {
+  return a === b || (a.length === b.length && a.every((held, index) => held.name === b[index]!.name && held.adapters.join() === b[index]!.adapters.join()))
+}
+
+/**
+ * Whether an adapter is on a runner.
+ *
+ * @example
+ * hasAdapter(holdings.models, 'manual', 'a3')
+ */
+export function hasAdapter (models: readonly HeldModel[], model: string, adapter: string): boolean {
+  return models.some((held) => held.name === model && held.adapters.includes(adapter))
+}
+
 /** Puts an entry at the end of a map and drops the oldest beyond the bound. */
 function keepNewest<T> (map: Map<string, T>, key: string, value: T): void {
   map.delete(key)
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -143,6 +143,33 @@
     expect(table.listRemovals(8)).toEqual([{ id: 'gone', position: 9, graceMs: 0 }])
   })
 
+  it('tells listeners of what requests would find changed, and not of mere signs of life', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    const changes: string[] = []
+    table.registerListener(({ service, runner }) => changes.push(`${service} ${runner?.isLeaving} ${runner?.holdings?.models.map(({ name }) => name).join('+')}`))
+    table.putRunner(makeRunner(), 1)
+    table.putRunner(makeRunner({ holdings: { ...HOLDINGS, inMemory: ['other'], isBusy: true } }), 2)
+    expect(changes).toEqual(['s false m'])
+    table.putRunner(makeRunner({ holdings: { ...HOLDINGS, models: [...HOLDINGS.models, { name: 'n', adapters: [] }] } }), 3)
+    table.markLeaving('r', 1)
+    table.removeRunner('r', 4)
+    expect(changes).toEqual(['s false m', 's false m+n', 's true m+n', 's undefined undefined'])
+  })
+
+  it('finds the holders of a model and an adapter, as they come and go', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    const listIds = (adapter?: string): string[] => table.listHolders('s', 'm', adapter).map((view) => view.runner.id)
+    for (const id of ['a', 'b']) table.putRunner(makeRunner({ id }), 1)
+    table.putRunner(makeRunner({ id: 'other', service: 't' }), 1)
+    table.putHoldings('b', 1, { ...HOLDINGS, models: [{ name: 'm', adapters: ['a1'] }] })
+    expect([listIds(), listIds('a1')]).toEqual([['a', 'b'], ['b']])
+    table.dropHolding('b', 'm', 'a1')
+    table.dropHolding('a', 'm', undefined)
+    expect([listIds(), listIds('a1'), table.hasHolder('s', 'm')]).toEqual([['b'], [], true])
+    table.removeRunner('b', 2)
+    expect([listIds(), table.hasHolder('s', 'm'), table.hasHolder('t', 'm')]).toEqual([[], false, true])
+  })
+
   it('gives a runner that leaves no new work', () => {
     const table = FleetRunnerTable.create(new ManualClock())
     table.putRunner(makeRunner({ isLeaving: true }), 1)
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,6 +1,6 @@
 /** A daemon that serves a fleet: its parts, what they tell its peers, and how it starts and stops. */
 import { TaskGroup, type Clock, type Logger } from 'figquay'
-import { ConfigurationHolder, FleetDemand, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderBook, PromptMemory, type FleetStore, type RunnerOrderClient } from 'figquay-fleet'
+import { choosePlanPause, ConfigurationHolder, FleetDemand, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderBook, PromptMemory, type FleetStore, type RunnerOrderClient } from 'figquay-fleet'
 import { CrashGuard, RetryBudget } from 'figquay-routing'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { ServingPeers } from './FigquayServingPeers.js'
@@ -33,9 +33,6 @@
 /** Daemons that the retries of a service are divided among when fewer are known. */
 const FEWEST_DAEMONS = 8
 
-/** Plans that needs call for are this far apart at least, in milliseconds: a small part of an order's time. */
-const NEEDED_PLAN_INTERVAL_MS = 10
-
 /** One daemon of the fleet. */
 export class ServingDaemon {
   readonly configurations = ConfigurationHolder.create()
@@ -50,7 +47,7 @@
   private readonly dispatcher: ServingDispatcher
   private readonly crashes = CrashGuard.create()
   private readonly budgets = new Map<string, RetryBudget>()
-  private plannedAtMs = Number.NEGATIVE_INFINITY
+  private mayPlanAtMs = Number.NEGATIVE_INFINITY
   private isPlanComing = false
   private stopping = false
 
@@ -67,7 +64,7 @@
     const { leadership } = this
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
-    this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, countOpen: (runner, model) => this.peers.hints.countOpen(runner, model) })
+    this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpen: () => this.peers.hints.sumOpen() })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, announceNeeds: () => this.peers.announceNeeds() })
     this.peers = ServingPeers.create({
       self: { id: address, zone, address },
@@ -171,16 +168,23 @@
   }
 
   private runPlans (): void {
-    this.plannedAtMs = this.options.clock.readMonotonicMs()
+    const { clock } = this.options
+    const startedAtMs = clock.readMonotonicMs()
+    if (startedAtMs < this.mayPlanAtMs) return
     this.placement.runPlans()
+    const endedAtMs = clock.readMonotonicMs()
+    this.mayPlanAtMs = endedAtMs + choosePlanPause(endedAtMs - startedAtMs)
   }
 
-  /** Plans at once, or as soon as the last plans are old enough. */
+  /** Plans as soon as the last plans are old enough, at once if they are. */
   private planSoon (): void {
+    if (this.isPlanComing) return
     const { clock } = this.options
-    const waitMs = this.plannedAtMs + NEEDED_PLAN_INTERVAL_MS - clock.readMonotonicMs()
-    if (waitMs <= 0) this.runPlans()
-    if (waitMs <= 0 || this.isPlanComing) return
+    const waitMs = this.mayPlanAtMs - clock.readMonotonicMs()
+    if (waitMs <= 0) {
+      this.runPlans()
+      return
+    }
     this.isPlanComing = true
     clock.waitFor(waitMs, this.tasks.signal).then(() => {
       this.isPlanComing = false
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -1,6 +1,6 @@
 /** Finds a runner for a request, and lets it wait while one is being made ready. */
 import { Refusal, type Clock } from 'figquay'
-import { chooseRunner, hasAdapter, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type PromptMemory, type Runner, type RunnerDealings, type RunnerView } from 'figquay-fleet'
+import { chooseRunner, makeAdapterKey, type ConfigurationHolder, type FleetRunnerTable, type Need, type RunnerTableChange, type PromptMemory, type Runner, type RunnerDealings, type RunnerView } from 'figquay-fleet'
 import { chooseFullRetry, decideMissingModel, estimateLoadMs, hasRoom } from './FigquayServingWaiting.js'
 import { chooseMostIdle } from './FigquayServingReuse.js'
 import type { RunnerExchangeClient, ServedRequest } from './FigquayServingTypes.js'
@@ -34,11 +34,14 @@
 
 /** Runners for requests. */
 export class ServingDispatcher {
-  private readonly waiters = new Set<Waiter>()
+  /** By service: a change concerns the requests of one service only. */
+  private readonly waiters = new Map<string, Set<Waiter>>()
+  /** Needs that the peers were told of the last time. */
+  private toldNeeds: ReadonlySet<string> = new Set()
   private lastWaitMs = Number.POSITIVE_INFINITY
 
   private constructor (private readonly options: ServingDispatcherOptions) {
-    options.table.registerListener(() => this.notifyWaiters())
+    options.table.registerListener((change) => this.notifyWaiters(change))
   }
 
   /**
@@ -57,22 +60,29 @@
    */
   setLastWait (atMs: number): void {
     this.lastWaitMs = atMs
-    this.notifyWaiters()
+    for (const waiter of [...this.waiters.values()].flatMap((waiters) => [...waiters])) waiter.wake()
   }
 
-  /** What this daemon's requests wait for. */
+  /** What this daemon's requests wait for, to be told to the peers now. */
   listNeeds (): Need[] {
     const needs = new Map<string, Need>()
-    for (const { request: { service, model, adapter } } of this.waiters) {
-      if (model === undefined) continue
-      const lacksModel = !this.listHolders(service, model, undefined).some(({ runner }) => !runner.isLeaving)
-      const need: Need = { service, model, adapter: lacksModel ? undefined : adapter, waiting: 1 }
-      const key = `${service}\n${model}\n${need.adapter ?? ''}`
+    for (const { request } of [...this.waiters.values()].flatMap((waiters) => [...waiters])) {
+      const need = this.makeNeed(request)
+      if (need === undefined) continue
+      const key = makeNeedKey(need)
       needs.set(key, { ...need, waiting: 1 + (needs.get(key)?.waiting ?? 0) })
     }
+    this.toldNeeds = new Set(needs.keys())
     return [...needs.values()]
   }
 
+  /** What one request waits for; undefined when that is no model. */
+  private makeNeed ({ service, model, adapter }: ServedRequest): Need | undefined {
+    if (model === undefined) return undefined
+    const lacksModel = !this.options.table.hasHolder(service, model)
+    return { service, model, adapter: lacksModel ? undefined : adapter, waiting: 1 }
+  }
+
   /**
    * A runner for a request; waits while that helps, and refuses as soon as it doesn't.
    *
@@ -104,12 +114,7 @@
 
   private listCandidates (request: ServedRequest): RunnerView[] {
     if (request.model === undefined) return this.options.table.listCandidates(request.service)
-    return this.listHolders(request.service, request.model, request.adapter).filter(({ runner }) => !runner.isLeaving)
-  }
-
-  private listHolders (service: string, model: string, adapter: string | undefined): RunnerView[] {
-    return this.options.table.listCandidates(service).filter(({ runner: { holdings } }) =>
-      adapter === undefined ? holdings?.models.some((held) => held.name === model) === true : holdings !== undefined && hasAdapter(holdings.models, model, adapter))
+    return this.options.table.listHolders(request.service, request.model, request.adapter)
   }
 
   private refuseFull (candidates: readonly RunnerView[]): Refusal {
@@ -127,8 +132,7 @@
     if (spec === undefined || runners.length === 0) {
       return Refusal.create('no_upstream', 'no runner serves this', { retryAfterMs: spreadRetry(NO_RUNNER_RETRY_MS) })
     }
-    const hasModel = runners.some(({ holdings }) => holdings?.models.some((held) => held.name === spec.name) === true)
-    const readyInMs = hasModel ? ADAPTER_READY_MS : estimateLoadMs(spec, runners)
+    const readyInMs = table.hasHolder(request.service, spec.name) ? ADAPTER_READY_MS : estimateLoadMs(spec, runners)
     if (this.lastWaitMs - nowMs < readyInMs) return Refusal.create('draining', 'the daemon stops before the model is ready', { retryAfterMs: 0 })
     const decision = decideMissingModel(remainingMs, readyInMs)
     if (decision.type === 'wait') return undefined
@@ -139,29 +143,49 @@
 
   private announceOnce (request: ServedRequest): void {
     const waiter: Waiter = { request, wake: () => {} }
-    this.waiters.add(waiter)
-    this.options.announceNeeds()
+    const stopWaiting = this.registerWaiter(waiter)
     // Kept until the next hints have gone out, so that the holder hears of it.
-    this.options.clock.waitFor(LOOK_AGAIN_MS).then(() => this.waiters.delete(waiter))
+    this.options.clock.waitFor(LOOK_AGAIN_MS).then(stopWaiting)
   }
 
   private async waitForChange (request: ServedRequest, signal: AbortSignal): Promise<void> {
     const timer = new AbortController()
-    const waiter: Waiter = { request, wake: () => timer.abort() }
     const stop = (): void => timer.abort()
     signal.addEventListener('abort', stop, { once: true })
-    this.waiters.add(waiter)
-    this.options.announceNeeds()
+    const stopWaiting = this.registerWaiter({ request, wake: stop })
     await this.options.clock.waitFor(LOOK_AGAIN_MS, timer.signal)
-    this.waiters.delete(waiter)
+    stopWaiting()
     signal.removeEventListener('abort', stop)
   }
 
-  private notifyWaiters (): void {
-    for (const waiter of [...this.waiters]) waiter.wake()
+  /** Adds a request that waits, and tells at once of a need that the peers don't know. */
+  private registerWaiter (waiter: Waiter): () => void {
+    const { service } = waiter.request
+    const waiters = this.waiters.get(service) ?? new Set<Waiter>()
+    this.waiters.set(service, waiters)
+    waiters.add(waiter)
+    const need = this.makeNeed(waiter.request)
+    if (need !== undefined && !this.toldNeeds.has(makeNeedKey(need))) this.options.announceNeeds()
+    return () => {
+      waiters.delete(waiter)
+    }
+  }
+
+  /** Wakes the requests that a changed runner may serve; those that lost one look again soon by themselves. */
+  private notifyWaiters ({ service, runner }: RunnerTableChange): void {
+    if (runner === undefined || runner.isLeaving) return
+    const held = new Set(runner.holdings?.models.map(({ name }) => name))
+    for (const waiter of [...this.waiters.get(service) ?? []]) {
+      const { model } = waiter.request
+      if (model === undefined || held.has(model)) waiter.wake()
+    }
   }
 }
 
+function makeNeedKey ({ service, model, adapter }: Need): string {
+  return `${service}\n${model}\n${adapter ?? ''}`
+}
+
 /** A retry time with a random part. */
 export function spreadRetry (ms: number): number {
   return ms * (1 + RETRY_SPREAD * Math.random())
