Let one daemon read the list of runners, and the others hear of changes only

Cause: in a tree the first daemon of every data centre read the list, two of each followed all records; in a small fleet two read and all followed; at a start each read everything; and every sign of life of a runner was fetched by every daemon. Change: one reader; two (small fleet) or the other firsts (tree) stand by and look when nothing new came for 0.9 s; a daemon that starts asks its peers first and reads after 1.5 s; peers compare the last change, not the last sign of life, and pass on only announcements that say something new. One question at a time. Ruled out: longer intervals of reading, which would have slowed the news of a leaving runner.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -14,6 +14,8 @@
   readonly version: number
   /** How far the list of runners has been read. */
   readonly position: number
+  /** Where in it the last change was. */
+  readonly changedAt: number
   /** By runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Arrivals by model since the last message. */
@@ -114,6 +116,7 @@
       holder: leadership.holder,
       version: configurations.version,
       position: table.position,
+      changedAt: table.changedAt,
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnModels(runner)]]),
       arrivals: [...arrivals],
       needs,
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -37,6 +37,9 @@
   runner: Runner
   /** Position in the registry's log; a later announcement replaces an earlier one. */
   position: number
+  /** Last announcement that said something new, and its position: the signs of life since need not be passed on. */
+  announced: Runner
+  announcedAt: number
   readonly open: Map<string, OpenRequest>
   failureRate: number
   recentTokens: number
@@ -78,6 +81,7 @@
   private readonly peerLoads: PeerLoads
   private readonly listeners = new Set<(change: RunnerTableChange) => void>()
   private watermark = -1
+  private newestChange = -1
 
   private constructor (private readonly clock: Clock) {
     this.peerLoads = PeerLoads.create(clock)
@@ -96,6 +100,11 @@
     return this.watermark
   }
 
+  /** Position of the last change that was more than a sign of life. */
+  get changedAt (): number {
+    return this.newestChange
+  }
+
   /** Notes how far the registry's log has been read. */
   notePosition (position: number): void {
     this.watermark = Math.max(this.watermark, position)
@@ -132,13 +141,22 @@
     const isLeaving = this.isKnownLeaving(runner.id, runner.bornMs)
     if (known === undefined || known.runner.bornMs !== runner.bornMs || known.runner.address !== runner.address) {
       if (known !== undefined) this.dropState(known)
+      this.noteChange(position)
       this.addState(this.makeState({ ...runner, isLeaving }, position))
     } else {
       known.position = position
+      if (!isSameAnnouncement(known.announced, runner)) {
+        Object.assign(known, { announced: runner, announcedAt: position })
+        this.noteChange(position)
+      }
       this.replaceRunner(known, { ...runner, isLeaving, holdings: this.chooseHoldings(known, runner.holdings) })
     }
   }
 
+  private noteChange (position: number): void {
+    this.newestChange = Math.max(this.newestChange, position)
+  }
+
   private addState (state: RunnerState): void {
     this.states.set(state.runner.id, state)
     this.addToIndexes(state)
@@ -189,7 +207,7 @@
   }
 
   private makeState (runner: Runner, position: number): RunnerState {
-    return { runner, position, open: new Map(), failureRate: 0, recentTokens: 0, recentAtMs: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
+    return { runner, position, announced: runner, announcedAt: position, open: new Map(), failureRate: 0, recentTokens: 0, recentAtMs: 0, restUntilMs: 0, lastHeardMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
   }
 
   /** An announcement lags behind what the holder has read from the runner itself. */
@@ -209,6 +227,7 @@
     this.notePosition(position)
     const known = this.states.get(id)
     if (known === undefined || known.position > position) return
+    this.noteChange(position)
     if (graceMs > 0) {
       this.lapsing.set(id, { position, atMs: this.clock.readMonotonicMs() + graceMs })
       return
@@ -302,9 +321,9 @@
     return this.states.get(id)?.runner
   }
 
-  /** All runners with the positions of their announcements. */
+  /** Runners that have announced something new after a position, with the positions of their latest announcements. */
   listAnnouncements (after: number): Array<{ readonly runner: Runner, readonly position: number }> {
-    return [...this.states.values()].filter((state) => state.position > after).map(({ runner, position }) => ({ runner, position }))
+    return [...this.states.values()].filter((state) => state.announcedAt > after).map(({ runner, position }) => ({ runner, position }))
   }
 
   /** Runners removed after a position, and those that will be unless they announce themselves again. */
@@ -449,6 +468,12 @@
   return a.service === b.service && a.zone === b.zone && a.slots === b.slots && a.isLeaving === b.isLeaving && isSameHeld(a.holdings?.models ?? [], b.holdings?.models ?? [])
 }
 
+/** Whether an announcement says the same as the one before, but for the time. */
+function isSameAnnouncement (a: Runner, b: Runner): boolean {
+  return isSameForRequests(a, b) && (a.holdings === undefined) === (b.holdings === undefined) && a.holdings?.isBusy === b.holdings?.isBusy &&
+    a.holdings?.inMemory.join() === b.holdings?.inMemory.join() && a.holdings?.onDisk.join() === b.holdings?.onDisk.join() && a.holdings?.coming.join() === b.holdings?.coming.join()
+}
+
 function isSameHeld (a: readonly HeldModel[], b: readonly HeldModel[]): boolean {
   return a === b || (a.length === b.length && a.every((held, index) => held.name === b[index]!.name && held.adapters.join() === b[index]!.adapters.join()))
 }
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -156,6 +156,17 @@
     expect(changes).toEqual(['s false m', 's false m+n', 's true m+n', 's undefined undefined'])
   })
 
+  it('passes on announcements that say something new, and the position of the last of them', () => {
+    const table = FleetRunnerTable.create(new ManualClock())
+    table.putRunner(makeRunner(), 1)
+    table.putRunner(makeRunner(), 2)
+    expect([table.position, table.changedAt, table.listAnnouncements(0).length, table.listAnnouncements(1)]).toEqual([2, 1, 1, []])
+    table.putRunner(makeRunner({ holdings: { ...HOLDINGS, isBusy: true } }), 3)
+    expect([table.changedAt, table.listAnnouncements(2).length]).toEqual([3, 1])
+    table.removeRunner('r', 4)
+    expect(table.changedAt).toEqual(4)
+  })
+
   it('finds the holders of a model and an adapter, as they come and go', () => {
     const table = FleetRunnerTable.create(new ManualClock())
     const listIds = (adapter?: string): string[] => table.listHolders('s', 'm', adapter).map((view) => view.runner.id)
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -60,7 +60,7 @@
     const demand = FleetDemand.create(clock)
     const memory = PromptMemory.create(clock)
     const { table } = this
-    this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.peers.isReader })
+    this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.peers.storeRole !== 'listener' })
     const { leadership } = this
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
@@ -82,11 +82,12 @@
       noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key),
       addCharge: (charge) => this.crashes.addCharge(charge, clock.readMonotonicMs()),
       makeSnapshot: (version, position) => this.follower.makeSnapshot(version, position),
-      notePeer: (peer, version, position) => this.follower.notePeer(peer, version, position),
+      notePeer: (peer, reading) => this.follower.notePeer(peer, reading),
       measureStoreAge: () => this.follower.storeAgeMs,
       planSoon: () => this.planSoon()
     })
     this.follower = StoreFollower.create({
+      self: address,
       clock,
       logger,
       store,
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -4,7 +4,7 @@
 import { PeerMesh, type PeerAddress } from 'figquay-peers'
 import type { CrashCharge } from 'figquay-routing'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
-import { isReader, type FleetSnapshot, type StoreRole } from './FigquayServingStoreFollower.js'
+import { chooseRole, type FleetSnapshot, type PeerReading, type StoreRole } from './FigquayServingStoreFollower.js'
 
 /** What the exchange with peers needs. */
 export interface ServingPeersOptions {
@@ -23,7 +23,7 @@
   readonly noteAdapterUse: (runner: string, key: string) => void
   readonly addCharge: (charge: CrashCharge) => void
   readonly makeSnapshot: (version: number, position: number) => FleetSnapshot
-  readonly notePeer: (peer: string, version: number, position: number) => void
+  readonly notePeer: (peer: string, reading: PeerReading) => void
   readonly measureStoreAge: () => number
   /** Plans soon, as requests wait for something. */
   readonly planSoon: () => void
@@ -100,15 +100,9 @@
     return this.zones.size > MESH_DAEMONS
   }
 
-  /** How this daemon follows the store: in a small fleet two daemons read the list of runners for all. */
+  /** How this daemon follows the store. */
   get storeRole (): StoreRole {
-    if (this.isTree) return this.relay.storeRole
-    return isReader(this.options.self.id, this.connectedPeers) ? 'reader' : 'looker'
-  }
-
-  /** Whether this daemon is one of those that follow the store for others. */
-  get isReader (): boolean {
-    return !this.isTree || this.relay.isReader
+    return this.isTree ? this.relay.storeRole : chooseRole(this.options.self.id, this.connectedPeers)
   }
 
   /**
@@ -192,7 +186,7 @@
     return {
       'fleet.hints': (hints: FleetHints) => {
         this.hints.takeHints(hints)
-        this.options.notePeer(hints.from, hints.version, hints.position)
+        this.options.notePeer(hints.from, hints)
         if (hints.needs.length > 0) this.options.planSoon()
       },
       'fleet.report': (hints: FleetHints) => this.takeReport(hints),
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,8 +1,8 @@
 /** Exchanges what every daemon must know along a tree: up to the first of the data centre, across, and down again. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { formatLoads, parseLoads, type ConfigurationHolder, type FleetLeadership, type FleetNews, type FleetRunnerTable, type Holder, type LoadRow, type NewsItem } from 'figquay-fleet'
-import type { StoreRole } from './FigquayServingStoreFollower.js'
-import { measureDepth, rankDaemons, READERS_PER_ZONE, selectPart, type FleetPart, type RankedDaemons } from './FigquayServingTopology.js'
+import type { PeerReading, StoreRole } from './FigquayServingStoreFollower.js'
+import { measureDepth, rankDaemons, FIRST_PER_ZONE, selectPart, type FleetPart, type RankedDaemons } from './FigquayServingTopology.js'
 
 /** What two daemons tell each other in one call and its answer. */
 export interface RelayMessage {
@@ -15,6 +15,8 @@
   readonly version: number
   /** How far the list of runners has been read. */
   readonly position: number
+  /** Where in it the last change was. */
+  readonly changedAt: number
   /** Time since the store was last read, by this daemon or those above it, in milliseconds. */
   readonly storeAgeMs: number
   readonly loads: readonly LoadRow[]
@@ -48,7 +50,7 @@
   /** Takes in an item that is new here. */
   readonly takeNews: (item: NewsItem) => void
   /** Compares how far a peer has read with this daemon. */
-  readonly notePeer: (peer: string, version: number, position: number) => void
+  readonly notePeer: (peer: string, reading: PeerReading) => void
   /** Called when this daemon's neighbours should be others. */
   readonly setNeighbours: (daemons: readonly string[]) => void
 }
@@ -71,8 +73,8 @@
 /** One daemon's part in the tree. */
 export class FleetRelay {
   private ranked: RankedDaemons = new Map()
-  private part: FleetPart = { neighbours: [], uplink: undefined, heads: [], isReader: true }
-  private depth = READERS_PER_ZONE
+  private part: FleetPart = { neighbours: [], uplink: undefined, heads: [], isFirstHead: true }
+  private depth = FIRST_PER_ZONE
   private chosenAtMs = Number.NEGATIVE_INFINITY
   private daemonCount = 1
   private heardAtMs = Number.NEGATIVE_INFINITY
@@ -92,16 +94,12 @@
     return new FleetRelay(options)
   }
 
-  /** How this daemon follows the store: the first of a data centre reads, the second looks, the others hear of it. */
+  /** How this daemon follows the store: the first of one data centre reads, those of the others look, the rest hear of it. */
   get storeRole (): StoreRole {
+    const { part } = this
+    if (part.uplink === undefined) return part.isFirstHead ? 'reader' : 'looker'
     const isUninformed = this.options.clock.readMonotonicMs() - this.heardAtMs > STALE_UPLINK_MS || this.measureStoreAge() > STALE_STORE_MS
-    if (this.part.uplink === undefined || isUninformed) return 'reader'
-    return this.part.isReader ? 'looker' : 'listener'
-  }
-
-  /** Whether this daemon is one of the first of its data centre. */
-  get isReader (): boolean {
-    return this.part.isReader
+    return isUninformed ? 'reader' : 'listener'
   }
 
   /**
@@ -216,7 +214,7 @@
     }
     this.heard.set(message.from, { bootId: message.bootId, revision: message.revision })
     if (message.holder !== undefined) leadership.noteRumour(message.holder)
-    notePeer(message.from, message.version, message.position)
+    notePeer(message.from, message)
   }
 
   /** Loads of this daemon and of those below it. */
@@ -233,6 +231,7 @@
       holder: leadership.holder,
       version: configurations.version,
       position: table.position,
+      changedAt: table.changedAt,
       storeAgeMs: Math.round(this.measureStoreAge()),
       loads: formatLoads(loads),
       news: news.listAfter(this.told.get(peer) ?? 0),
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -12,6 +12,16 @@
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
 }
 
+/** How far a peer has read the store. */
+export interface PeerReading {
+  /** Configuration in force there. */
+  readonly version: number
+  /** How far it has read the list of runners. */
+  readonly position: number
+  /** Where in the list the last change was that is more than a sign of life. */
+  readonly changedAt: number
+}
+
 type SerialService = Omit<ServiceOf, 'engine'> & { readonly engine: (Omit<EngineOf, 'models'> & { readonly models: ReadonlyArray<readonly [string, ModelOf]> }) | undefined }
 type ServiceOf = FleetConfiguration['services'] extends ReadonlyMap<string, infer S> ? S : never
 type EngineOf = NonNullable<ServiceOf['engine']>
@@ -23,22 +33,31 @@
  */
 export type StoreRole = 'reader' | 'looker' | 'listener'
 
-/** Daemons that read the list of runners for the others of a small fleet. */
-const READERS = 2
+/** Daemons of a small fleet that follow the store's rarely changing records, the reader included. */
+const FOLLOWERS = 3
 
 /**
- * Whether a daemon is among those that read the list of runners for the ones that it is connected to.
+ * How a daemon of a small fleet follows the store, by its rank among those that it is connected to.
  *
  * @example
- * isReader('10.0.0.1:80', []) // true: a daemon alone reads for itself
+ * chooseRole('10.0.0.1:80', []) // 'reader': a daemon alone reads for itself
  */
-export function isReader (self: string, connected: readonly string[]): boolean {
+export function chooseRole (self: string, connected: readonly string[]): StoreRole {
+  const rank = rankAmong(self, connected)
+  if (rank === 0) return 'reader'
+  return rank < FOLLOWERS ? 'looker' : 'listener'
+}
+
+/** How many of the others come before a daemon, in an order that all agree on. */
+function rankAmong (self: string, others: Iterable<string>): number {
   const ownRank = hashText(self)
-  return connected.filter((peer) => hashText(peer) < ownRank).length < READERS
+  return [...others].filter((peer) => hashText(peer) < ownRank).length
 }
 
 /** What the follower needs. */
 export interface StoreFollowerOptions {
+  /** Name of this daemon among the others. */
+  readonly self: string
   readonly clock: Clock
   readonly logger: Logger
   readonly store: FleetStore
@@ -65,10 +84,12 @@
 /** A daemon for which others read looks itself this often, in milliseconds, lest its readers are cut off. */
 const OWN_LOOK_MS = 4_000
 /**
- * It looks at once when nothing new has come by its readers for this long, in milliseconds: runners write every second or
- * so, and readers tell within two intervals of theirs.
+ * It looks at once when nothing new has come by its reader for this long, in milliseconds: runners write every second or
+ * so, and the reader tells within two intervals of its own.
  */
 const QUIET_MS = 900
+/** Looks of this kind are spread over this time, in milliseconds: what one daemon finds, the others hear. */
+const QUIET_SPREAD_MS = 300
 /** A daemon that waits for its next look checks this often whether its readers have gone quiet, in milliseconds. */
 const QUIET_CHECK_MS = 100
 /** A failed read is repeated after this time, in milliseconds. */
@@ -77,6 +98,10 @@
 const SHARED_INTERVAL_MS = 300
 /** A listener asks itself this often whether it must read, in milliseconds. */
 const LISTENER_PAUSE_MS = 250
+/** A daemon that starts reads the store itself only after it has asked its peers for this long, in milliseconds. */
+const START_PATIENCE_MS = 1_500
+/** Pause between two such questions, in milliseconds: connecting to a peer takes as long. */
+const START_ASK_MS = 100
 /** Entries of runners lapse while the store is away; those that live are back this long after its return, in milliseconds (platform). */
 const LAPSE_GRACE_MS = 2_000
 /** A read that takes this much longer than it was to wait found the store away, in milliseconds. */
@@ -90,10 +115,12 @@
   private configurationPosition = -1
   private sharedPosition = -1
   private hasReadRunners = false
+  private hasReadShared = false
   private isStoreHeard = true
   private longReads = new AbortController()
   private behindSinceMs: number | undefined
   private behindPeer: string | undefined
+  private isAsking = false
   private heardAtMs = Number.NEGATIVE_INFINITY
   private returnedAtMs = Number.NEGATIVE_INFINITY
 
@@ -129,9 +156,24 @@
    * follower.startTasks(tasks)
    */
   startTasks (tasks: TaskGroup): void {
-    tasks.startTask('configuration', (signal) => this.followLong(signal, (inner) => this.readConfiguration(inner)))
     tasks.startTask('shared records', (signal) => this.followLong(signal, (inner) => this.readShared(inner)))
-    tasks.startTask('runners', (signal) => this.followRunners(signal))
+    tasks.startTask('start', async (signal) => {
+      await this.learnFromPeers(signal)
+      tasks.startTask('configuration', (inner) => this.followLong(inner, (read) => this.readConfiguration(read)))
+      tasks.startTask('runners', (inner) => this.followRunners(inner))
+    })
+  }
+
+  /** What a fleet that runs, or the first daemons of one that starts, have read need not be read again by all. */
+  private async learnFromPeers (signal: AbortSignal): Promise<void> {
+    const { clock, self } = this.options
+    const startedAtMs = clock.readMonotonicMs()
+    while (!signal.aborted && !this.isInformed && clock.readMonotonicMs() - startedAtMs < START_PATIENCE_MS) {
+      const isFirst = this.hasReadShared && rankAmong(self, this.daemons.keys()) === 0
+      if (isFirst || !this.isStoreHeard) return
+      await this.fetchFromPeer()
+      if (!this.isInformed) await clock.waitFor(START_ASK_MS, signal)
+    }
   }
 
   /** Announces this daemon to the others. */
@@ -193,6 +235,7 @@
     const reading = await store.readShared(this.sharedPosition, LONG_WAIT_MS, signal)
     if (!reading.ok) return this.noteFailure('shared records', reading)
     this.takeShared(reading.value)
+    this.hasReadShared = true
     leadership.noteEnd(reading.value.end)
     await clock.waitFor(SHARED_INTERVAL_MS, signal)
     return true
@@ -217,7 +260,7 @@
   private async followRunners (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.isListening) {
-        await this.options.clock.waitFor(LISTENER_PAUSE_MS, signal)
+        await this.waitWhileListening(signal)
         continue
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
@@ -241,9 +284,10 @@
     }
   }
 
-  /** Waits until the next look is due, or the readers have told nothing new for too long. */
+  /** Waits until the next look is due, or the reader has told nothing new for too long. */
   private async waitForLook (lastLookMs: number, signal: AbortSignal): Promise<void> {
     const { clock, table, findRole } = this.options
+    const quietMs = QUIET_MS + QUIET_SPREAD_MS * Math.random()
     let knownPosition = table.position
     let changedAtMs = clock.readMonotonicMs()
     while (!signal.aborted && findRole() === 'looker') {
@@ -253,10 +297,14 @@
         knownPosition = table.position
         changedAtMs = nowMs
       }
-      if (nowMs - changedAtMs >= QUIET_MS || nowMs - lastLookMs >= OWN_LOOK_MS) return
+      if (nowMs - changedAtMs >= quietMs || nowMs - lastLookMs >= OWN_LOOK_MS) return
     }
   }
 
+  private async waitWhileListening (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && this.isListening) await this.options.clock.waitFor(LISTENER_PAUSE_MS, signal)
+  }
+
   private takeRunners (reading: RunnerReading): void {
     const { table, clock, logger } = this.options
     const graceMs = Math.max(0, this.returnedAtMs + LAPSE_GRACE_MS - clock.readMonotonicMs())
@@ -294,12 +342,14 @@
    * Compares with what a peer has read; a daemon that stays behind can't reach the store and asks the peer.
    *
    * @example
-   * follower.notePeer('daemon-2', hints.version, hints.position)
+   * follower.notePeer('daemon-2', hints)
    */
-  notePeer (peer: string, version: number, position: number): void {
+  notePeer (peer: string, { version, position, changedAt }: PeerReading): void {
     const { configurations, table, clock } = this.options
     const nowMs = clock.readMonotonicMs()
-    if (version <= configurations.version && position <= table.position) {
+    if (version <= configurations.version && changedAt <= table.position) {
+      // What the peer has read beyond this says nothing new.
+      if (this.hasReadRunners) table.notePosition(position)
       if (this.behindPeer === peer) this.behindSinceMs = undefined
       return
     }
@@ -308,17 +358,22 @@
       this.behindSinceMs = nowMs
       this.behindPeer = peer
     }
-    if (nowMs - this.behindSinceMs < patienceMs) return
+    if (nowMs - this.behindSinceMs < patienceMs || this.isAsking) return
     this.behindSinceMs = undefined
     this.fetchFromPeer(peer).catch((error: unknown) => this.options.logger.error('peer could not be asked', { peer, error: describeError(error) }))
   }
 
   private async fetchFromPeer (peer?: string): Promise<void> {
     const { configurations, table, logger } = this.options
-    const snapshot = await this.options.requestSnapshot(configurations.version, table.position, peer)
-    if (snapshot === undefined) return
-    this.takeSnapshot(snapshot)
-    logger.debug('asked a peer', { version: configurations.version, position: table.position })
+    this.isAsking = true
+    try {
+      const snapshot = await this.options.requestSnapshot(configurations.version, table.position, peer)
+      if (snapshot === undefined) return
+      this.takeSnapshot(snapshot)
+      logger.debug('asked a peer', { version: configurations.version, position: table.position })
+    } finally {
+      this.isAsking = false
+    }
   }
 
   /** Takes in what a peer knows. */
@@ -329,6 +384,7 @@
     }
     for (const { runner, position } of snapshot.runners) table.putRunner(runner, position)
     for (const { id, position, graceMs } of snapshot.removals) table.removeRunner(id, position, graceMs)
+    table.notePosition(snapshot.position)
     if (snapshot.position >= 0) this.hasReadRunners = true
     let hasNew = false
     for (const [address, zone] of snapshot.daemons) {
--- a/packages/figquay-serving/src/FigquayServingTopology.ts
+++ b/packages/figquay-serving/src/FigquayServingTopology.ts
@@ -18,12 +18,12 @@
   readonly uplink: string | undefined
   /** First daemons of the other data centres, as far as they can be reached; empty unless one is a first oneself. */
   readonly heads: readonly string[]
-  /** Reads the store for those below it. */
-  readonly isReader: boolean
+  /** First of its data centre, and no data centre that comes before has a first that can be reached. */
+  readonly isFirstHead: boolean
 }
 
-/** Daemons of a data centre that read the store, and that everybody there is connected to. */
-export const READERS_PER_ZONE = 2
+/** Daemons of a data centre that everybody there is connected to. */
+export const FIRST_PER_ZONE = 2
 
 /**
  * Ranks the daemons of each data centre.
@@ -50,12 +50,13 @@
   const above = own.slice(0, Math.max(0, own.indexOf(self)))
   const reached = above.filter(isConnected)
   const isHead = reached.length === 0
-  const elsewhere = isHead ? [...ranked].filter(([name]) => name !== zone).map(([, daemons]) => daemons.slice(0, depth)) : []
+  const elsewhere = isHead ? [...ranked].filter(([name]) => name !== zone).map(([name, daemons]) => ({ name, daemons: daemons.slice(0, depth) })) : []
+  const before = elsewhere.filter(({ name }) => hashText(name) < hashText(zone))
   return {
-    neighbours: [...above.slice(0, depth), ...elsewhere.flat()],
+    neighbours: [...above.slice(0, depth), ...elsewhere.flatMap(({ daemons }) => daemons)],
     uplink: reached[0],
-    heads: elsewhere.flatMap((daemons) => daemons.find(isConnected) ?? []),
-    isReader: reached.length < READERS_PER_ZONE
+    heads: elsewhere.flatMap(({ daemons }) => daemons.find(isConnected) ?? []),
+    isFirstHead: isHead && !before.some(({ daemons }) => daemons.some(isConnected))
   }
 }
 
@@ -70,9 +71,9 @@
   const above = own.slice(0, Math.max(0, own.indexOf(self)))
   const isHead = !above.some(isConnected)
   const others = isHead ? [...ranked].filter(([name]) => name !== zone).map(([, daemons]) => daemons) : []
-  const needed = [findDepth(above, READERS_PER_ZONE, isConnected), ...others.map((daemons) => findDepth(daemons, 1, isConnected))]
-  const longest = Math.max(above.length, ...others.map((daemons) => daemons.length), READERS_PER_ZONE)
-  return Math.min(longest, Math.max(READERS_PER_ZONE, ...needed.map((count) => count ?? depth * 2)))
+  const needed = [findDepth(above, FIRST_PER_ZONE, isConnected), ...others.map((daemons) => findDepth(daemons, 1, isConnected))]
+  const longest = Math.max(above.length, ...others.map((daemons) => daemons.length), FIRST_PER_ZONE)
+  return Math.min(longest, Math.max(FIRST_PER_ZONE, ...needed.map((count) => count ?? depth * 2)))
 }
 
 /** Place of the `count`th daemon that is reached; 0 when there are no more than have been reached; undefined when some may be missing. */
