--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -16,6 +16,8 @@
   readonly position: number
   /** Where in it the last change was. */
   readonly changedAt: number
+  /** Daemons that are known there. */
+  readonly daemonCount: number
   /** By runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Arrivals by model since the last message. */
@@ -49,6 +51,8 @@
   /** What this daemon's requests wait for. */
   readonly listNeeds: () => readonly Need[]
   readonly noteAdapterUse: (runner: string, key: string) => void
+  /** Daemons that have announced themselves, as far as this one knows. */
+  readonly countDaemons: () => number
 }
 
 /** Makes and takes in hints. */
@@ -106,7 +110,7 @@
   }
 
   private makeMessage (arrivals: ReadonlyMap<string, Arrivals>): FleetHints {
-    const { self, table, demand, leadership, configurations, listNeeds } = this.options
+    const { self, table, demand, leadership, configurations, listNeeds, countDaemons } = this.options
     const adapters = [...this.usedAdapters].map((text) => text.split('\n') as [string, string])
     this.usedAdapters = new Set()
     const needs = listNeeds()
@@ -117,6 +121,7 @@
       version: configurations.version,
       position: table.position,
       changedAt: table.changedAt,
+      daemonCount: countDaemons(),
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnModels(runner)]]),
       arrivals: [...arrivals],
       needs,
--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -39,6 +39,8 @@
   private current: Holder | undefined
   private vacantSinceMs: number
   private end = 0
+  /** Another record has been written meanwhile: its reading comes before the next application. */
+  private isEndOutdated = false
 
   private constructor (private readonly options: LeadershipOptions) {
     this.vacantSinceMs = options.clock.readMonotonicMs()
@@ -95,6 +97,7 @@
   /** Notes where the shared records end, for conditional writes. */
   noteEnd (end: number): void {
     this.end = Math.max(this.end, end)
+    this.isEndOutdated = false
   }
 
   /** Notes that a runner has seen a higher fencing number than this daemon's. */
@@ -120,7 +123,7 @@
       this.vacantSinceMs = nowMs
       return
     }
-    if (!this.options.mayApply()) return
+    if (this.isEndOutdated || !this.options.mayApply()) return
     const candidates = [...connected, self].sort()
     const graceMs = this.current === undefined ? SETTLE_MS : HOLDER_SILENCE_MS
     if (nowMs - this.vacantSinceMs < graceMs + candidates.indexOf(self) * RANK_STEP_MS) return
@@ -134,7 +137,10 @@
       logger.debug('could not apply for the office', { error: written.error.message })
       return
     }
-    if (written.value.type === 'overtaken') return
+    if (written.value.type === 'overtaken') {
+      this.isEndOutdated = true
+      return
+    }
     this.noteHolder({ daemon: self, fence: written.value.position + 1 })
   }
 }
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -99,6 +99,17 @@
     }
   })
 
+  it('is applied for once with each end of the records that is known', async () => {
+    const clock = new ManualClock()
+    const { leadership, writes } = makeLeadership(clock, { result: 'overtaken' })
+    clock.nowMs = 5_000
+    for (let turn = 0; turn < 5; turn += 1) await leadership.refresh()
+    expect(writes).toEqual([0])
+    leadership.noteEnd(3)
+    await leadership.refresh()
+    expect(writes).toEqual([0, 3])
+  })
+
   it('only goes to higher fences, and not to oneself by rumour', () => {
     const { leadership } = makeLeadership(new ManualClock())
     leadership.noteHolder({ daemon: 'a', fence: 5 })
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -60,7 +60,7 @@
     const demand = FleetDemand.create(clock)
     const memory = PromptMemory.create(clock)
     const { table } = this
-    this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.peers.storeRole !== 'listener' })
+    this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.follower.mayWrite })
     const { leadership } = this
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
@@ -84,10 +84,11 @@
       makeSnapshot: (version, position) => this.follower.makeSnapshot(version, position),
       notePeer: (peer, reading) => this.follower.notePeer(peer, reading),
       measureStoreAge: () => this.follower.storeAgeMs,
+      countDaemons: () => this.follower.daemonCount,
       planSoon: () => this.planSoon()
     })
     this.follower = StoreFollower.create({
-      self: address,
+      isSeed: options.seeds.length === 0 || options.seeds.includes(address),
       clock,
       logger,
       store,
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -25,6 +25,8 @@
   readonly makeSnapshot: (version: number, position: number) => FleetSnapshot
   readonly notePeer: (peer: string, reading: PeerReading) => void
   readonly measureStoreAge: () => number
+  /** Daemons that have announced themselves, as far as this one knows. */
+  readonly countDaemons: () => number
   /** Plans soon, as requests wait for something. */
   readonly planSoon: () => void
 }
@@ -52,10 +54,10 @@
   private newsSerial = 0
 
   private constructor (private readonly options: ServingPeersOptions) {
-    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, leadership } = options
+    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, countDaemons, leadership } = options
     this.news = FleetNews.create(clock)
     this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeMethods(), clock, logger })
-    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons })
     this.relay = FleetRelay.create({
       self: self.id,
       zone: self.zone,
@@ -68,6 +70,7 @@
       news: this.news,
       mesh: this.mesh,
       measureStoreAge,
+      countDaemons,
       takeNews: (item) => this.takeNews(item),
       notePeer,
       setNeighbours: (neighbours) => {
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -17,6 +17,8 @@
   readonly position: number
   /** Where in it the last change was. */
   readonly changedAt: number
+  /** Daemons that are known there. */
+  readonly daemonCount: number
   /** Time since the store was last read, by this daemon or those above it, in milliseconds. */
   readonly storeAgeMs: number
   readonly loads: readonly LoadRow[]
@@ -47,6 +49,8 @@
   readonly mesh: RelayMesh
   /** Time since this daemon itself last read the store, in milliseconds. */
   readonly measureStoreAge: () => number
+  /** Daemons that have announced themselves, as far as this one knows. */
+  readonly countDaemons: () => number
   /** Takes in an item that is new here. */
   readonly takeNews: (item: NewsItem) => void
   /** Compares how far a peer has read with this daemon. */
@@ -78,7 +82,8 @@
   private chosenAtMs = Number.NEGATIVE_INFINITY
   private daemonCount = 1
   private heardAtMs = Number.NEGATIVE_INFINITY
-  private uplinkStoreAgeMs = Number.POSITIVE_INFINITY
+  /** When the store was last read by a daemon that this one has heard of, as far as it was told. */
+  private toldReadAtMs = Number.NEGATIVE_INFINITY
   private readonly shunnedUntilMs = new Map<string, number>()
   /** By peer: its process, what of its news was heard, and what of one's own it has. */
   private readonly heard = new Map<string, { readonly bootId: string, readonly revision: number }>()
@@ -172,10 +177,7 @@
     const { value } = answer
     const isAbove = value.zone === this.options.zone
     this.options.table.putPeerLoads(isAbove ? 'above' : `zone ${value.zone}`, parseLoads(value.loads))
-    if (isAbove) {
-      this.heardAtMs = clock.readMonotonicMs()
-      this.uplinkStoreAgeMs = value.storeAgeMs
-    }
+    if (isAbove) this.heardAtMs = clock.readMonotonicMs()
     this.noteTold(value, sentRevision)
   }
 
@@ -208,7 +210,8 @@
   }
 
   private takeMessage (message: RelayMessage): void {
-    const { news, takeNews, leadership, notePeer } = this.options
+    const { news, takeNews, leadership, notePeer, clock } = this.options
+    this.toldReadAtMs = Math.max(this.toldReadAtMs, clock.readMonotonicMs() - message.storeAgeMs)
     for (const item of message.news) {
       if (news.addItem(item)) takeNews(item)
     }
@@ -223,7 +226,7 @@
   }
 
   private makeMessage (peer: string, loads: ReturnType<FleetRunnerTable['exportLoads']>): RelayMessage {
-    const { self, zone, bootId, leadership, configurations, table, news } = this.options
+    const { self, zone, bootId, leadership, configurations, table, news, countDaemons } = this.options
     return {
       from: self,
       zone,
@@ -232,6 +235,7 @@
       version: configurations.version,
       position: table.position,
       changedAt: table.changedAt,
+      daemonCount: countDaemons(),
       storeAgeMs: Math.round(this.measureStoreAge()),
       loads: formatLoads(loads),
       news: news.listAfter(this.told.get(peer) ?? 0),
@@ -240,11 +244,10 @@
     }
   }
 
-  /** Time since this daemon or those above it last read the store. */
+  /** Time since this daemon, or one that it has heard of, last read the store. */
   private measureStoreAge (): number {
     const { clock, measureStoreAge } = this.options
-    const throughUplinkMs = this.part.uplink === undefined ? Number.POSITIVE_INFINITY : this.uplinkStoreAgeMs + clock.readMonotonicMs() - this.heardAtMs
     // A finite number, as JSON has no other.
-    return Math.min(measureStoreAge(), throughUplinkMs, Number.MAX_SAFE_INTEGER)
+    return Math.min(measureStoreAge(), clock.readMonotonicMs() - this.toldReadAtMs, Number.MAX_SAFE_INTEGER)
   }
 }
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -10,6 +10,8 @@
   readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number, readonly graceMs: number }>
   readonly position: number
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
+  /** Time since the list was last read where this comes from, in milliseconds. */
+  readonly storeAgeMs: number
 }
 
 /** How far a peer has read the store. */
@@ -20,6 +22,8 @@
   readonly position: number
   /** Where in the list the last change was that is more than a sign of life. */
   readonly changedAt: number
+  /** Daemons that it knows of. */
+  readonly daemonCount: number
 }
 
 type SerialService = Omit<ServiceOf, 'engine'> & { readonly engine: (Omit<EngineOf, 'models'> & { readonly models: ReadonlyArray<readonly [string, ModelOf]> }) | undefined }
@@ -43,21 +47,16 @@
  * chooseRole('10.0.0.1:80', []) // 'reader': a daemon alone reads for itself
  */
 export function chooseRole (self: string, connected: readonly string[]): StoreRole {
-  const rank = rankAmong(self, connected)
+  const ownRank = hashText(self)
+  const rank = connected.filter((peer) => hashText(peer) < ownRank).length
   if (rank === 0) return 'reader'
   return rank < FOLLOWERS ? 'looker' : 'listener'
 }
 
-/** How many of the others come before a daemon, in an order that all agree on. */
-function rankAmong (self: string, others: Iterable<string>): number {
-  const ownRank = hashText(self)
-  return [...others].filter((peer) => hashText(peer) < ownRank).length
-}
-
 /** What the follower needs. */
 export interface StoreFollowerOptions {
-  /** Name of this daemon among the others. */
-  readonly self: string
+  /** Whether this daemon is one of those that the others turn to at their start. */
+  readonly isSeed: boolean
   readonly clock: Clock
   readonly logger: Logger
   readonly store: FleetStore
@@ -81,15 +80,15 @@
 const RUNNERS_WAIT_MS = 1_500
 /** A reader that has been behind a peer for this long asks it, in milliseconds: longer than its own reads take. */
 const BEHIND_MS = 1_200
-/** A daemon for which others read looks itself this often, in milliseconds, lest its readers are cut off. */
-const OWN_LOOK_MS = 4_000
+/** A daemon for which another reads looks itself this often, in milliseconds, also while its reader seems well. */
+const OWN_LOOK_MS = 15_000
 /**
- * It looks at once when nothing new has come by its reader for this long, in milliseconds: runners write every second or
+ * It looks at once when nothing new has come by its reader for this long, in milliseconds: runners write every 1.2 s or
  * so, and the reader tells within two intervals of its own.
  */
-const QUIET_MS = 900
+const QUIET_MS = 1_400
 /** Looks of this kind are spread over this time, in milliseconds: what one daemon finds, the others hear. */
-const QUIET_SPREAD_MS = 300
+const QUIET_SPREAD_MS = 200
 /** A daemon that waits for its next look checks this often whether its readers have gone quiet, in milliseconds. */
 const QUIET_CHECK_MS = 100
 /** A failed read is repeated after this time, in milliseconds. */
@@ -114,8 +113,8 @@
   private readonly daemons = new Map<string, string>()
   private configurationPosition = -1
   private sharedPosition = -1
-  private hasReadRunners = false
   private hasReadShared = false
+  private hasReadRunners = false
   private isStoreHeard = true
   private longReads = new AbortController()
   private behindSinceMs: number | undefined
@@ -144,7 +143,12 @@
     return this.isStoreHeard
   }
 
-  /** Time since the list of runners was last read here, in milliseconds. */
+  /** Whether this daemon knows the store's shared records, so that it may write one on condition of their end. */
+  get mayWrite (): boolean {
+    return this.hasReadShared && this.isInformed && !this.isListening
+  }
+
+  /** Time since the list of runners was last read, here or where this daemon's picture of it comes from, in milliseconds. */
   get storeAgeMs (): number {
     return this.options.clock.readMonotonicMs() - this.heardAtMs
   }
@@ -156,23 +160,23 @@
    * follower.startTasks(tasks)
    */
   startTasks (tasks: TaskGroup): void {
-    tasks.startTask('shared records', (signal) => this.followLong(signal, (inner) => this.readShared(inner)))
     tasks.startTask('start', async (signal) => {
-      await this.learnFromPeers(signal)
+      if (!this.options.isSeed) await this.learnFromPeers(signal)
+      tasks.startTask('shared records', (inner) => this.followLong(inner, (read) => this.readShared(read)))
       tasks.startTask('configuration', (inner) => this.followLong(inner, (read) => this.readConfiguration(read)))
       tasks.startTask('runners', (inner) => this.followRunners(inner))
     })
   }
 
-  /** What a fleet that runs, or the first daemons of one that starts, have read need not be read again by all. */
+  /** What a fleet that runs, or the seeds of one that starts, have read need not be read again by all. */
   private async learnFromPeers (signal: AbortSignal): Promise<void> {
-    const { clock, self } = this.options
+    const { clock } = this.options
     const startedAtMs = clock.readMonotonicMs()
-    while (!signal.aborted && !this.isInformed && clock.readMonotonicMs() - startedAtMs < START_PATIENCE_MS) {
-      const isFirst = this.hasReadShared && rankAmong(self, this.daemons.keys()) === 0
-      if (isFirst || !this.isStoreHeard) return
-      await this.fetchFromPeer()
-      if (!this.isInformed) await clock.waitFor(START_ASK_MS, signal)
+    while (!signal.aborted && clock.readMonotonicMs() - startedAtMs < START_PATIENCE_MS) {
+      // Which part a daemon has shows only once it is connected.
+      if (this.isListening) return
+      if (!this.isInformed) await this.fetchFromPeer()
+      await clock.waitFor(START_ASK_MS, signal)
     }
   }
 
@@ -185,6 +189,11 @@
     }
   }
 
+  /** Daemons that have announced themselves, as far as this one knows. */
+  get daemonCount (): number {
+    return this.daemons.size
+  }
+
   /** State that a peer lacks. */
   makeSnapshot (configurationVersion: number, position: number): FleetSnapshot {
     const { configurations, table } = this.options
@@ -194,7 +203,8 @@
       runners: table.listAnnouncements(position),
       removals: table.listRemovals(position),
       position: table.position,
-      daemons: [...this.daemons]
+      daemons: [...this.daemons],
+      storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
     }
   }
 
@@ -344,10 +354,10 @@
    * @example
    * follower.notePeer('daemon-2', hints)
    */
-  notePeer (peer: string, { version, position, changedAt }: PeerReading): void {
+  notePeer (peer: string, { version, position, changedAt, daemonCount }: PeerReading): void {
     const { configurations, table, clock } = this.options
     const nowMs = clock.readMonotonicMs()
-    if (version <= configurations.version && changedAt <= table.position) {
+    if (version <= configurations.version && changedAt <= table.position && daemonCount <= this.daemons.size) {
       // What the peer has read beyond this says nothing new.
       if (this.hasReadRunners) table.notePosition(position)
       if (this.behindPeer === peer) this.behindSinceMs = undefined
@@ -378,7 +388,7 @@
 
   /** Takes in what a peer knows. */
   takeSnapshot (snapshot: FleetSnapshot): void {
-    const { configurations, table, logger } = this.options
+    const { configurations, table, logger, clock } = this.options
     if (snapshot.configuration !== undefined && configurations.adoptConfiguration(parseConfiguration(snapshot.configuration))) {
       logger.info('configuration in force', { version: configurations.version, source: 'peer' })
     }
@@ -386,6 +396,7 @@
     for (const { id, position, graceMs } of snapshot.removals) table.removeRunner(id, position, graceMs)
     table.notePosition(snapshot.position)
     if (snapshot.position >= 0) this.hasReadRunners = true
+    this.heardAtMs = Math.max(this.heardAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
     let hasNew = false
     for (const [address, zone] of snapshot.daemons) {
       if (this.daemons.has(address)) continue
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -61,6 +61,7 @@
       configurations: ConfigurationHolder.create(),
       mesh: new TestMesh(self, nodes, lost, garbled),
       measureStoreAge: () => 0,
+      countDaemons: () => count,
       takeNews: (item) => {
         if (item.type === 'holdings') table.putHoldings(item.runner, item.bornMs, item.holdings)
         if (item.type === 'leaving') table.markLeaving(item.runner, item.bornMs)
