Place models that find no copy although every copy is in use, and wait for no silent runner

Ruled out: the weight store's limit (never named in the lines). Change: silent runners are asked at growing pauses and nothing waits for them; an overdue order is expected to take as long again; a copy in use makes way for a model that has been missing for long enough; a daemon that peers take for the holder asks the store and takes the office anew.

--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -41,6 +41,9 @@
   private end = 0
   /** Another record has been written meanwhile: its reading comes before the next application. */
   private isEndOutdated = false
+  /** Office that peers think this daemon holds: it was won by an earlier process here, or by a write whose answer was lost. */
+  private claimedFence: number | undefined
+  private isOwnVacancy = false
 
   private constructor (private readonly options: LeadershipOptions) {
     this.vacantSinceMs = options.clock.readMonotonicMs()
@@ -86,12 +89,25 @@
   noteRecord (text: string, position: number): void {
     const { daemon, boot } = JSON.parse(text) as { readonly daemon: string, readonly boot: string }
     const isEarlierSelf = daemon === this.options.self && boot !== this.options.bootId
-    this.noteHolder({ daemon: isEarlierSelf ? '' : daemon, fence: position + 1 })
+    const fence = position + 1
+    this.noteHolder({ daemon: isEarlierSelf ? '' : daemon, fence })
+    if (this.current?.fence === fence) this.isOwnVacancy = isEarlierSelf
   }
 
   /** Takes in what a peer believes; only the store can tell this daemon that it holds the office itself. */
   noteRumour (holder: Holder): void {
     if (holder.daemon !== this.options.self) this.noteHolder(holder)
+    else if (holder.fence > (this.current?.fence ?? 0)) this.claimedFence = holder.fence
+  }
+
+  /** Whether the store's records must tell this daemon, which the peers take for the holder, what it is. */
+  get mustAskStore (): boolean {
+    return this.claimedFence !== undefined && this.claimedFence > (this.current?.fence ?? 0)
+  }
+
+  /** Whether an earlier process at this address held the office last: nobody else takes it while this daemon is heard. */
+  get isHeir (): boolean {
+    return this.current?.daemon === '' && this.isOwnVacancy
   }
 
   /** Notes where the shared records end, for conditional writes. */
@@ -124,6 +140,10 @@
       return
     }
     if (this.isEndOutdated || !this.options.mayApply()) return
+    if (this.isHeir) {
+      await this.applyForOffice()
+      return
+    }
     const candidates = [...connected, self].sort()
     const graceMs = this.current === undefined ? SETTLE_MS : HOLDER_SILENCE_MS
     if (nowMs - this.vacantSinceMs < graceMs + candidates.indexOf(self) * RANK_STEP_MS) return
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -3,7 +3,8 @@
  *
  * Answers these load patterns: a rarely used model that is asked for while no runner holds it (loaded where that is
  * quickest, in place of what is missed least); demand that moves to another model within seconds (further copies as
- * soon as requests pile up on the copies there are); a runner that is lost with the only copy of a model.
+ * soon as requests pile up on the copies there are); a runner that is lost with the only copy of a model; more models
+ * asked for all the time than there are places, so that no copy is ever idle (they take turns, the more asked for longer).
  */
 import { findSource, measureLoadMs } from './FigquayFleetCopies.js'
 import type { ModelSpec } from './FigquayFleetTypes.js'
@@ -42,6 +43,8 @@
   readonly tokenRate: number
   /** Requests that wait for a copy. */
   readonly waiting: number
+  /** Time for which requests have found no copy, in milliseconds; 0 while there is one. */
+  readonly missingMs: number
   /** Time until a copy that is being made is ready, in milliseconds; undefined when none is. */
   readonly comingInMs: number | undefined
   /** Copies that are being made. */
@@ -95,8 +98,23 @@
 const HELD_UP_PART = 0.25
 /** A second load of a model that requests wait for pays when it is ready this much sooner than the first, in seconds. */
 const WORTHWHILE_SECONDS = 2
+/** Time that a copy in use takes to finish its requests before it makes way, in seconds. */
+const DRAIN_SECONDS = 2
+/** Loss in a copy in use that is borne for each second in which a model's requests have found no copy: all get their turn. */
+const GAIN_PER_MISSING_SECOND = 0.5
 const MS_PER_SECOND = 1_000
 
+/** Why a model that requests wait for gets no copy now. */
+export type UnplacedReason =
+  /** The runner that would be best has an order to carry out first. */
+  | 'its runner is busy'
+  /** Every copy that could make way has just come, or is worth more. */
+  | 'no copy makes way'
+  /** A load that is under way is ready nearly as soon. */
+  | 'a copy is coming'
+  /** It could come from the weight store only, which takes no more loads now. */
+  | 'the weight store is at its limit'
+
 interface Option {
   readonly move: ModelMove
   readonly cost: number
@@ -147,6 +165,16 @@
 interface Victim {
   readonly model: string
   readonly loss: number
+  readonly isInUse: boolean
+}
+
+/** What is asked of the way to a further copy. */
+interface CopyWish {
+  readonly reason: string
+  /** Loss that may be borne for it in an idle copy. */
+  readonly mostLoss: number
+  /** The same in a copy that is in use. */
+  readonly mostLossInUse: number
 }
 
 /** One way of planning, over a view that doesn't change meanwhile. */
@@ -157,7 +185,7 @@
   private readonly victims = new Map<string, Victim | undefined>()
   private canLoadFromStore: boolean
 
-  constructor (private readonly view: ModelPlanView) {
+  constructor (private readonly view: ModelPlanView, private readonly noteUnplaced: (model: string, reason: UnplacedReason, runner: string | undefined) => void) {
     this.index = new ModelIndex(view.runners)
     this.models = new Map(view.models.map((model) => [model.spec.name, model]))
     this.canLoadFromStore = view.canLoadFromStore
@@ -169,12 +197,23 @@
     const crowded = this.view.models.filter((model) => this.countLacking(model) > 0).sort((a, b) => b.rate - a.rate)
     const unwanted = missing.filter((model) => model.waiting === 0 && model.comingInMs === undefined).sort((a, b) => b.rate - a.rate)
     return [
-      ...wanted.flatMap((model) => this.planCopy(model, 'requests wait and no runner holds it', Number.POSITIVE_INFINITY)),
+      ...wanted.flatMap((model) => this.planWanted(model)),
       ...crowded.flatMap((model) => this.planFurtherCopies(model)),
-      ...unwanted.flatMap((model) => this.planCopy(model, 'no runner holds it', this.isNear(model) ? 0 : FETCH_LOSS))
+      ...unwanted.flatMap((model) => this.planCopy(model, { reason: 'no runner holds it', mostLoss: this.isNear(model) ? 0 : FETCH_LOSS, mostLossInUse: 0 }))
     ]
   }
 
+  private planWanted (model: PlannedModel): ModelMove[] {
+    // A copy in use keeps its runner from other orders until it has drained: mostly an idle one turns up before that pays.
+    const mostLossInUse = GAIN_PER_MISSING_SECOND * model.missingMs / MS_PER_SECOND
+    const wish = { reason: 'requests wait and no runner holds it', mostLoss: Number.POSITIVE_INFINITY, mostLossInUse }
+    return this.planCopy(model, wish, (reason, runner) => this.noteUnplaced(model.spec.name, reason, runner))
+  }
+
+  private measureOnlyCopy ({ rate, spec }: PlannedModel): number {
+    return LAST_COPY_LOSS + LOSS_PER_REQUEST_RATE * rate * (1 + spec.diskLoadMs / MS_PER_SECOND)
+  }
+
   private countCopies (model: PlannedModel): number {
     return this.index.countCopies(model.spec.name)
   }
@@ -195,24 +234,41 @@
   }
 
   private planFurtherCopies (model: PlannedModel): ModelMove[] {
-    return Array.from({ length: this.countLacking(model) }).flatMap(() => this.planCopy({ ...model, comingInMs: undefined }, 'its copies are crowded', model.rate))
+    return Array.from({ length: this.countLacking(model) }).flatMap(() => this.planCopy({ ...model, comingInMs: undefined }, { reason: 'its copies are crowded', mostLoss: model.rate, mostLossInUse: 0 }))
   }
 
-  /** The cheapest way to a further copy, if what it pushes out is worth less than `mostLoss`. */
-  private planCopy (model: PlannedModel, reason: string, mostLoss: number): ModelMove[] {
-    const canFetch = this.canFetch(model)
-    let best: Option | undefined
-    for (const runner of canFetch ? this.view.runners : this.index.listAtHand(model.spec.name)) {
-      if (!Number.isFinite(runner.freeInMs) || this.taken.has(runner.id) || runner.copies.some((copy) => copy.model === model.spec.name)) continue
-      const option = this.weighOption(model, runner, reason, mostLoss)
-      if (option !== undefined && (best === undefined || option.cost < best.cost)) best = option
-    }
-    if (best === undefined || best.isLater || !this.isSooner(model, best)) return []
+  /** The cheapest way to a further copy, if there is one that the wish allows and that can begin now. */
+  private planCopy (model: PlannedModel, wish: CopyWish, explain: (reason: UnplacedReason, runner: string | undefined) => void = () => {}): ModelMove[] {
+    const best = this.findBest(model, wish)
+    const objection = this.judgeOption(model, best)
+    if (objection !== undefined) explain(objection, best?.move.runner)
+    if (objection !== undefined || best === undefined) return []
     this.taken.add(best.move.runner)
     if (best.move.fromStore) this.canLoadFromStore = false
     return [best.move]
   }
 
+  private findBest (model: PlannedModel, wish: CopyWish): Option | undefined {
+    let best: Option | undefined
+    for (const runner of this.canFetch(model) ? this.view.runners : this.index.listAtHand(model.spec.name)) {
+      if (!this.canTake(runner, model)) continue
+      const option = this.weighOption(model, runner, wish)
+      if (option !== undefined && (best === undefined || option.cost < best.cost)) best = option
+    }
+    return best
+  }
+
+  private canTake (runner: PlannedRunner, { spec }: PlannedModel): boolean {
+    return Number.isFinite(runner.freeInMs) && !this.taken.has(runner.id) && !runner.copies.some((copy) => copy.model === spec.name)
+  }
+
+  /** Why the best option isn't taken now. */
+  private judgeOption (model: PlannedModel, best: Option | undefined): UnplacedReason | undefined {
+    if (best === undefined) return this.canFetch(model) || this.isNear(model) ? 'no copy makes way' : 'the weight store is at its limit'
+    if (best.isLater) return 'its runner is busy'
+    return this.isSooner(model, best) ? undefined : 'a copy is coming'
+  }
+
   /** Whether an option is ready well before a copy that is already being made. */
   private isSooner ({ comingInMs }: PlannedModel, option: Option): boolean {
     return comingInMs === undefined || comingInMs / MS_PER_SECOND > option.readyInSeconds + WORTHWHILE_SECONDS
@@ -224,26 +280,30 @@
     return this.canLoadFromStore && (isNeeded || this.view.storeLoads < Math.max(1, this.index.servingCount * HELD_UP_PART))
   }
 
-  private weighOption (model: PlannedModel, runner: PlannedRunner, reason: string, mostLoss: number): Option | undefined {
+  private weighOption (model: PlannedModel, runner: PlannedRunner, wish: CopyWish): Option | undefined {
     const { spec } = model
     const source = findSource(spec, runner)
-    const readyInSeconds = measureLoadMs(spec, source) / MS_PER_SECOND + runner.freeInMs / MS_PER_SECOND
-    const isLater = runner.freeInMs > 0
     const fromStore = source === 'store'
+    const loadSeconds = measureLoadMs(spec, source) / MS_PER_SECOND + runner.freeInMs / MS_PER_SECOND
+    const isLater = runner.freeInMs > 0
     const crowding = runner.openRequests / CROWDED_REQUESTS + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
+    const move = { runner: runner.id, beneficiary: spec.name, fromStore, reason: wish.reason }
     if (runner.freeMb >= spec.weightsMb) {
-      return { cost: readyInSeconds + crowding, readyInSeconds, isLater, move: { action: 'load', runner: runner.id, model: spec.name, beneficiary: spec.name, fromStore, reason } }
+      return { cost: loadSeconds + crowding, readyInSeconds: loadSeconds, isLater, move: { ...move, action: 'load', model: spec.name } }
     }
     const victim = this.findVictim(runner)
-    if (victim === undefined || victim.loss > mostLoss) return undefined
-    return { cost: readyInSeconds + crowding + victim.loss, readyInSeconds, isLater, move: { action: 'unload', runner: runner.id, model: victim.model, beneficiary: spec.name, fromStore, reason } }
+    if (victim === undefined || victim.loss > (victim.isInUse ? wish.mostLossInUse : wish.mostLoss)) return undefined
+    const readyInSeconds = loadSeconds + (victim.isInUse ? DRAIN_SECONDS : 0)
+    return { cost: readyInSeconds + crowding + victim.loss, readyInSeconds, isLater, move: { ...move, action: 'unload', model: victim.model } }
   }
 
-  /** The copy on a runner that is missed least; none that works or has just come. */
+  /** The copy on a runner that is missed least, one in use only if none is idle; none that waits or has just come. */
   private findVictim (runner: PlannedRunner): Victim | undefined {
     if (this.victims.has(runner.id)) return this.victims.get(runner.id)
-    const idle = runner.copies.filter((copy) => copy.openRequests === 0 && copy.ageMs >= SETTLING_MS && (this.models.get(copy.model)?.waiting ?? 0) === 0)
-    const [victim] = idle.map((copy) => ({ model: copy.model, loss: this.measureLoss(copy.model) })).sort((a, b) => a.loss - b.loss)
+    const [victim] = runner.copies
+      .filter((copy) => copy.ageMs >= SETTLING_MS && (this.models.get(copy.model)?.waiting ?? 0) === 0)
+      .map((copy) => ({ model: copy.model, loss: this.measureLoss(copy.model), isInUse: copy.openRequests > 0 }))
+      .sort((a, b) => Number(a.isInUse) - Number(b.isInUse) || a.loss - b.loss)
     this.victims.set(runner.id, victim)
     return victim
   }
@@ -255,7 +315,7 @@
     const copies = this.countCopies(model)
     if (copies > 1) return SURPLUS_LOSS + LOSS_PER_REQUEST_RATE * model.rate / copies
     // The runner keeps a copy on its disk, from which the model comes back.
-    return LAST_COPY_LOSS + LOSS_PER_REQUEST_RATE * model.rate * (1 + model.spec.diskLoadMs / MS_PER_SECOND)
+    return this.measureOnlyCopy(model)
   }
 }
 
@@ -263,9 +323,11 @@
  * Plans the next loads and unloads; each runner gets one at most. The work grows with the runners and with the models,
  * not with their product: what is at hand is looked up, and a plan fetches at most one model from the weight store.
  *
+ * @param noteUnplaced Told of each model that requests wait for and that gets no copy by this plan, with the runner that
+ * would have been best.
  * @example
  * planModels(view).forEach((move) => orders.runMove(move))
  */
-export function planModels (view: ModelPlanView): ModelMove[] {
-  return new ModelPlanner(view).planMoves()
+export function planModels (view: ModelPlanView, noteUnplaced: (model: string, reason: UnplacedReason, runner: string | undefined) => void = () => {}): ModelMove[] {
+  return new ModelPlanner(view, noteUnplaced).planMoves()
 }
--- a/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderBook.ts
@@ -43,6 +43,10 @@
 const REPORT_LAG_MS = 150
 /** Orders to one runner that have an unknown or unexpected outcome are this far apart, in milliseconds. */
 const RETRY_PAUSE_MS = 300
+/** A runner that stays silent is asked again after this time at the latest, in milliseconds. */
+const LONGEST_PAUSE_MS = 5_000
+/** An order may take this many times as long as expected while many are carried out. */
+const SLOWEST_ORDER_FACTOR = 4
 /** An adapter arrives within this time, in milliseconds, unless many are on their way at once. */
 const ADAPTER_ARRIVAL_MS = 20
 
@@ -57,6 +61,8 @@
   /** Until then the runner's state is read anew before the next order. */
   notBeforeMs: number
   needsReading: boolean
+  /** Readings in a row that the runner didn't answer. */
+  silences: number
 }
 
 /** Orders of the holder. */
@@ -79,6 +85,11 @@
     return account === undefined || (!account.isOpen && this.options.clock.readMonotonicMs() >= account.notBeforeMs)
   }
 
+  /** Whether a runner has not answered the last questions: nothing should wait for it. */
+  isSilent (runnerId: string): boolean {
+    return (this.accounts.get(runnerId)?.silences ?? 0) > 0
+  }
+
   /** Forgets what is known of the runners' readiness: another holder has given orders meanwhile. */
   clear (): void {
     for (const account of this.accounts.values()) account.needsReading = true
@@ -114,12 +125,13 @@
     const runner = this.options.table.findRunner(runnerId)
     if (runner === undefined) return undefined
     const state = await this.options.client.readState(runner)
+    const account = this.findAccount(runnerId)
+    account.silences = state.ok ? 0 : account.silences + 1
     if (!state.ok) {
       this.options.logger.debug('runner did not tell its state', { runner: runnerId, error: state.error.message })
       return undefined
     }
     if (state.value.isLeaving && this.options.table.markLeaving(runnerId, state.value.bornMs)) this.options.announceLeaving(runnerId, state.value.bornMs)
-    const account = this.findAccount(runnerId)
     // A report lags: one from before the last accepted order says nothing new.
     if (account.bornMs === state.value.bornMs && state.value.sequence < account.sequence) return undefined
     Object.assign(account, { sequence: state.value.sequence, holdings: state.value.holdings, bornMs: state.value.bornMs })
@@ -128,7 +140,7 @@
   }
 
   private findAccount (runnerId: string): RunnerAccount {
-    const account = this.accounts.get(runnerId) ?? { isOpen: false, sequence: 0, holdings: undefined, bornMs: 0, notBeforeMs: 0, needsReading: true }
+    const account = this.accounts.get(runnerId) ?? { isOpen: false, sequence: 0, holdings: undefined, bornMs: 0, notBeforeMs: 0, needsReading: true, silences: 0 }
     this.accounts.set(runnerId, account)
     return account
   }
@@ -142,7 +154,7 @@
     const { client, table, leadership, logger, self, clock } = this.options
     const isOutdated = account.needsReading || account.bornMs !== table.findRunner(request.runner)?.bornMs
     if (isOutdated && await this.readRunner(request.runner) === undefined) {
-      account.notBeforeMs = clock.readMonotonicMs() + RETRY_PAUSE_MS
+      account.notBeforeMs = clock.readMonotonicMs() + Math.min(LONGEST_PAUSE_MS, RETRY_PAUSE_MS * 2 ** account.silences)
       return 'failed'
     }
     account.needsReading = false
@@ -216,11 +228,12 @@
    * Waits until a runner has carried out an order on a model.
    *
    * @param expectedMs Time that the order takes.
+   * @param longestMs Time after which it is no longer waited for.
    * @example
    * await book.waitForOrder('runner-1', 1_500)
    */
-  async waitForOrder (runnerId: string, expectedMs: number): Promise<void> {
-    const deadlineMs = this.options.clock.readMonotonicMs() + expectedMs * 4 + REPORT_LAG_MS * 4
+  async waitForOrder (runnerId: string, expectedMs: number, longestMs = expectedMs * SLOWEST_ORDER_FACTOR + REPORT_LAG_MS * SLOWEST_ORDER_FACTOR): Promise<void> {
+    const deadlineMs = this.options.clock.readMonotonicMs() + longestMs
     await this.options.clock.waitFor(expectedMs + REPORT_LAG_MS)
     while (this.options.clock.readMonotonicMs() < deadlineMs && this.options.leadership.ownFence !== undefined) {
       const holdings = await this.readRunner(runnerId)
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -6,7 +6,7 @@
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
 import { LoadBudget } from './FigquayFleetLoadBudget.js'
 import { planAdapter, type AdapterHolder } from './FigquayFleetAdapterPlan.js'
-import { planModels, type ModelMove, type ModelPlanView, type PlannedModel, type PlannedRunner } from './FigquayFleetModelPlan.js'
+import { planModels, type ModelMove, type ModelPlanView, type PlannedModel, type PlannedRunner, type UnplacedReason } from './FigquayFleetModelPlan.js'
 import { countAdapters, measureHeldMb } from './FigquayFleetOrderCheck.js'
 import type { OrderBook } from './FigquayFleetOrderBook.js'
 import { makeOpenKey } from './FigquayFleetHints.js'
@@ -47,6 +47,12 @@
 const UNLOAD_MS = 50
 /** A promised load may take this many times as long as the configuration says, while many loads run. */
 const SLOWEST_LOAD_FACTOR = 4
+/** An unload waits for the requests that run on the model, this long at most before the plan is given up, in milliseconds. */
+const LONGEST_DRAIN_MS = 8_000
+/** A model counts as missing all along when its next request comes within this time, in milliseconds. */
+const MISSING_GRACE_MS = 5_000
+/** A model that stays missing is logged this often, in milliseconds. */
+const UNPLACED_LOG_MS = 1_000
 /** Adapters are spread ahead of demand this many at a time, so that orders on demand are not held up. */
 const SPREAD_AT_ONCE = 4
 
@@ -57,6 +63,8 @@
   private readonly loadedAtMs = new Map<string, number>()
   private readonly usedAtMs = new Map<string, number>()
   private readonly openAdapters = new Set<string>()
+  /** Models that requests wait for and no runner holds. */
+  private readonly missing = new Map<string, { readonly sinceMs: number, missedAtMs: number, loggedAtMs: number }>()
   private plannedFence: number | undefined
 
   private constructor (private readonly options: FleetPlacementOptions) {}
@@ -110,11 +118,32 @@
   private runServicePlans (service: Service, pool: EnginePool, orders: OrderBook): void {
     const views = this.options.table.listViews(service.name)
     this.runAdapterPlans(service, pool, views)
-    for (const move of planModels(this.makeModelView(service, pool, views, orders))) {
+    const view = this.makeModelView(service, pool, views, orders)
+    for (const move of planModels(view, (model, reason, runner) => this.noteUnplaced(model, reason, runner))) {
       this.runMove(move, pool).catch((error: Error) => this.options.logger.error('move failed', { ...move, error: error.message }))
     }
   }
 
+  /** A model that stays missing is worth a line now and then: it tells why its requests are refused. */
+  private noteUnplaced (model: string, reason: UnplacedReason, runner: string | undefined): void {
+    const missing = this.missing.get(model)
+    const nowMs = this.options.clock.readMonotonicMs()
+    if (missing === undefined || nowMs - missing.loggedAtMs < UNPLACED_LOG_MS) return
+    missing.loggedAtMs = nowMs
+    this.options.logger.info('model stays missing', { model, reason, runner, missingMs: Math.round(nowMs - missing.sinceMs) })
+  }
+
+  /** Keeps since when requests have found no copy of a model; a need that is told again within the grace is the same one. */
+  private measureMissing (model: string, isMissed: boolean, nowMs: number): number {
+    const known = this.missing.get(model)
+    if (known !== undefined && nowMs - known.missedAtMs > MISSING_GRACE_MS) this.missing.delete(model)
+    if (!isMissed) return 0
+    const missing = this.missing.get(model) ?? { sinceMs: nowMs, missedAtMs: nowMs, loggedAtMs: nowMs }
+    missing.missedAtMs = nowMs
+    this.missing.set(model, missing)
+    return nowMs - missing.sinceMs
+  }
+
   private indexPromises (): PromiseIndex {
     const promises = [...this.promises]
     const byModel = new Map<string, PlacementPromise[]>()
@@ -130,15 +159,19 @@
     }
     const promises = this.indexPromises()
     const open = this.options.sumOpen()
+    const nowMs = clock.readMonotonicMs()
+    const held = new Set(views.flatMap(({ runner }) => runner.isLeaving ? [] : (runner.holdings?.models ?? []).map(({ name }) => name)))
     const models = [...pool.models.values()].map((spec): PlannedModel => {
       const { requests, promptTokens } = demand.measureRate(spec.name)
-      return { spec, rate: requests, tokenRate: promptTokens, waiting: waiting.get(spec.name) ?? 0, ...this.measureComing(promises.byModel.get(spec.name) ?? []) }
+      const wanted = waiting.get(spec.name) ?? 0
+      const missingMs = this.measureMissing(spec.name, wanted > 0 && !held.has(spec.name), nowMs)
+      return { spec, rate: requests, tokenRate: promptTokens, waiting: wanted, missingMs, ...this.measureComing(promises.byModel.get(spec.name) ?? []) }
     })
     return {
       runners: views.map((view) => this.makePlannedRunner(view, pool, orders, promises, open)),
       models,
       storeLoads: [...this.promises].filter((promise) => promise.isFromStore).length,
-      canLoadFromStore: this.budget.canLoad(pool.loadsPerSecond, clock.readMonotonicMs())
+      canLoadFromStore: this.budget.canLoad(pool.loadsPerSecond, nowMs)
     }
   }
 
@@ -151,9 +184,11 @@
   /** Time until a runner may be given an order; infinite when it is of no use, or busy with what isn't known here. */
   private measureFree ({ runner, isTrusted }: RunnerView, orders: OrderBook, promise: PlacementPromise | undefined): number {
     if (runner.isLeaving || !isTrusted || runner.holdings === undefined) return Number.POSITIVE_INFINITY
-    const nowMs = this.options.clock.readMonotonicMs()
-    // An overdue order may end at any moment: a runner that is promised is never free at once.
-    if (promise !== undefined) return Math.max(PLAN_STEP_MS, promise.expectedAtMs - nowMs)
+    // Nothing waits for a runner that doesn't answer; it is tried again now and then all the same.
+    if (orders.isSilent(runner.id) && (promise !== undefined || !orders.isReady(runner.id))) return Number.POSITIVE_INFINITY
+    const untilExpectedMs = promise === undefined ? 0 : promise.expectedAtMs - this.options.clock.readMonotonicMs()
+    // An overdue order is expected to take as long again as it is late: others shall not wait for it for ever.
+    if (promise !== undefined) return Math.max(PLAN_STEP_MS, Math.abs(untilExpectedMs))
     if (runner.holdings.isBusy) return Number.POSITIVE_INFINITY
     return orders.isReady(runner.id) ? 0 : PLAN_STEP_MS
   }
@@ -191,7 +226,7 @@
       model: move.beneficiary,
       runner: move.runner,
       expectedAtMs: nowMs + measureLoadMs(spec, source) + UNLOAD_MS,
-      expiresAtMs: nowMs + spec.storeLoadMs * SLOWEST_LOAD_FACTOR,
+      expiresAtMs: nowMs + LONGEST_DRAIN_MS + spec.storeLoadMs * SLOWEST_LOAD_FACTOR,
       isFromStore: source === 'store'
     }
     if (source === 'store') {
@@ -211,7 +246,7 @@
     const reason = `makes room for ${move.beneficiary}: ${move.reason}`
     const result = await this.options.orders.sendOrder({ runner: move.runner, action: 'unload', model: move.model, adapter: undefined, pool, reason })
     if (result === 'failed') return false
-    await this.options.orders.waitForOrder(move.runner, UNLOAD_MS)
+    await this.options.orders.waitForOrder(move.runner, UNLOAD_MS, LONGEST_DRAIN_MS)
     return true
   }
 
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -110,6 +110,24 @@
     expect(writes).toEqual([0, 3])
   })
 
+  it('is asked for at the store, and taken again at once, by a daemon that peers think holds it', async () => {
+    const clock = new ManualClock()
+    const { leadership, writes } = makeLeadership(clock, { connected: ['a'] })
+    leadership.noteRumour({ daemon: 'b', fence: 9 })
+    expect([leadership.mustAskStore, leadership.ownFence]).toEqual([true, undefined])
+    leadership.noteRecord(JSON.stringify({ daemon: 'b', boot: 'boot-1' }), 8)
+    leadership.noteEnd(9)
+    await leadership.refresh()
+    expect([leadership.mustAskStore, leadership.ownFence, writes]).toEqual([false, 10, [9]])
+  })
+
+  it('is found to be one\'s own when the answer to its application was lost', () => {
+    const { leadership } = makeLeadership(new ManualClock())
+    leadership.noteRumour({ daemon: 'b', fence: 9 })
+    leadership.noteRecord(JSON.stringify({ daemon: 'b', boot: 'boot-2' }), 8)
+    expect([leadership.mustAskStore, leadership.ownFence]).toEqual([false, 9])
+  })
+
   it('only goes to higher fences, and not to oneself by rumour', () => {
     const { leadership } = makeLeadership(new ManualClock())
     leadership.noteHolder({ daemon: 'a', fence: 5 })
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -6,7 +6,7 @@
 const SPEC = { weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 12 }
 
 function makeModel (name: string, changes: Partial<PlannedModel> = {}): PlannedModel {
-  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, comingInMs: undefined, comingCopies: 0, ...changes }
+  return { spec: { name, ...SPEC }, rate: 0, tokenRate: 0, waiting: 0, missingMs: 0, comingInMs: undefined, comingCopies: 0, ...changes }
 }
 
 function makeCopy (model: string, changes: Partial<PlannedCopy> = {}): PlannedCopy {
@@ -21,6 +21,35 @@
   return { runners, models, canLoadFromStore, storeLoads: 0 }
 }
 
+/** Seconds for which each of twelve models has a copy, in a minute on three runners with nine places, none of them ever idle. */
+function playScarcity (plan: typeof planModels): Map<string, number> {
+  const names = Array.from({ length: 12 }, (_, index) => `m${index}`)
+  const onDisk = names
+  const loadedAtMs = new Map(names.slice(0, 9).map((name) => [name, -60_000]))
+  const places = [0, 1, 2].map((runner) => names.slice(runner * 3, runner * 3 + 3))
+  const freeAtMs = [0, 0, 0]
+  const missingSinceMs = new Map<string, number>()
+  const turns = new Map(names.map((name) => [name, 0]))
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+    const held = new Set(places.flat())
+    for (const name of names) {
+      if (held.has(name)) missingSinceMs.delete(name)
+      else missingSinceMs.set(name, missingSinceMs.get(name) ?? nowMs)
+      if (held.has(name)) turns.set(name, turns.get(name)! + 0.1)
+    }
+    const models = names.map((name, index) => makeModel(name, { rate: 6 / (index + 1), waiting: held.has(name) ? 0 : 1, missingMs: nowMs - (missingSinceMs.get(name) ?? nowMs) }))
+    const runners = places.map((copies, index) => makeRunner(`${index}`, copies.map((name) => makeCopy(name, { openRequests: 2, ageMs: nowMs - (loadedAtMs.get(name) ?? 0) })), { onDisk, freeInMs: Math.max(0, freeAtMs[index]! - nowMs) }))
+    for (const { runner, model, beneficiary } of plan(makeView(runners, models))) {
+      const index = Number(runner)
+      // Draining and loading take three seconds in all.
+      freeAtMs[index] = nowMs + 3_000
+      places[index] = [...places[index]!.filter((name) => name !== model), beneficiary]
+      loadedAtMs.set(beneficiary, nowMs + 3_000)
+    }
+  }
+  return turns
+}
+
 const FULL = ['a', 'b', 'c'].map((name) => makeCopy(name))
 
 describe('plan of models', () => {
@@ -87,6 +116,25 @@
     expect(planModels(makeView(runners, [makeModel('m'), makeModel('a'), makeModel('b')])).map((move) => `${move.model} on ${move.runner}`)).toEqual(['m on r2'])
   })
 
+  it('gives every model its turn when all are asked for all the time and there are fewer places, the busy ones most', () => {
+    const turns = playScarcity(planModels)
+    expect([...turns.values()].filter((seconds) => seconds < 6)).toEqual([])
+    expect([turns.get('m0')! > 55, turns.get('m0')! > 1.5 * turns.get('m11')!]).toEqual([true, true])
+  })
+
+  it('says why a model stays missing', () => {
+    const explain = (runners: readonly PlannedRunner[], canLoad = true, changes: Partial<PlannedModel> = {}): string[] => {
+      const reasons: string[] = []
+      planModels(makeView(runners, [makeModel('rare', { waiting: 1, ...changes }), makeModel('a', { rate: 9 })], canLoad), (model, reason) => reasons.push(`${model}: ${reason}`))
+      return reasons
+    }
+    expect(explain([makeRunner('r1', [makeCopy('a', { ageMs: 10 })], { freeMb: 0 })])).toEqual(['rare: no copy makes way'])
+    expect(explain([makeRunner('r1', [], { freeInMs: 100 })])).toEqual(['rare: its runner is busy'])
+    expect(explain([makeRunner('r1', [])], false)).toEqual(['rare: the weight store is at its limit'])
+    expect(explain([makeRunner('r1', [])], true, { comingInMs: 100, comingCopies: 1 })).toEqual(['rare: a copy is coming'])
+    expect(explain([makeRunner('r1', [])])).toEqual([])
+  })
+
   it('leaves an idle model unloaded where it would push out another', () => {
     expect(planModels(makeView([makeRunner('r1', FULL)], [makeModel('rare'), makeModel('a'), makeModel('b'), makeModel('c')]))).toEqual([])
   })
--- a/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
@@ -20,12 +20,14 @@
   isLeaving = false
   highestFence = 0
   losesAnswers = false
+  isSilent = false
   readonly accepted: FleetOrder[] = []
   constructor (public holdings: Holdings) {
     super()
   }
 
   override async readState (): Promise<Outcome<RunnerState, CallFailure>> {
+    if (this.isSilent) return makeFailure({ sent: 'maybe', reason: 'timeout', message: 'silent' })
     return makeSuccess({ bornMs: this.bornMs, isLeaving: this.isLeaving, sequence: this.sequence, holdings: this.holdings })
   }
 
@@ -118,6 +120,19 @@
     expect([await book.sendOrder(makeRequest()), runner.accepted.length, leaving]).toEqual(['failed', 0, ['r']])
   })
 
+  it('asks a runner that does not answer more and more seldom, and says that it is silent', async () => {
+    const { runner, book } = await makeBench(makeHoldings(['a']))
+    runner.isSilent = true
+    expect([await book.sendOrder(makeRequest()), book.isSilent('r'), book.isReady('r')]).toEqual(['failed', true, false])
+    await SystemClock.create().waitFor(650)
+    expect([book.isReady('r'), await book.sendOrder(makeRequest())]).toEqual([true, 'failed'])
+    await SystemClock.create().waitFor(650)
+    expect(book.isReady('r')).toEqual(false)
+    await SystemClock.create().waitFor(700)
+    runner.isSilent = false
+    expect([await book.sendOrder(makeRequest()), book.isSilent('r')]).toEqual(['accepted', false])
+  })
+
   it('gives the office up when a runner has seen a higher fence, and orders no more', async () => {
     const { runner, book, leadership } = await makeBench(makeHoldings(['a']))
     runner.highestFence = 9
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -8,7 +8,7 @@
 export { PromptMemory } from './FigquayFleetPromptMemory.js'
 export { LoadBudget } from './FigquayFleetLoadBudget.js'
 export { FleetDemand, type Arrivals, type Need } from './FigquayFleetDemand.js'
-export { planModels, type ModelMove, type ModelPlanView, type PlannedCopy, type PlannedModel, type PlannedRunner } from './FigquayFleetModelPlan.js'
+export { planModels, type ModelMove, type ModelPlanView, type PlannedCopy, type PlannedModel, type PlannedRunner, type UnplacedReason } from './FigquayFleetModelPlan.js'
 export { choosePlanPause } from './FigquayFleetPlanPace.js'
 export { planAdapter, type AdapterHolder, type AdapterMove } from './FigquayFleetAdapterPlan.js'
 export { FleetStore, RunnerOrderClient, type FleetOrder, type FleetOrderReply, type RunnerChange, type RunnerReading, type RunnerState, type SharedReading, type SharedRecord, type WriteResult } from './FigquayFleetPlatform.js'
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -5,7 +5,7 @@
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { ServingPeers } from './FigquayServingPeers.js'
 import { ServingRouter } from './FigquayServingRouter.js'
-import { StoreFollower } from './FigquayServingStoreFollower.js'
+import { StoreFollower, type StoreRole } from './FigquayServingStoreFollower.js'
 import { ServingTraces } from './FigquayServingTraces.js'
 import type { RunnerExchangeClient } from './FigquayServingTypes.js'
 
@@ -97,7 +97,7 @@
       leadership,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
       requestSnapshot: (version, position, peer) => this.peers.requestSnapshot(version, position, peer),
-      findRole: () => this.peers.storeRole,
+      findRole: () => this.findStoreRole(),
       announceLeaving
     })
     this.router = ServingRouter.create({
@@ -194,6 +194,11 @@
     })
   }
 
+  private findStoreRole (): StoreRole {
+    const role = this.peers.storeRole
+    return role === 'listener' && (this.leadership.mustAskStore || this.leadership.isHeir) ? 'looker' : role
+  }
+
   private findBudget (service: string): RetryBudget {
     const { perRequest, burst } = this.options.retries
     const share = burst / Math.max(FEWEST_DAEMONS, this.peers.daemonCount)
