Let no two missing models wait for the next order of one runner

Cause: ten models that found no copy all waited for the one runner that looked nearest; the others got no order.

--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -241,6 +241,8 @@
   private planCopy (model: PlannedModel, wish: CopyWish, explain: (reason: UnplacedReason, runner: string | undefined) => void = () => {}): ModelMove[] {
     const best = this.findBest(model, wish)
     const objection = this.judgeOption(model, best)
+    // What waits for a runner has its next order: others look elsewhere.
+    if (best?.isLater === true) this.taken.add(best.move.runner)
     if (objection !== undefined) explain(objection, best?.move.runner)
     if (objection !== undefined || best === undefined) return []
     this.taken.add(best.move.runner)
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -122,6 +122,12 @@
     expect([turns.get('m0')! > 55, turns.get('m0')! > 1.5 * turns.get('m11')!]).toEqual([true, true])
   })
 
+  it('lets no two models wait for the next order of one runner', () => {
+    const models = [makeModel('x', { waiting: 3 }), makeModel('y', { waiting: 2 })]
+    const runners = [makeRunner('soon', [], { onDisk: ['x', 'y'], freeInMs: 300 }), makeRunner('free', [], { onDisk: ['x', 'y'], openRequests: 12 })]
+    expect(planModels(makeView(runners, models)).map((move) => `${move.model} on ${move.runner}`)).toEqual(['y on free'])
+  })
+
   it('says why a model stays missing', () => {
     const explain = (runners: readonly PlannedRunner[], canLoad = true, changes: Partial<PlannedModel> = {}): string[] => {
       const reasons: string[] = []
