Count a copy as crowded by the work on it, and miss a last copy by what fetching it costs

Ruled out: the cut of the holder from the store at second 21 (it went on ordering). Change: a copy is crowded by a second's worth of prompt tokens, or two fifths of the slots; the loss of a last copy counts a load from the store, as its own runner is mostly busy when it is missed.

--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -53,6 +53,8 @@
 
 /** What a plan is made from. */
 export interface ModelPlanView {
+  /** Requests that one runner works on at once. */
+  readonly slots: number
   readonly runners: readonly PlannedRunner[]
   readonly models: readonly PlannedModel[]
   /** Whether one more load from the weight store may begin. */
@@ -74,8 +76,12 @@
   readonly reason: string
 }
 
-/** Requests under way on each copy of a model above which one more copy pays: about a tenth of a runner's slots. */
-const CROWDED_REQUESTS = 8
+/** Part of a runner's slots that the requests on one copy may take before one more copy pays: a batch slows little until then. */
+const CROWDED_PART = 0.4
+/** Prompt tokens of the requests on one copy above which one more copy pays: about a second of a runner's work. */
+const CROWDED_TOKENS = 45_000
+/** Requests under way on a runner that weigh as much as a second of loading time. */
+const REQUESTS_PER_SECOND_OF_LOADING = 8
 /** Prompt tokens a second that one copy takes without holding up the streams beside it: a third of a runner's speed. */
 const TOKENS_PER_COPY = 14_000
 /** Copies that are made of a model at once, as a part of those it has: a steep rise is met within a few loading times. */
@@ -210,10 +216,6 @@
     return this.planCopy(model, wish, (reason, runner) => this.noteUnplaced(model.spec.name, reason, runner))
   }
 
-  private measureOnlyCopy ({ rate, spec }: PlannedModel): number {
-    return LAST_COPY_LOSS + LOSS_PER_REQUEST_RATE * rate * (1 + spec.diskLoadMs / MS_PER_SECOND)
-  }
-
   private countCopies (model: PlannedModel): number {
     return this.index.countCopies(model.spec.name)
   }
@@ -228,11 +230,17 @@
     const copies = this.countCopies(model)
     if (copies === 0) return 0
     const wantedByRate = 1 + Math.floor(model.tokenRate / TOKENS_PER_COPY)
-    const wantedByCrowd = Math.ceil((this.index.sumOpen(model.spec.name) + model.waiting) / CROWDED_REQUESTS)
+    const wantedByCrowd = Math.ceil((this.index.sumOpen(model.spec.name) + model.waiting) / this.countBearable(model))
     const mostComing = Math.max(FEWEST_COMING, Math.floor(copies * COMING_PART))
     return Math.min(Math.max(wantedByRate, wantedByCrowd) - copies, mostComing) - model.comingCopies
   }
 
+  /** Requests that one copy of a model bears: few with long prompts, which hold up each other and the streams beside them. */
+  private countBearable ({ rate, tokenRate }: PlannedModel): number {
+    const tokensPerRequest = rate > 0 ? tokenRate / rate : 0
+    return Math.max(1, Math.min(this.view.slots * CROWDED_PART, CROWDED_TOKENS / Math.max(1, tokensPerRequest)))
+  }
+
   private planFurtherCopies (model: PlannedModel): ModelMove[] {
     return Array.from({ length: this.countLacking(model) }).flatMap(() => this.planCopy({ ...model, comingInMs: undefined }, { reason: 'its copies are crowded', mostLoss: model.rate, mostLossInUse: 0 }))
   }
@@ -288,7 +296,7 @@
     const fromStore = source === 'store'
     const loadSeconds = measureLoadMs(spec, source) / MS_PER_SECOND + runner.freeInMs / MS_PER_SECOND
     const isLater = runner.freeInMs > 0
-    const crowding = runner.openRequests / CROWDED_REQUESTS + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
+    const crowding = runner.openRequests / REQUESTS_PER_SECOND_OF_LOADING + runner.pendingTokens * SECONDS_PER_PENDING_TOKEN
     const move = { runner: runner.id, beneficiary: spec.name, fromStore, reason: wish.reason }
     if (runner.freeMb >= spec.weightsMb) {
       return { cost: loadSeconds + crowding, readyInSeconds: loadSeconds, isLater, move: { ...move, action: 'load', model: spec.name } }
@@ -316,8 +324,8 @@
     if (model === undefined) return 0
     const copies = this.countCopies(model)
     if (copies > 1) return SURPLUS_LOSS + LOSS_PER_REQUEST_RATE * model.rate / copies
-    // The runner keeps a copy on its disk, from which the model comes back.
-    return this.measureOnlyCopy(model)
+    // A copy stays on the runner's disk, but the runner is mostly busy when the model is missed: another fetches it.
+    return LAST_COPY_LOSS + LOSS_PER_REQUEST_RATE * model.rate * (1 + model.spec.storeLoadMs / MS_PER_SECOND)
   }
 }
 
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -168,6 +168,7 @@
       return { spec, rate: requests, tokenRate: promptTokens, waiting: wanted, missingMs, ...this.measureComing(promises.byModel.get(spec.name) ?? []) }
     })
     return {
+      slots: pool.slots,
       runners: views.map((view) => this.makePlannedRunner(view, pool, orders, promises, open)),
       models,
       storeLoads: [...this.promises].filter((promise) => promise.isFromStore).length,
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -18,7 +18,7 @@
 }
 
 function makeView (runners: readonly PlannedRunner[], models: readonly PlannedModel[], canLoadFromStore = true): ModelPlanView {
-  return { runners, models, canLoadFromStore, storeLoads: 0 }
+  return { slots: 64, runners, models, canLoadFromStore, storeLoads: 0 }
 }
 
 /** Seconds for which each of twelve models has a copy, in a minute on three runners with nine places, none of them ever idle. */
@@ -78,6 +78,13 @@
     expect(moves.map(({ action, runner }) => `${action} on ${runner}`)).toEqual(['load on r3'])
   })
 
+  it('adds no copy for many short prompts that one batch bears, but for as many long ones', () => {
+    const runners = [makeRunner('r1', [makeCopy('hot', { openRequests: 20 })], { openRequests: 20 }), makeRunner('r2', [])]
+    expect(planModels(makeView(runners, [makeModel('hot', { rate: 10, tokenRate: 6_000 })]))).toEqual([])
+    const long = makeModel('hot', { rate: 1.4, tokenRate: 13_000 })
+    expect(planModels(makeView(runners, [long])).map((move) => move.runner)).toEqual(['r2'])
+  })
+
   it('meets a steep rise with several copies at once, no more than the store allows and not all runners', () => {
     const runners = [makeRunner('r1', [makeCopy('hot', { openRequests: 40 })]), ...['r2', 'r3', 'r4', 'r5'].map((id) => makeRunner(id, [], { inMemory: ['hot'] }))]
     const hot = makeModel('hot', { rate: 20, tokenRate: 60_000 })
