--- a/packages/figquay-fleet/src/FigquayFleetNews.ts
+++ b/packages/figquay-fleet/src/FigquayFleetNews.ts
@@ -1,6 +1,6 @@
 /** Short-lived news that every daemon should hear once: what a runner holds now, that it leaves, and requests that crashed runners. */
 import type { Clock } from 'figquay'
-import type { Holdings } from './FigquayFleetTypes.js'
+import type { HeldModel, Holdings } from './FigquayFleetTypes.js'
 
 /** What a runner holds, as its holder has read it. */
 export interface HoldingsNews {
@@ -31,6 +31,27 @@
 
 export type NewsItem = HoldingsNews | ChargeNews | LeavingNews
 
+/**
+ * Whether a peer's message is an item of news: versions of the daemon that differ, or a fault, may send anything.
+ *
+ * @example
+ * items.filter(isNewsItem)
+ */
+export function isNewsItem (item: unknown): item is NewsItem {
+  if (typeof item !== 'object' || item === null) return false
+  const { type, runner, bornMs, holdings, fence, serial, fingerprint, upstream } = item as Record<string, unknown>
+  if (type === 'charge') return typeof fingerprint === 'string' && typeof upstream === 'string'
+  if (typeof runner !== 'string' || typeof bornMs !== 'number') return false
+  return type === 'leaving' || (type === 'holdings' && typeof fence === 'number' && typeof serial === 'number' && isHoldings(holdings))
+}
+
+function isHoldings (value: unknown): value is Holdings {
+  if (typeof value !== 'object' || value === null) return false
+  const { models, coming, inMemory, onDisk } = value as Record<string, unknown>
+  return [coming, inMemory, onDisk].every(Array.isArray) && Array.isArray(models) &&
+    models.every((held: unknown) => typeof (held as HeldModel | null)?.name === 'string' && Array.isArray((held as HeldModel).adapters))
+}
+
 interface Entry {
   readonly item: NewsItem
   /** Place among this daemon's news. */
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -3,7 +3,7 @@
 export { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 export { FleetRunnerTable, hasAdapter, type OpenRequest, type RunnerTableChange, type RunnerView } from './FigquayFleetRunnerTable.js'
 export { formatLoads, parseLoads, PeerLoads, type LoadRow, type RunnerLoad } from './FigquayFleetPeerLoads.js'
-export { FleetNews, type ChargeNews, type HoldingsNews, type LeavingNews, type NewsItem } from './FigquayFleetNews.js'
+export { FleetNews, isNewsItem, type ChargeNews, type HoldingsNews, type LeavingNews, type NewsItem } from './FigquayFleetNews.js'
 export { chooseRunner, findHome, PREFILL_TOKENS_PER_MS, type ChoiceRequest, type RunnerDealings } from './FigquayFleetRunnerChoice.js'
 export { PromptMemory } from './FigquayFleetPromptMemory.js'
 export { LoadBudget } from './FigquayFleetLoadBudget.js'
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,6 +1,6 @@
 /** What a daemon and its peers tell each other: everybody everything in a small fleet, along a tree in a large one. */
 import type { Clock, Logger, TaskGroup } from 'figquay'
-import { FleetNews, HintExchange, type ConfigurationHolder, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsNews, type Need, type NewsItem } from 'figquay-fleet'
+import { FleetNews, HintExchange, isNewsItem, type ConfigurationHolder, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsNews, type Need, type NewsItem } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress } from 'figquay-peers'
 import type { CrashCharge } from 'figquay-routing'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
@@ -194,8 +194,8 @@
       },
       'fleet.report': (hints: FleetHints) => this.takeReport(hints),
       'fleet.exchange': (message: RelayMessage) => this.relay.answerExchange(message),
-      'fleet.news': (items: readonly NewsItem[]) => {
-        for (const item of items) if (this.news.addItem(item)) this.takeNews(item)
+      'fleet.news': (items: readonly unknown[]) => {
+        for (const item of items.filter(isNewsItem)) if (this.news.addItem(item)) this.takeNews(item)
       },
       'fleet.read': ({ version, position }: { readonly version: number, readonly position: number }) => this.options.makeSnapshot(version, position)
     }
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,6 +1,6 @@
 /** Exchanges what every daemon must know along a tree: up to the first of the data centre, across, and down again. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { formatLoads, parseLoads, type ConfigurationHolder, type FleetLeadership, type FleetNews, type FleetRunnerTable, type Holder, type LoadRow, type NewsItem } from 'figquay-fleet'
+import { formatLoads, isNewsItem, parseLoads, type ConfigurationHolder, type FleetLeadership, type FleetNews, type FleetRunnerTable, type Holder, type LoadRow, type NewsItem } from 'figquay-fleet'
 import type { PeerReading, StoreRole } from './FigquayServingStoreFollower.js'
 import { measureDepth, rankDaemons, FIRST_PER_ZONE, selectPart, type FleetPart, type RankedDaemons } from './FigquayServingTopology.js'
 
@@ -212,7 +212,7 @@
   private takeMessage (message: RelayMessage): void {
     const { news, takeNews, leadership, notePeer, clock } = this.options
     this.toldReadAtMs = Math.max(this.toldReadAtMs, clock.readMonotonicMs() - message.storeAgeMs)
-    for (const item of message.news) {
+    for (const item of message.news.filter(isNewsItem)) {
       if (news.addItem(item)) takeNews(item)
     }
     this.heard.set(message.from, { bootId: message.bootId, revision: message.revision })
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -58,6 +58,8 @@
 const SILENT_OBJECTIVES = 3
 /** Shortest time after which a call counts as unanswered, in milliseconds. */
 const SHORTEST_SILENCE_MS = 300
+/** Part of the callers' patience after which a stream without a new event is continued elsewhere. */
+const STALLED_PART = 0.6
 const FAILED_RETRY_AFTER_MS = 500
 /** Rank of the least urgent request at a runner. */
 const LOWEST_RANK = 9
@@ -209,6 +211,8 @@
         continue
       }
       if (event.type === 'head') limit.stopTimer()
+      // Progress counts, not bytes: a stall shows while the caller still waits and another runner may go on.
+      if (request.route.isResumable && event.type !== 'failed') limit.restartTimer(request.route.patienceMs * STALLED_PART)
       const result = await this.takeEvent(progress, event, open)
       if (result !== undefined) return result
     }
--- /dev/null
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -0,0 +1,82 @@
+/** A peer may send anything: it is answered, or its connection ends, and the process goes on. */
+import { after, before, describe, it } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { JsonLogger, SystemClock, TaskGroup } from 'figquay'
+import { ConfigurationHolder, FleetDemand, FleetLeadership, FleetRunnerTable, type FleetStore } from 'figquay-fleet'
+import { PeerMesh } from 'figquay-peers'
+import { ServingPeers, type FleetSnapshot } from '../../index.js'
+
+const SELF = { id: '127.0.0.1:28471', zone: 'z', address: '127.0.0.1:28471' }
+const OTHER = { id: '127.0.0.1:28472', zone: 'z', address: '127.0.0.1:28472' }
+const SECRETS = ['a-secret-of-these-tests']
+const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.read']
+
+describe('exchange with a peer that sends anything', () => {
+  const clock = SystemClock.create()
+  const logger = JsonLogger.create('test', 'silent')
+  const tasks = TaskGroup.create(clock, logger)
+  const table = FleetRunnerTable.create(clock)
+  const leadership = FleetLeadership.create({ self: SELF.id, bootId: 'b', store: {} as FleetStore, clock, logger, listConnected: () => [], mayApply: () => false })
+  const snapshot: FleetSnapshot = { configuration: undefined, runners: [], removals: [], position: 7, daemons: [], storeAgeMs: 0 }
+  const peers = ServingPeers.create({
+    self: SELF,
+    bootId: 'b',
+    seeds: [],
+    secrets: SECRETS,
+    clock,
+    logger,
+    tasks,
+    table,
+    leadership,
+    demand: FleetDemand.create(clock),
+    configurations: ConfigurationHolder.create(),
+    listNeeds: () => [],
+    noteAdapterUse: () => {},
+    addCharge: () => {},
+    makeSnapshot: () => snapshot,
+    notePeer: () => {},
+    measureStoreAge: () => 0,
+    countDaemons: () => 1,
+    planSoon: () => {}
+  })
+  const other = PeerMesh.create({ self: OTHER, secrets: SECRETS, methods: {}, clock, logger })
+  const unhandled: unknown[] = []
+  const noteUnhandled = (reason: unknown): void => {
+    unhandled.push(reason)
+  }
+
+  before(async () => {
+    process.on('unhandledRejection', noteUnhandled)
+    await peers.start()
+    other.setDaemons([SELF], tasks, [SELF])
+    while (!other.isConnected(SELF.id)) await clock.waitFor(10)
+  })
+
+  after(async () => {
+    const stopped = tasks.stop()
+    other.close()
+    peers.close()
+    await stopped
+    process.off('unhandledRejection', noteUnhandled)
+  })
+
+  it('goes on, and still answers what it can read', async () => {
+    await fc.assert(fc.asyncProperty(fc.constantFrom(...METHODS), fc.jsonValue(), async (method, params) => {
+      await other.callPeer(SELF.id, method, params, 200)
+      other.sendTo(SELF.id, method, params)
+    }), { numRuns: 200, seed: 20261204 })
+    while (!other.isConnected(SELF.id)) await clock.waitFor(10)
+    const answer = await other.callPeer<FleetSnapshot>(SELF.id, 'fleet.read', { version: 0, position: 0 })
+    expect([answer.ok ? answer.value.position : answer.error, unhandled.length]).toEqual([7, 0])
+  })
+
+  it('keeps its picture when items of news are not what they should be', async () => {
+    table.putRunner({ id: 'r', service: 's', address: 'a:1', zone: 'z', slots: 1, isLeaving: false, bornMs: 1, holdings: undefined }, 1)
+    for (const item of [null, 7, {}, { type: 'holdings', runner: 'r', bornMs: 1, holdings: { models: 'none' }, fence: 9, serial: 1 }, { type: 'leaving', runner: 'r', bornMs: 'soon' }]) {
+      await other.callPeer(SELF.id, 'fleet.news', [item])
+    }
+    expect(table.listHolders('s', 'm', undefined)).toEqual([])
+    expect(table.listCandidates('s').map((view) => view.runner.id)).toEqual(['r'])
+  })
+})
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -227,6 +227,35 @@
     expect([answers[2]!.refusal!.retryAfterMs! > 2_500, tookMs < 1_000]).toEqual([true, true])
   })
 
+  it('moves a stream that stalls midway, and leaves one alone that is slow', async () => {
+    const stall: Script = async function * (runner, options, signal) {
+      yield * [HEAD, makeData('one ', '1')]
+      yield * staySilent(runner, options, signal)
+    }
+    const stalled = await serve([stall, makeScript(HEAD, makeData('two', '2'), END)], { ...RESUMABLE, patienceMs: 300 }, { deadlineMs: 5_000 })
+    expect([stalled.sink.text, stalled.sink.ending, stalled.tookMs < 400]).toEqual(['200 one two', 'finished', true])
+    const slow: Script = async function * () {
+      yield HEAD
+      for (const id of ['1', '2', '3', '4', '5']) {
+        await SystemClock.create().waitFor(100)
+        yield makeData(id, id)
+      }
+      yield END
+    }
+    const slowly = await serve([slow], { ...RESUMABLE, patienceMs: 300 }, { deadlineMs: 5_000 })
+    expect([slowly.sink.text, slowly.sink.ending, slowly.sent.length]).toEqual(['200 12345', 'finished', 1])
+  })
+
+  it('does not cut a silent stream that may not be resumed before its caller gives up', async () => {
+    const pause: Script = async function * () {
+      yield * [HEAD, makeData('one ', '1')]
+      await SystemClock.create().waitFor(280)
+      yield * [makeData('two', '2'), END]
+    }
+    const { sink } = await serve([pause], { isStream: true, patienceMs: 300 }, { deadlineMs: 5_000 })
+    expect([sink.text, sink.ending]).toEqual(['200 one two', 'finished'])
+  })
+
   it('gives a final answer to what waits, or is at a runner, when the daemon exits', async () => {
     const waiting = await serve([], {}, { model: 'm', deadlineMs: 3_000, interfere: (router) => router.abandonRequests() })
     expect([waiting.sink.ending, waiting.sink.refusal?.retryAfterMs, waiting.tookMs < 1_000]).toEqual(['refused 503 not-run', 0, true])
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -6,5 +6,6 @@
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
 export { chooseRole, StoreFollower, type FleetSnapshot, type PeerReading, type StoreFollowerOptions, type StoreRole } from './FigquayServingStoreFollower.js'
 export { measureDepth, rankDaemons, FIRST_PER_ZONE, selectPart, type FleetPart, type RankedDaemons } from './FigquayServingTopology.js'
+export { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
 export { FleetRelay, type FleetRelayOptions, type RelayMesh, type RelayMessage } from './FigquayServingRelay.js'
 export { ServingDaemon, type ServingDaemonOptions } from './FigquayServingDaemon.js'
--- a/packages/figquay/src/FigquayDeadline.ts
+++ b/packages/figquay/src/FigquayDeadline.ts
@@ -3,14 +3,11 @@
 /** A signal that aborts after some time or with another one; must be disposed of. */
 export class Deadline {
   private readonly controller = new AbortController()
-  private readonly timer: NodeJS.Timeout
+  private timer: NodeJS.Timeout
   private expired = false
 
   private constructor (ms: number, private readonly parent: AbortSignal | undefined) {
-    this.timer = setTimeout(() => {
-      this.expired = true
-      this.controller.abort()
-    }, Math.max(1, Math.ceil(ms)))
+    this.timer = this.startTimer(ms)
     if (parent?.aborted === true) this.controller.abort()
     parent?.addEventListener('abort', this.abort, { once: true })
   }
@@ -34,6 +31,25 @@
     return this.expired
   }
 
+  /**
+   * Gives the exchange some time from now on.
+   *
+   * @param ms Any number of milliseconds; fractions are rounded up.
+   * @example
+   * deadline.restartTimer(2_000)
+   */
+  restartTimer (ms: number): void {
+    clearTimeout(this.timer)
+    this.timer = this.startTimer(ms)
+  }
+
+  private startTimer (ms: number): NodeJS.Timeout {
+    return setTimeout(() => {
+      this.expired = true
+      this.controller.abort()
+    }, Math.max(1, Math.ceil(ms)))
+  }
+
   /** Lets the exchange go on for as long as it likes; the other signal still ends it. */
   stopTimer (): void {
     clearTimeout(this.timer)
--- a/packages/figquay/src/FigquayJsonClient.ts
+++ b/packages/figquay/src/FigquayJsonClient.ts
@@ -45,6 +45,21 @@
   return { sent: 'maybe', reason: 'reset', message }
 }
 
+/** Longest reply that is read, in bytes: beyond the largest read of the log, and little beside a daemon's memory. */
+const MOST_REPLY_BYTES = 33_554_432
+
+/** Reads a reply to its end; one without an end is given up. */
+async function readText (body: AsyncIterable<Buffer>): Promise<string> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of body) {
+    size += chunk.length
+    if (size > MOST_REPLY_BYTES) throw new Error(`the reply is longer than ${MOST_REPLY_BYTES} bytes`)
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks).toString()
+}
+
 /** Client with a connection pool that is thrown away as a whole when a call times out. */
 export class JsonClient {
   private agent = JsonClient.makeAgent()
@@ -79,7 +94,7 @@
         headers: body === undefined ? { ...headers } : { 'content-type': 'application/json', ...headers },
         body: body === undefined ? null : JSON.stringify(body)
       })
-      const text = await response.body.text()
+      const text = await readText(response.body)
       return makeSuccess({ status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) })
     } catch (error) {
       if (error instanceof SyntaxError) return makeFailure({ sent: 'maybe', reason: 'malformed', message: error.message })
