--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -92,7 +92,7 @@
     const { leadership, configurations, orders, clock } = this.options
     const fence = leadership.ownFence
     if (fence === undefined) {
-      this.plannedFence = undefined
+      if (!leadership.isHolder) this.plannedFence = undefined
       return
     }
     if (fence !== this.plannedFence) this.takeOver(fence)
--- a/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/OrderBook.test.ts
@@ -121,7 +121,8 @@
   })
 
   it('asks a runner that does not answer more and more seldom, and says that it is silent', async () => {
-    const { runner, book } = await makeBench(makeHoldings(['a']))
+    const { runner, book, leadership } = await makeBench(makeHoldings(['a']))
+    const looks = setInterval(() => leadership.refresh(), 50)
     runner.isSilent = true
     expect([await book.sendOrder(makeRequest()), book.isSilent('r'), book.isReady('r')]).toEqual(['failed', true, false])
     await SystemClock.create().waitFor(650)
@@ -131,6 +132,7 @@
     await SystemClock.create().waitFor(700)
     runner.isSilent = false
     expect([await book.sendOrder(makeRequest()), book.isSilent('r')]).toEqual(['accepted', false])
+    clearInterval(looks)
   })
 
   it('gives the office up when a runner has seen a higher fence, and orders no more', async () => {
