Log what is known of a request that ends runners: fingerprint, question, answer, charges

An attempt's line now has the start of its runner, the request's fingerprint and its charges here; the question whether a runner lives and its answer have lines; so have a charge told by a peer and the number of peers told of one. A counter of quarantined requests by route.

--- a/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -98,7 +98,8 @@
     return this.countCharges(fingerprint, nowMs) >= CHARGES_TO_QUARANTINE
   }
 
-  private countCharges (fingerprint: string, nowMs: number): number {
+  /** Crashes that a request is charged with. */
+  countCharges (fingerprint: string, nowMs: number): number {
     const entry = this.entries.get(fingerprint)
     if (entry === undefined) return 0
     if (nowMs - entry.chargedAtMs < FORGET_AFTER_MS) return entry.upstreams.size
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,10 +1,10 @@
 /** A daemon that serves a fleet: its parts, what they tell its peers, and how it starts and stops. */
 import { TaskGroup, type Clock, type Logger } from 'figquay'
 import { choosePlanPause, ConfigurationHolder, FleetDemand, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderBook, PromptMemory, type FleetStore, type RunnerOrderClient } from 'figquay-fleet'
-import { CrashGuard, RetryBudget } from 'figquay-routing'
+import { CrashGuard, RetryBudget, type CrashCharge } from 'figquay-routing'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { ServingPeers } from './FigquayServingPeers.js'
-import { ServingRouter } from './FigquayServingRouter.js'
+import { ServingRouter, shortenFingerprint } from './FigquayServingRouter.js'
 import { StoreFollower, type StoreRole } from './FigquayServingStoreFollower.js'
 import { ServingTraces } from './FigquayServingTraces.js'
 import type { RunnerExchangeClient } from './FigquayServingTypes.js'
@@ -80,7 +80,7 @@
       leadership,
       listNeeds: () => this.dispatcher.listNeeds(),
       noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key),
-      addCharge: (charge) => this.crashes.addCharge(charge, clock.readMonotonicMs()),
+      addCharge: (charge) => this.takeCharge(charge),
       makeSnapshot: (version, position) => this.follower.makeSnapshot(version, position),
       notePeer: (peer, reading) => this.follower.notePeer(peer, reading),
       measureStoreAge: () => this.follower.storeAgeMs,
@@ -207,9 +207,15 @@
     return budget
   }
 
+  private takeCharge (charge: CrashCharge): void {
+    const { clock, logger } = this.options
+    const isNew = this.crashes.addCharge(charge, clock.readMonotonicMs())
+    if (isNew) logger.info('charge told by a peer', { upstream: charge.upstream, fingerprint: shortenFingerprint(charge.fingerprint), charges: this.crashes.countCharges(charge.fingerprint, clock.readMonotonicMs()) })
+  }
+
   private chargeCrash (fingerprints: readonly string[], upstream: string): void {
     const charges = fingerprints.map((fingerprint) => ({ fingerprint, upstream }))
-    this.options.logger.warn('runner crashed with requests in flight', { upstream, requests: fingerprints.length })
+    this.options.logger.warn('runner crashed with requests in flight', { upstream, requests: fingerprints.length, fingerprints: fingerprints.map(shortenFingerprint), toldPeers: this.peers.connectedPeers.length })
     for (const charge of charges) this.crashes.addCharge(charge, this.options.clock.readMonotonicMs())
     this.peers.announceCharges(charges)
   }
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -61,6 +61,8 @@
 /** Part of the callers' patience after which a stream without a new event is continued elsewhere. */
 const STALLED_PART = 0.6
 const FAILED_RETRY_AFTER_MS = 500
+/** Characters of a fingerprint in a log line. */
+const SHOWN_FINGERPRINT = 12
 /** Rank of the least urgent request at a runner. */
 const LOWEST_RANK = 9
 
@@ -118,11 +120,11 @@
     const { request, sink } = progress
     if (refusal === undefined) return 'answered'
     if (hasCallerLeft) {
-      this.options.traces.recordDecision('caller left', request, { hasStarted: progress.hasStarted, lastEventId: progress.lastEventId, tried: [...progress.tried] })
+      this.options.traces.recordDecision('caller left', request, { fingerprint: shortenFingerprint(request.fingerprint), hasStarted: progress.hasStarted, lastEventId: progress.lastEventId, tried: [...progress.tried] })
       sink.abandonAnswer()
       return 'caller-left'
     }
-    this.options.traces.recordDecision('refused', request, { code: refusal.code, reason: refusal.message, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, tried: [...progress.tried] })
+    this.options.traces.recordDecision('refused', request, { fingerprint: shortenFingerprint(request.fingerprint), code: refusal.code, reason: refusal.message, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, tried: [...progress.tried] })
     if (progress.hasStarted) {
       sink.abandonAnswer()
       return 'broken'
@@ -136,6 +138,7 @@
     const { request, signal } = progress
     while (!signal.aborted) {
       if (this.options.crashes.isQuarantined(request.fingerprint, this.options.clock.readMonotonicMs())) {
+        this.options.traces.noteQuarantined(request)
         return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
       }
       const choice = await this.options.dispatcher.findRunner(request, progress.tried, signal)
@@ -283,7 +286,7 @@
     const reason = result.type === 'failed' ? result.failure.reason : 'runner-error'
     const message = result.type === 'failed' ? result.failure.message : 'the runner failed'
     const execution = result.type === 'failed' ? result.failure.execution : 'unknown'
-    this.options.traces.recordDecision('attempt failed', request, { runner: runner.id, reason, execution, detail: message })
+    this.options.traces.recordDecision('attempt failed', request, { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(request.fingerprint), charges: this.countCharges(request), reason, execution, detail: message })
     this.noteFailure(progress, runner, reason)
     if (execution === 'not-run') return await this.planAfterDecline(progress, reason)
     const mayRun = this.canRunAgain(progress, 1)
@@ -311,12 +314,20 @@
     if (reason === 'reset' || reason === 'truncated') this.checkCrash(runner, request.fingerprint)
   }
 
+  private countCharges ({ fingerprint }: ServedRequest): number {
+    return this.options.crashes.countCharges(fingerprint, this.options.clock.readMonotonicMs())
+  }
+
   /** After a broken connection the runner is asked whether it is still the same process; one question at a time. */
   private checkCrash (runner: Runner, fingerprint: string): void {
-    const { table, exchanges, chargeCrash, traces } = this.options
-    if (this.checks.has(runner.id)) return
+    const { table, exchanges, chargeCrash, traces, clock } = this.options
+    const isAsked = this.checks.has(runner.id)
+    traces.recordQuestion('runner is asked whether it lives', { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(fingerprint), isAsked })
+    if (isAsked) return
+    const askedAtMs = clock.readMonotonicMs()
     const fingerprints = [fingerprint, ...table.listOpen(runner.id).map((open) => open.fingerprint)]
     const check = exchanges.checkAlive(runner).then((isAlive) => {
+      traces.recordQuestion('runner answered whether it lives', { runner: runner.id, bornMs: runner.bornMs, isAlive, tookMs: Math.round(clock.readMonotonicMs() - askedAtMs), openRequests: fingerprints.length })
       if (isAlive) return
       table.restRunner(runner.id)
       chargeCrash(fingerprints, `${runner.id}/${runner.bornMs}`)
@@ -325,3 +336,8 @@
     traces.noteAttempt(runner.service, 'crash-check')
   }
 }
+
+/** Enough of a fingerprint to tell requests apart in a log. */
+export function shortenFingerprint (fingerprint: string): string {
+  return fingerprint.slice(0, SHOWN_FINGERPRINT)
+}
--- a/packages/figquay-serving/src/FigquayServingTraces.ts
+++ b/packages/figquay-serving/src/FigquayServingTraces.ts
@@ -15,6 +15,7 @@
   private readonly results: Counter<'route' | 'result'>
   private readonly attempts: Counter<'service' | 'outcome'>
   private readonly firstBytes: Histogram<'route'>
+  private readonly quarantined: Counter<'route'>
   private windowStartMs = 0
   private linesInWindow = 0
   private suppressed = 0
@@ -23,6 +24,7 @@
     const registers = [this.registry]
     this.results = new Counter({ name: 'figquay_requests_total', help: 'Requests by route and result', labelNames: ['route', 'result'], registers })
     this.attempts = new Counter({ name: 'figquay_attempts_total', help: 'Exchanges with runners by service and outcome', labelNames: ['service', 'outcome'], registers })
+    this.quarantined = new Counter({ name: 'figquay_quarantined_total', help: 'Requests refused because they have crashed runners, by route', labelNames: ['route'], registers })
     this.firstBytes = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
   }
 
@@ -49,6 +51,21 @@
     this.results.inc({ route: request.route.name, result })
   }
 
+  /** Counts a request that was refused as it has crashed runners. */
+  noteQuarantined (request: ServedRequest): void {
+    this.quarantined.inc({ route: request.route.name })
+  }
+
+  /**
+   * Logs what is asked of a runner after a failure, and what it answers; rare beside requests, so never left out.
+   *
+   * @example
+   * traces.recordQuestion('runner is asked whether it lives', { runner: runner.id })
+   */
+  recordQuestion (message: string, fields: LogFields): void {
+    this.logger.info(message, fields)
+  }
+
   /**
    * Logs a decision about a request.
    *
