Let the ends of runners under a request bind every daemon, for as long as they hold

Cause, one class: what binds every daemon was known to single daemons. It lived in their memory, was told once to whoever was in reach, and was found out only by one of the ways in which a runner ends. - Facts (FleetFacts) replace charges: kept in the store (one call for all that is new), compared by digest with each word between peers, in fleets of any size, and known before a daemon says that it is ready. That a runner leaves is a fact too: news of it was told once, to whoever could hear. - Attempts stay on a watch (AttemptWatch) until their runner has shown that it lives, or has ended: also when it ended silently, when the caller had left, when its successor answers, and for every attempt that broke while a question was out. - A request under which a runner ended runs apart from others of which that is said (permits of the holder), a broken attempt waits for its runner's fate, and who had run well for a while is a bystander (CrashEvidence): companions are no longer charged twice with one culprit.

Ruled out: another fingerprint at each coming.

Two tests of the follower changed: the peer that informs must itself know the facts; the list of runners alone no longer informs anybody.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -2,6 +2,7 @@
 import type { Clock } from 'figquay'
 import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 import type { Arrivals, FleetDemand, Need } from './FigquayFleetDemand.js'
+import type { FactsState } from './FigquayFleetFacts.js'
 import type { FleetLeadership, Holder } from './FigquayFleetLeadership.js'
 import { HINT_EXPIRES_MS, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 import type { FleetRunnerTable } from './FigquayFleetRunnerTable.js'
@@ -18,6 +19,7 @@
   readonly changedAt: number
   /** Daemons that are known there. */
   readonly daemonCount: number
+  readonly facts: FactsState
   /** By runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Arrivals by model since the last message. */
@@ -53,6 +55,8 @@
   readonly noteAdapterUse: (runner: string, key: string) => void
   /** Daemons that have announced themselves, as far as this one knows. */
   readonly countDaemons: () => number
+  /** Where this daemon's facts stand. */
+  readonly readFacts: () => FactsState
 }
 
 /** Makes and takes in hints. */
@@ -110,7 +114,7 @@
   }
 
   private makeMessage (arrivals: ReadonlyMap<string, Arrivals>): FleetHints {
-    const { self, table, demand, leadership, configurations, listNeeds, countDaemons } = this.options
+    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, readFacts } = this.options
     const adapters = [...this.usedAdapters].map((text) => text.split('\n') as [string, string])
     this.usedAdapters = new Set()
     const needs = listNeeds()
@@ -122,6 +126,7 @@
       position: table.position,
       changedAt: table.changedAt,
       daemonCount: countDaemons(),
+      facts: readFacts(),
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnModels(runner)]]),
       arrivals: [...arrivals],
       needs,
--- a/packages/figquay-fleet/src/FigquayFleetNews.ts
+++ b/packages/figquay-fleet/src/FigquayFleetNews.ts
@@ -1,4 +1,4 @@
-/** Short-lived news that every daemon should hear once: what a runner holds now, that it leaves, and requests that crashed runners. */
+/** Short-lived news that every daemon should hear soon: what a runner holds now, and that it leaves. What binds for longer is a fact. */
 import type { Clock } from 'figquay'
 import type { HeldModel, Holdings } from './FigquayFleetTypes.js'
 
@@ -14,13 +14,6 @@
   readonly serial: number
 }
 
-/** A request that was under way at a runner when it crashed. */
-export interface ChargeNews {
-  readonly type: 'charge'
-  readonly fingerprint: string
-  readonly upstream: string
-}
-
 /** A runner that leaves, as it has said itself or its announcement has. */
 export interface LeavingNews {
   readonly type: 'leaving'
@@ -29,7 +22,7 @@
   readonly bornMs: number
 }
 
-export type NewsItem = HoldingsNews | ChargeNews | LeavingNews
+export type NewsItem = HoldingsNews | LeavingNews
 
 /**
  * Whether a peer's message is an item of news: versions of the daemon that differ, or a fault, may send anything.
@@ -39,8 +32,7 @@
  */
 export function isNewsItem (item: unknown): item is NewsItem {
   if (typeof item !== 'object' || item === null) return false
-  const { type, runner, bornMs, holdings, fence, serial, fingerprint, upstream } = item as Record<string, unknown>
-  if (type === 'charge') return typeof fingerprint === 'string' && typeof upstream === 'string'
+  const { type, runner, bornMs, holdings, fence, serial } = item as Record<string, unknown>
   if (typeof runner !== 'string' || typeof bornMs !== 'number') return false
   return type === 'leaving' || (type === 'holdings' && typeof fence === 'number' && typeof serial === 'number' && isHoldings(holdings))
 }
@@ -59,7 +51,7 @@
   readonly atMs: number
 }
 
-/** News is passed on for this long, in milliseconds: announcements of runners and the crash guard's memory take over. */
+/** News is passed on for this long, in milliseconds: announcements of runners take over. */
 const NEWS_KEPT_MS = 10_000
 
 /** News of one daemon, by what it is about. */
@@ -111,7 +103,6 @@
 
 /** Items with the same key are about the same. */
 function makeKey (item: NewsItem): string {
-  if (item.type === 'charge') return `charge\n${item.fingerprint}\n${item.upstream}`
   return `${item.type}\n${item.runner}`
 }
 
--- a/packages/figquay-fleet/src/FigquayFleetPlatform.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlatform.ts
@@ -31,6 +31,13 @@
   readonly end: number
 }
 
+/** One entry to be written among the daemons' own records. */
+export interface SharedWrite {
+  readonly key: string
+  /** Undefined to drop the key. */
+  readonly value: string | undefined
+}
+
 /** How a conditional write went. */
 export type WriteResult = { readonly type: 'written', readonly position: number } | { readonly type: 'overtaken' }
 
@@ -44,6 +51,8 @@
   abstract readShared (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedReading, CallFailure>>
   /** Writes a record, if `end` is still the end of the records when it is given. */
   abstract writeShared (key: string, value: string, end: number | undefined): Promise<Outcome<WriteResult, CallFailure>>
+  /** Writes or drops records, all in one call, whatever has been written meanwhile. */
+  abstract writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>>
   /** Closes connections. */
   abstract close (): void
 }
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -435,6 +435,16 @@
     return [...this.states.get(id)?.open.values() ?? []]
   }
 
+  /** Whether a start of a runner was known to be leaving. */
+  hasLeft (id: string, bornMs: number): boolean {
+    return this.isKnownLeaving(id, bornMs)
+  }
+
+  /** Monotonic time at which the last bytes came from a runner, in milliseconds; undefined when it isn't known. */
+  readHeardAt (id: string): number | undefined {
+    return this.states.get(id)?.lastHeardMs
+  }
+
   /** Notes that bytes came from a runner. */
   noteHeard (id: string): void {
     const state = this.states.get(id)
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,8 +1,11 @@
 /** A daemon that serves a fleet: its parts, what they tell its peers, and how it starts and stops. */
-import { TaskGroup, type Clock, type Logger } from 'figquay'
-import { choosePlanPause, ConfigurationHolder, FleetDemand, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderBook, PromptMemory, type FleetStore, type RunnerOrderClient } from 'figquay-fleet'
-import { CrashGuard, RetryBudget, type CrashCharge } from 'figquay-routing'
+import { makeId, TaskGroup, type Clock, type Logger } from 'figquay'
+import { choosePlanPause, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderBook, PromptMemory, type CrashFact, type Fact, type FleetStore, type Runner, type RunnerOrderClient } from 'figquay-fleet'
+import { RetryBudget } from 'figquay-routing'
+import { AttemptWatch } from './FigquayServingAttemptWatch.js'
+import { CrashEvidence } from './FigquayServingCrashEvidence.js'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
+import { FactKeeper } from './FigquayServingFactKeeper.js'
 import { ServingPeers } from './FigquayServingPeers.js'
 import { ServingRouter, shortenFingerprint } from './FigquayServingRouter.js'
 import { StoreFollower, type StoreRole } from './FigquayServingStoreFollower.js'
@@ -30,6 +33,8 @@
 
 const PLAN_INTERVAL_MS = 100
 const LEADERSHIP_INTERVAL_MS = 100
+/** How often facts are written, and attempts without a word looked after, in milliseconds: a part of the time in which a caller comes again. */
+const FACTS_INTERVAL_MS = 200
 /** Daemons that the retries of a service are divided among when fewer are known. */
 const FEWEST_DAEMONS = 8
 
@@ -45,7 +50,10 @@
   private readonly leadership: FleetLeadership
   private readonly placement: FleetPlacement
   private readonly dispatcher: ServingDispatcher
-  private readonly crashes = CrashGuard.create()
+  private readonly facts: FleetFacts
+  private readonly evidence: CrashEvidence
+  private readonly keeper: FactKeeper
+  private readonly watch: AttemptWatch
   private readonly budgets = new Map<string, RetryBudget>()
   private mayPlanAtMs = Number.NEGATIVE_INFINITY
   private isPlanComing = false
@@ -57,11 +65,17 @@
     this.tasks = TaskGroup.create(clock, logger)
     this.traces = ServingTraces.create(clock, logger)
     this.table = FleetRunnerTable.create(clock)
+    const facts = FleetFacts.create(clock)
+    this.facts = facts
+    this.evidence = CrashEvidence.create((fact) => facts.isInForce(fact))
+    facts.registerListener((fact) => this.takeFact(fact))
     const demand = FleetDemand.create(clock)
     const memory = PromptMemory.create(clock)
     const { table } = this
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.follower.mayWrite })
     const { leadership } = this
+    this.keeper = FactKeeper.create({ clock, logger, store, facts, isHolder: () => leadership.isHolder })
+    this.watch = AttemptWatch.create({ clock, table, exchanges, reportCrash: (runner, crash) => this.reportCrash(runner, crash), recordQuestion: (message, fields) => this.traces.recordQuestion(message, fields) })
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpen: () => this.peers.hints.sumOpen() })
@@ -80,7 +94,7 @@
       leadership,
       listNeeds: () => this.dispatcher.listNeeds(),
       noteAdapterUse: (runner, key) => this.placement.noteAdapterUse(runner, key),
-      addCharge: (charge) => this.takeCharge(charge),
+      facts,
       makeSnapshot: (version, position) => this.follower.makeSnapshot(version, position),
       notePeer: (peer, reading) => this.follower.notePeer(peer, reading),
       measureStoreAge: () => this.follower.storeAgeMs,
@@ -95,6 +109,8 @@
       configurations,
       table,
       leadership,
+      facts,
+      keeper: this.keeper,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
       requestSnapshot: (version, position, peer) => this.peers.requestSnapshot(version, position, peer),
       findRole: () => this.findStoreRole(),
@@ -108,10 +124,13 @@
       demand,
       dispatcher: this.dispatcher,
       exchanges,
-      crashes: this.crashes,
+      watch: this.watch,
+      evidence: this.evidence,
       traces: this.traces,
       findBudget: (service) => this.findBudget(service),
-      chargeCrash: (fingerprints, upstream) => this.chargeCrash(fingerprints, upstream),
+      acquitRequest: (fingerprint) => this.publishLasting({ type: 'acquittal', id: makeId('acquittal'), fingerprint, atMs: clock.now().getTime() }),
+      takePermit: (request) => this.peers.suspects.takePermit(request),
+      returnPermit: (request) => this.peers.suspects.returnPermit(request),
       noteAdapterUse: (runner, key) => this.peers.hints.noteAdapterUse(runner, key),
       announceLeaving
     })
@@ -146,6 +165,8 @@
     this.follower.startTasks(this.tasks)
     this.tasks.startTask('announcement', (signal) => this.follower.announceSelf(this.options.address, this.options.zone, signal))
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
+    this.tasks.startLoop('attempts without a word', FACTS_INTERVAL_MS, async () => this.watch.refresh())
+    this.tasks.startLoop('facts', FACTS_INTERVAL_MS, () => this.keeper.refresh())
     this.tasks.startLoop('placement', PLAN_INTERVAL_MS, async () => this.runPlans())
   }
 
@@ -207,16 +228,26 @@
     return budget
   }
 
-  private takeCharge (charge: CrashCharge): void {
-    const { clock, logger } = this.options
-    const isNew = this.crashes.addCharge(charge, clock.readMonotonicMs())
-    if (isNew) logger.info('charge told by a peer', { upstream: charge.upstream, fingerprint: shortenFingerprint(charge.fingerprint), charges: this.crashes.countCharges(charge.fingerprint, clock.readMonotonicMs()) })
+  /** What every daemon must know acts here, whether found out here or heard of. */
+  private takeFact (fact: Fact): void {
+    this.evidence.addFact(fact)
+    if (fact.type === 'leaving') this.table.markLeaving(fact.runner, fact.bornMs)
+    if (fact.type !== 'crash') return
+    const fingerprints = [...fact.suspects, ...fact.bystanders]
+    const quarantined = fingerprints.filter((fingerprint) => this.evidence.judgeRequest(fingerprint) === 'quarantined')
+    this.options.logger.info('runner ended under requests', {
+      fact: fact.id, runner: fact.runner, bornMs: fact.bornMs, ageMs: this.options.clock.now().getTime() - fact.atMs, suspects: fact.suspects.map(shortenFingerprint), isolated: fact.isolated.length, bystanders: fact.bystanders.length, quarantined: quarantined.map(shortenFingerprint)
+    })
+  }
+
+  private reportCrash (runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>): void {
+    this.table.restRunner(runner.id)
+    this.publishLasting({ type: 'crash', id: makeId('crash'), runner: runner.id, bornMs: runner.bornMs, atMs: this.options.clock.now().getTime(), ...crash })
   }
 
-  private chargeCrash (fingerprints: readonly string[], upstream: string): void {
-    const charges = fingerprints.map((fingerprint) => ({ fingerprint, upstream }))
-    this.options.logger.warn('runner crashed with requests in flight', { upstream, requests: fingerprints.length, fingerprints: fingerprints.map(shortenFingerprint), toldPeers: this.peers.connectedPeers.length })
-    for (const charge of charges) this.crashes.addCharge(charge, this.options.clock.readMonotonicMs())
-    this.peers.announceCharges(charges)
+  /** Tells what must outlive this daemon. */
+  private publishLasting (fact: Fact): void {
+    this.keeper.addOwn(fact)
+    this.peers.publishFact(fact)
   }
 }
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,9 +1,10 @@
 /** What a daemon and its peers tell each other: everybody everything in a small fleet, along a tree in a large one. */
 import type { Clock, Logger, TaskGroup } from 'figquay'
-import { FleetNews, HintExchange, isNewsItem, type ConfigurationHolder, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsNews, type Need, type NewsItem } from 'figquay-fleet'
+import { FleetNews, HintExchange, type FleetFacts, isNewsItem, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsNews, type Need, type NewsItem } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress } from 'figquay-peers'
-import type { CrashCharge } from 'figquay-routing'
+import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
+import { ServingSuspects, type SuspectRequest } from './FigquayServingSuspects.js'
 import { chooseRole, type FleetSnapshot, type PeerReading, type StoreRole } from './FigquayServingStoreFollower.js'
 
 /** What the exchange with peers needs. */
@@ -21,7 +22,7 @@
   readonly leadership: FleetLeadership
   readonly listNeeds: () => readonly Need[]
   readonly noteAdapterUse: (runner: string, key: string) => void
-  readonly addCharge: (charge: CrashCharge) => void
+  readonly facts: FleetFacts
   readonly makeSnapshot: (version: number, position: number) => FleetSnapshot
   readonly notePeer: (peer: string, reading: PeerReading) => void
   readonly measureStoreAge: () => number
@@ -43,6 +44,8 @@
 /** A daemon's exchange with its peers. */
 export class ServingPeers {
   readonly hints: HintExchange
+  readonly suspects: ServingSuspects
+  private readonly factExchange: FactExchange
   private readonly mesh: PeerMesh
   private readonly relay: FleetRelay
   private readonly news: FleetNews
@@ -54,10 +57,13 @@
   private newsSerial = 0
 
   private constructor (private readonly options: ServingPeersOptions) {
-    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, countDaemons, leadership } = options
+    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, countDaemons, leadership, facts } = options
     this.news = FleetNews.create(clock)
     this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeMethods(), clock, logger })
-    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons, readFacts: () => facts.state })
+    const callPeer: PeerMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
+    this.suspects = ServingSuspects.create({ self: self.id, clock, callPeer, findHolder: () => leadership.holder?.daemon })
+    this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
     this.relay = FleetRelay.create({
       self: self.id,
       zone: self.zone,
@@ -71,6 +77,8 @@
       mesh: this.mesh,
       measureStoreAge,
       countDaemons,
+      readFacts: () => facts.state,
+      compareFacts: (peer, state) => this.factExchange.comparePeer(peer, state),
       takeNews: (item) => this.takeNews(item),
       notePeer,
       setNeighbours: (neighbours) => {
@@ -173,11 +181,12 @@
   /** Tells that a runner leaves; the list of runners may say so later, or not at all to a peer that can't read it. */
   announceLeaving (runner: string, bornMs: number): void {
     this.announceNews([{ type: 'leaving', runner, bornMs }])
+    this.publishFact({ type: 'leaving', id: `leaving/${runner}/${bornMs}`, runner, bornMs, atMs: this.options.clock.now().getTime() })
   }
 
-  /** Tells of requests that were under way at a runner when it crashed. */
-  announceCharges (charges: readonly CrashCharge[]): void {
-    this.announceNews(charges.map((charge): NewsItem => ({ type: 'charge', ...charge })))
+  /** Tells what binds every daemon for as long as it holds. */
+  publishFact (fact: Fact): void {
+    this.factExchange.publishFact(fact)
   }
 
   private announceNews (items: readonly NewsItem[]): void {
@@ -190,6 +199,7 @@
       'fleet.hints': (hints: FleetHints) => {
         this.hints.takeHints(hints)
         this.options.notePeer(hints.from, hints)
+        this.factExchange.comparePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.planSoon()
       },
       'fleet.report': (hints: FleetHints) => this.takeReport(hints),
@@ -197,14 +207,16 @@
       'fleet.news': (items: readonly unknown[]) => {
         for (const item of items.filter(isNewsItem)) if (this.news.addItem(item)) this.takeNews(item)
       },
+      'fleet.facts': (message: FactsMessage) => this.factExchange.answerPeer(message),
+      'suspect.take': (request: SuspectRequest) => this.suspects.answerTake(request),
+      'suspect.return': (request: SuspectRequest) => this.suspects.answerReturn(request),
       'fleet.read': ({ version, position }: { readonly version: number, readonly position: number }) => this.options.makeSnapshot(version, position)
     }
   }
 
   private takeNews (item: NewsItem): void {
     if (item.type === 'holdings') this.options.table.putHoldings(item.runner, item.bornMs, item.holdings)
-    else if (item.type === 'leaving') this.options.table.markLeaving(item.runner, item.bornMs)
-    else this.options.addCharge(item)
+    else this.options.table.markLeaving(item.runner, item.bornMs)
   }
 
   private takeReport (hints: FleetHints): void {
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,6 +1,6 @@
 /** Exchanges what every daemon must know along a tree: up to the first of the data centre, across, and down again. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { formatLoads, isNewsItem, parseLoads, type ConfigurationHolder, type FleetLeadership, type FleetNews, type FleetRunnerTable, type Holder, type LoadRow, type NewsItem } from 'figquay-fleet'
+import { formatLoads, isNewsItem, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type FleetNews, type FleetRunnerTable, type Holder, type LoadRow, type NewsItem } from 'figquay-fleet'
 import type { PeerReading, StoreRole } from './FigquayServingStoreFollower.js'
 import { measureDepth, rankDaemons, FIRST_PER_ZONE, selectPart, type FleetPart, type RankedDaemons } from './FigquayServingTopology.js'
 
@@ -19,6 +19,7 @@
   readonly changedAt: number
   /** Daemons that are known there. */
   readonly daemonCount: number
+  readonly facts: FactsState
   /** Time since the store was last read, by this daemon or those above it, in milliseconds. */
   readonly storeAgeMs: number
   readonly loads: readonly LoadRow[]
@@ -51,6 +52,10 @@
   readonly measureStoreAge: () => number
   /** Daemons that have announced themselves, as far as this one knows. */
   readonly countDaemons: () => number
+  /** Where this daemon's facts stand. */
+  readonly readFacts: () => FactsState
+  /** Compares a peer's facts with this daemon's. */
+  readonly compareFacts: (peer: string, state: FactsState) => void
   /** Takes in an item that is new here. */
   readonly takeNews: (item: NewsItem) => void
   /** Compares how far a peer has read with this daemon. */
@@ -179,6 +184,8 @@
     this.options.table.putPeerLoads(isAbove ? 'above' : `zone ${value.zone}`, parseLoads(value.loads))
     if (isAbove) this.heardAtMs = clock.readMonotonicMs()
     this.noteTold(value, sentRevision)
+    // The daemon below asks: the one above has many below it, and no connection to them.
+    this.options.compareFacts(peer, value.facts)
   }
 
   /** What the answer brought needs no sending back; a peer that has restarted is told everything again. */
@@ -226,7 +233,7 @@
   }
 
   private makeMessage (peer: string, loads: ReturnType<FleetRunnerTable['exportLoads']>): RelayMessage {
-    const { self, zone, bootId, leadership, configurations, table, news, countDaemons } = this.options
+    const { self, zone, bootId, leadership, configurations, table, news, countDaemons, readFacts } = this.options
     return {
       from: self,
       zone,
@@ -236,6 +243,7 @@
       position: table.position,
       changedAt: table.changedAt,
       daemonCount: countDaemons(),
+      facts: readFacts(),
       storeAgeMs: Math.round(this.measureStoreAge()),
       loads: formatLoads(loads),
       news: news.listAfter(this.told.get(peer) ?? 0),
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -1,9 +1,12 @@
 /** Serves one request from its arrival to its last byte: choose, send, watch, send again, resume. */
 import { Deadline, Refusal, type Clock } from 'figquay'
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type OpenRequest, type PromptMemory, type Runner } from 'figquay-fleet'
-import type { CrashGuard, RetryBudget } from 'figquay-routing'
+import type { RetryBudget } from 'figquay-routing'
+import type { AttemptWatch, WatchedAttempt } from './FigquayServingAttemptWatch.js'
+import type { CrashEvidence } from './FigquayServingCrashEvidence.js'
 import { chooseMostIdle } from './FigquayServingReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
+import type { SuspectRequest } from './FigquayServingSuspects.js'
 import type { ServingTraces } from './FigquayServingTraces.js'
 import type { AnswerSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, RunnerNotice, ServedRequest, ServedResult } from './FigquayServingTypes.js'
 
@@ -18,9 +21,13 @@
   readonly exchanges: RunnerExchangeClient
   /** Retry budget of a service. */
   readonly findBudget: (service: string) => RetryBudget
-  readonly crashes: CrashGuard
-  /** Charges requests with a runner's crash, here and at the peers. */
-  readonly chargeCrash: (fingerprints: readonly string[], upstream: string) => void
+  readonly watch: AttemptWatch
+  readonly evidence: CrashEvidence
+  /** Tells everybody that a request which had been charged was answered whole. */
+  readonly acquitRequest: (fingerprint: string) => void
+  /** Keeps a suspect apart from others; false while another has the runner. */
+  readonly takePermit: (request: SuspectRequest) => Promise<boolean>
+  readonly returnPermit: (request: SuspectRequest) => void
   readonly noteAdapterUse: (runner: string, key: string) => void
   /** Tells the peers that a runner leaves. */
   readonly announceLeaving: (runner: string, bornMs: number) => void
@@ -40,8 +47,13 @@
   hasStarted: boolean
   maySent: boolean
   lastEventId: string | undefined
+  /** Since when it has looked for a runner on which it is the only suspect. */
+  suspectSinceMs: number | undefined
 }
 
+/** How a request stands beside suspects on a runner. */
+type Isolation = 'unneeded' | 'granted' | 'refused' | 'given-up'
+
 /** How an attempt went; a failure of the runner's own is an answer that another runner may better. */
 type AttemptResult =
   | { readonly type: 'done' }
@@ -61,6 +73,12 @@
 /** Part of the callers' patience after which a stream without a new event is continued elsewhere. */
 const STALLED_PART = 0.6
 const FAILED_RETRY_AFTER_MS = 500
+/** A broken attempt is repeated once its runner's fate is known, or after this time, in milliseconds: a live address answers sooner. */
+const FATE_WAIT_MS = 200
+/** A suspect looks for a runner without others for this long, in milliseconds, and then does without: callers wait. */
+const ISOLATION_WAIT_MS = 1_000
+/** A suspect tries again after this time, in milliseconds. */
+const ISOLATION_PAUSE_MS = 50
 /** Characters of a fingerprint in a log line. */
 const SHOWN_FINGERPRINT = 12
 /** Rank of the least urgent request at a runner. */
@@ -68,7 +86,6 @@
 
 /** Routes requests. */
 export class ServingRouter {
-  private readonly checks = new Map<string, Promise<void>>()
   private readonly openDeadlines = new Set<Deadline>()
   private isEnding = false
 
@@ -92,7 +109,7 @@
     this.options.findBudget(request.service).noteRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined }
+    const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined, suspectSinceMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -136,15 +153,22 @@
   /** Undefined when the request was answered. */
   private async runAttempts (progress: Progress): Promise<Refusal | undefined> {
     const { request, signal } = progress
+    let occupied: ReadonlySet<string> = new Set()
     while (!signal.aborted) {
-      if (this.options.crashes.isQuarantined(request.fingerprint, this.options.clock.readMonotonicMs())) {
+      if (this.options.evidence.judgeRequest(request.fingerprint) === 'quarantined') {
         this.options.traces.noteQuarantined(request)
         return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
       }
-      const choice = await this.options.dispatcher.findRunner(request, progress.tried, signal)
+      const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.tried, ...occupied]), signal)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.restateRefusal(progress, choice)
-      const result = await this.runAttempt(progress, choice)
+      const isolation = await this.isolateRequest(progress, choice)
+      if (isolation === 'refused') {
+        occupied = new Set([choice.id])
+        await this.options.clock.waitFor(ISOLATION_PAUSE_MS, signal)
+        continue
+      }
+      const result = await this.runAttempt(progress, choice, isolation === 'granted')
       if (result.type === 'done') return undefined
       if (signal.aborted) break
       const refusal = await this.planRetry(progress, choice, result)
@@ -153,6 +177,24 @@
     return this.makeTimeout(progress)
   }
 
+  /** What is known of a request may have changed while it waited for its runner: this comes last before the attempt. */
+  private async isolateRequest (progress: Progress, runner: Runner): Promise<Isolation> {
+    const { evidence, takePermit, returnPermit, clock, traces } = this.options
+    const { request, signal } = progress
+    if (evidence.judgeRequest(request.fingerprint) === 'clear') return 'unneeded'
+    progress.suspectSinceMs ??= clock.readMonotonicMs()
+    const permit = { runner: runner.id, requestId: request.id }
+    const isGranted = await takePermit(permit)
+    if (isGranted && (signal.aborted || evidence.judgeRequest(request.fingerprint) === 'quarantined')) {
+      returnPermit(permit)
+      return 'refused'
+    }
+    const waitedMs = clock.readMonotonicMs() - progress.suspectSinceMs
+    const isolation = isGranted ? 'granted' : waitedMs < ISOLATION_WAIT_MS ? 'refused' : 'given-up'
+    if (isolation !== 'refused') traces.recordDecision('sent though a runner has ended under it', request, { runner: runner.id, fingerprint: shortenFingerprint(request.fingerprint), isolation, ...evidence.countCrashes(request.fingerprint) })
+    return isolation
+  }
+
   private makeTimeout (progress: Progress): Refusal {
     if (progress.maySent) return Refusal.create('outcome_unknown', this.isEnding ? 'the daemon stops' : 'no answer in time', { execution: 'unknown' })
     if (this.isEnding) return Refusal.create('draining', 'the daemon stops', { retryAfterMs: 0 })
@@ -165,9 +207,9 @@
     return Refusal.create('upstream_failed', refusal.message, { execution: 'unknown' })
   }
 
-  private async runAttempt (progress: Progress, runner: Runner): Promise<AttemptResult> {
+  private async runAttempt (progress: Progress, runner: Runner, isIsolated: boolean): Promise<AttemptResult> {
     const { request } = progress
-    const { table, clock, memory } = this.options
+    const { table, clock, memory, watch } = this.options
     progress.tried.add(runner.id)
     const weights = request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter)
     const open = {
@@ -181,20 +223,35 @@
     const release = table.registerOpen(runner.id, open)
     memory.noteParts(runner.id, weights, request.parts)
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
+    const attempt = watch.addAttempt(runner, request.fingerprint, isIsolated)
     const limit = Deadline.create(this.chooseSilenceLimit(progress), progress.signal)
     // From here on bytes may have left, until the runner or the connection says otherwise.
     progress.maySent = true
     try {
-      const result = await this.runExchange(progress, runner, limit, open)
+      const result = await this.runExchange(progress, runner, limit, open, attempt)
+      await this.settleAttempt(progress, runner, attempt, result)
       if (result.type === 'failed' && result.failure.execution === 'not-run') progress.maySent = progress.runs > 0
       this.noteAttempt(progress, runner, result)
       return result
     } finally {
       limit.dispose()
       release()
+      if (isIsolated) this.options.returnPermit({ runner: runner.id, requestId: request.id })
     }
   }
 
+  /** Only a runner that has answered, or never had the request, is known to have borne it. */
+  private async settleAttempt ({ request, signal }: Progress, runner: Runner, attempt: WatchedAttempt, result: AttemptResult): Promise<void> {
+    const { watch, evidence, acquitRequest, clock } = this.options
+    const { reason, execution } = result.type === 'failed' ? result.failure : { reason: undefined, execution: undefined }
+    const isBroken = reason === 'reset' || reason === 'truncated'
+    if (isBroken && execution !== 'not-run') {
+      await Promise.race([watch.noteBroken(runner, attempt), clock.waitFor(FATE_WAIT_MS, signal)])
+    } else if (reason === 'silent') watch.noteSilent(attempt)
+    else watch.dropAttempt(runner, attempt)
+    if (result.type === 'done' && evidence.countCrashes(request.fingerprint).inAll > 0) acquitRequest(request.fingerprint)
+  }
+
   /** How long the first byte of an attempt may take: a call that may run twice isn't left with a silent runner. */
   private chooseSilenceLimit ({ request, runs }: Progress): number {
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
@@ -202,7 +259,7 @@
     return canRepeat ? Math.min(remainingMs, Math.max(SHORTEST_SILENCE_MS, request.route.objectiveMs * SILENT_OBJECTIVES)) : remainingMs
   }
 
-  private async runExchange (progress: Progress, runner: Runner, limit: Deadline, open: OpenRequest): Promise<AttemptResult> {
+  private async runExchange (progress: Progress, runner: Runner, limit: Deadline, open: OpenRequest, attempt: WatchedAttempt): Promise<AttemptResult> {
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const rank = Math.min(LOWEST_RANK, request.route.priority)
@@ -214,6 +271,7 @@
         continue
       }
       if (event.type === 'head') limit.stopTimer()
+      if (event.type === 'data') this.options.watch.noteOutput(attempt)
       // Progress counts, not bytes: a stall shows while the caller still waits and another runner may go on.
       if (request.route.isResumable && event.type !== 'failed') limit.restartTimer(request.route.patienceMs * STALLED_PART)
       const result = await this.takeEvent(progress, event, open)
@@ -286,7 +344,7 @@
     const reason = result.type === 'failed' ? result.failure.reason : 'runner-error'
     const message = result.type === 'failed' ? result.failure.message : 'the runner failed'
     const execution = result.type === 'failed' ? result.failure.execution : 'unknown'
-    this.options.traces.recordDecision('attempt failed', request, { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(request.fingerprint), charges: this.countCharges(request), reason, execution, detail: message })
+    this.options.traces.recordDecision('attempt failed', request, { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(request.fingerprint), crashes: this.options.evidence.countCrashes(request.fingerprint).inAll, reason, execution, detail: message })
     this.noteFailure(progress, runner, reason)
     if (execution === 'not-run') return await this.planAfterDecline(progress, reason)
     const mayRun = this.canRunAgain(progress, 1)
@@ -311,29 +369,6 @@
     const { table } = this.options
     if (reason === 'missing-model') table.dropHolding(runner.id, request.model ?? '', request.adapter)
     if (reason === 'other-runner' || reason === 'unreachable') table.restRunner(runner.id)
-    if (reason === 'reset' || reason === 'truncated') this.checkCrash(runner, request.fingerprint)
-  }
-
-  private countCharges ({ fingerprint }: ServedRequest): number {
-    return this.options.crashes.countCharges(fingerprint, this.options.clock.readMonotonicMs())
-  }
-
-  /** After a broken connection the runner is asked whether it is still the same process; one question at a time. */
-  private checkCrash (runner: Runner, fingerprint: string): void {
-    const { table, exchanges, chargeCrash, traces, clock } = this.options
-    const isAsked = this.checks.has(runner.id)
-    traces.recordQuestion('runner is asked whether it lives', { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(fingerprint), isAsked })
-    if (isAsked) return
-    const askedAtMs = clock.readMonotonicMs()
-    const fingerprints = [fingerprint, ...table.listOpen(runner.id).map((open) => open.fingerprint)]
-    const check = exchanges.checkAlive(runner).then((isAlive) => {
-      traces.recordQuestion('runner answered whether it lives', { runner: runner.id, bornMs: runner.bornMs, isAlive, tookMs: Math.round(clock.readMonotonicMs() - askedAtMs), openRequests: fingerprints.length })
-      if (isAlive) return
-      table.restRunner(runner.id)
-      chargeCrash(fingerprints, `${runner.id}/${runner.bornMs}`)
-    }).finally(() => this.checks.delete(runner.id))
-    this.checks.set(runner.id, check)
-    traces.noteAttempt(runner.service, 'crash-check')
   }
 }
 
--- a/packages/figquay-serving/src/FigquayServingStoreFollower.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreFollower.ts
@@ -1,6 +1,8 @@
 /** Keeps a daemon's picture of the platform's store up to date; asks peers while the store can't be read. */
 import { describeError, hashText, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { HOLDER_KEY, type ConfigurationHolder, type FleetConfiguration, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerReading, type SharedReading } from 'figquay-fleet'
+import { HOLDER_KEY, isFact, type ConfigurationHolder, type Fact, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerReading, type SharedReading } from 'figquay-fleet'
+
+import { FACT_PREFIX, type FactKeeper } from './FigquayServingFactKeeper.js'
 
 /** State that one daemon gives to another that can't read the store. */
 export interface FleetSnapshot {
@@ -10,6 +12,8 @@
   readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number, readonly graceMs: number }>
   readonly position: number
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
+  /** What binds every daemon; undefined when the one that is asked doesn't know it yet. */
+  readonly facts: readonly Fact[] | undefined
   /** Time since the list was last read where this comes from, in milliseconds. */
   readonly storeAgeMs: number
 }
@@ -63,6 +67,8 @@
   readonly configurations: ConfigurationHolder
   readonly table: FleetRunnerTable
   readonly leadership: FleetLeadership
+  readonly facts: FleetFacts
+  readonly keeper: Pick<FactKeeper, 'takeRecord'>
   /** Called with the daemons' addresses and zones after each change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
   readonly findRole: () => StoreRole
@@ -115,6 +121,7 @@
   private sharedPosition = -1
   private hasReadShared = false
   private hasReadRunners = false
+  private hasFacts = false
   private isStoreHeard = true
   private longReads = new AbortController()
   private behindSinceMs: number | undefined
@@ -133,9 +140,9 @@
     return new StoreFollower(options)
   }
 
-  /** Whether the list of runners and a configuration are known. */
+  /** Whether the list of runners, a configuration and what binds every daemon are known. */
   get isInformed (): boolean {
-    return this.hasReadRunners && this.options.configurations.current !== undefined
+    return this.hasReadRunners && this.hasFacts && this.options.configurations.current !== undefined
   }
 
   /** Whether the last read of the store was answered. */
@@ -204,6 +211,7 @@
       removals: table.listRemovals(position),
       position: table.position,
       daemons: [...this.daemons],
+      facts: this.hasFacts ? this.options.facts.listAfter(0) : undefined,
       storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
     }
   }
@@ -246,6 +254,7 @@
     if (!reading.ok) return this.noteFailure('shared records', reading)
     this.takeShared(reading.value)
     this.hasReadShared = true
+    this.hasFacts = true
     leadership.noteEnd(reading.value.end)
     await clock.waitFor(SHARED_INTERVAL_MS, signal)
     return true
@@ -257,6 +266,7 @@
     for (const { key, value, position } of reading.records) {
       this.sharedPosition = Math.max(this.sharedPosition, position)
       if (key === HOLDER_KEY && value !== undefined) this.options.leadership.noteRecord(value, position)
+      if (key.startsWith(FACT_PREFIX)) this.options.keeper.takeRecord(key, value)
       if (!key.startsWith(DAEMON_PREFIX)) continue
       const address = key.slice(DAEMON_PREFIX.length)
       hasChanged = true
@@ -397,6 +407,10 @@
     table.notePosition(snapshot.position)
     if (snapshot.position >= 0) this.hasReadRunners = true
     this.heardAtMs = Math.max(this.heardAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
+    if (Array.isArray(snapshot.facts)) {
+      for (const fact of snapshot.facts.filter(isFact)) this.options.facts.addFact(fact)
+      this.hasFacts = true
+    }
     let hasNew = false
     for (const [address, zone] of snapshot.daemons) {
       if (this.daemons.has(address)) continue
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -80,14 +80,27 @@
   readonly mostIdleMs: number
 }
 
+/** What the address of a runner answers when it is asked which process runs there. */
+export type RunnerLifeSign =
+  /** The same. */
+  | 'same'
+  /** Another: a runner's successor, or another runner. */
+  | 'other'
+  /** A process that doesn't tell its start. */
+  | 'unsure'
+  /** Nobody listens there. */
+  | 'refused'
+  /** Nothing, or nothing of use. */
+  | 'silent'
+
 /** Carries out exchanges with runners. */
 export abstract class RunnerExchangeClient {
   /** Sends a request and yields its answer; ends with `end` or `failed`, and with nothing after an abort. */
   abstract runExchange (runner: Runner, request: ServedRequest, options: ExchangeOptions, signal: AbortSignal): AsyncGenerator<ExchangeEvent, void, void>
   /** Whether a connection stands that has been idle for no longer than `mostIdleMs`. */
   abstract hasConnection (runner: Runner, mostIdleMs: number): boolean
-  /** Whether the process that was known at an address still runs there. */
-  abstract checkAlive (runner: Runner): Promise<boolean>
+  /** Asks whether the process that was known at an address still runs there. */
+  abstract findLifeSign (runner: Runner): Promise<RunnerLifeSign>
 }
 
 /** Where an answer goes. */
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -3,14 +3,14 @@
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { JsonLogger, SystemClock, TaskGroup } from 'figquay'
-import { ConfigurationHolder, FleetDemand, FleetLeadership, FleetRunnerTable, type FleetStore } from 'figquay-fleet'
+import { ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetRunnerTable, type FleetStore } from 'figquay-fleet'
 import { PeerMesh } from 'figquay-peers'
 import { ServingPeers, type FleetSnapshot } from '../../index.js'
 
 const SELF = { id: '127.0.0.1:28471', zone: 'z', address: '127.0.0.1:28471' }
 const OTHER = { id: '127.0.0.1:28472', zone: 'z', address: '127.0.0.1:28472' }
 const SECRETS = ['a-secret-of-these-tests']
-const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.read']
+const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'suspect.take', 'suspect.return', 'fleet.read']
 
 describe('exchange with a peer that sends anything', () => {
   const clock = SystemClock.create()
@@ -18,7 +18,7 @@
   const tasks = TaskGroup.create(clock, logger)
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: SELF.id, bootId: 'b', store: {} as FleetStore, clock, logger, listConnected: () => [], mayApply: () => false })
-  const snapshot: FleetSnapshot = { configuration: undefined, runners: [], removals: [], position: 7, daemons: [], storeAgeMs: 0 }
+  const snapshot: FleetSnapshot = { configuration: undefined, runners: [], removals: [], position: 7, daemons: [], facts: [], storeAgeMs: 0 }
   const peers = ServingPeers.create({
     self: SELF,
     bootId: 'b',
@@ -33,7 +33,7 @@
     configurations: ConfigurationHolder.create(),
     listNeeds: () => [],
     noteAdapterUse: () => {},
-    addCharge: () => {},
+    facts: FleetFacts.create(clock),
     makeSnapshot: () => snapshot,
     notePeer: () => {},
     measureStoreAge: () => 0,
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -62,6 +62,8 @@
       mesh: new TestMesh(self, nodes, lost, garbled),
       measureStoreAge: () => 0,
       countDaemons: () => count,
+      readFacts: () => ({ revision: 0, digest: 0 }),
+      compareFacts: () => {},
       takeNews: (item) => {
         if (item.type === 'holdings') table.putHoldings(item.runner, item.bornMs, item.holdings)
         if (item.type === 'leaving') table.markLeaving(item.runner, item.bornMs)
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -2,9 +2,9 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, SystemClock, type Refusal } from 'figquay'
-import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptMemory, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
-import { CrashGuard, RetryBudget } from 'figquay-routing'
-import { AnswerSink, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTraces, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type ServedRequest } from '../../index.js'
+import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptMemory, type Fact, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
+import { RetryBudget } from 'figquay-routing'
+import { AnswerSink, AttemptWatch, CrashEvidence, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTraces, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type RunnerLifeSign, type ServedRequest } from '../../index.js'
 
 const ROUTE: Route = {
   name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, priority: 0, targets: [], maxAttempts: 1
@@ -16,6 +16,8 @@
 
 class ScriptedExchanges extends RunnerExchangeClient {
   readonly sent: string[] = []
+  /** Runners whose processes have ended. */
+  readonly deadRunners = new Set<string>()
   constructor (private readonly scripts: Script[]) {
     super()
   }
@@ -29,8 +31,8 @@
     return false
   }
 
-  override async checkAlive (): Promise<boolean> {
-    return true
+  override async findLifeSign (runner: Runner): Promise<RunnerLifeSign> {
+    return this.deadRunners.has(runner.id) ? 'refused' : 'same'
   }
 }
 
@@ -115,6 +117,11 @@
   const memory = PromptMemory.create(clock)
   const exchanges = new ScriptedExchanges(scripts)
   const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, exchanges, announceNeeds: () => {} })
+  const evidence = CrashEvidence.create(() => true)
+  const addFact = (fact: Fact): void => evidence.addFact(fact)
+  const watch = AttemptWatch.create({
+    clock, table, exchanges, recordQuestion: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
+  })
   const budget = RetryBudget.create({ perRequest: 0, largestReserve: burst, firstReserve: burst })
   const router = ServingRouter.create({
     clock,
@@ -125,8 +132,11 @@
     demand: FleetDemand.create(clock),
     dispatcher,
     findBudget: () => budget,
-    crashes: CrashGuard.create(),
-    chargeCrash: () => {},
+    watch,
+    evidence,
+    acquitRequest: (fingerprint) => addFact({ type: 'acquittal', id: `acquittal-${fingerprint}`, fingerprint, atMs: clock.now().getTime() }),
+    takePermit: async () => true,
+    returnPermit: () => {},
     noteAdapterUse: () => {},
     announceLeaving: (runner) => leaving.push(runner),
     traces: ServingTraces.create(clock, JsonLogger.create('test', 'silent'))
--- a/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreFollower.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
-import { ConfigurationHolder, FleetLeadership, FleetRunnerTable, type FleetConfiguration, type FleetStore, type Runner, type RunnerReading } from 'figquay-fleet'
-import { StoreFollower, type FleetSnapshot, type StoreRole } from '../../index.js'
+import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerReading } from 'figquay-fleet'
+import { FactKeeper, StoreFollower, type FleetSnapshot, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -36,12 +36,13 @@
   const configurations = ConfigurationHolder.create()
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [], mayApply: () => true })
+  const facts = FleetFacts.create(clock)
   const seen: string[] = []
   const leaving: string[] = []
   const follower = StoreFollower.create({
-    isSeed, clock, logger, store, configurations, table, leadership, requestSnapshot: askPeer, findRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seen.push(...daemons.keys())
+    isSeed, clock, logger, store, facts, keeper: FactKeeper.create({ clock, logger, store, facts, isHolder: () => false }), configurations, table, leadership, requestSnapshot: askPeer, findRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seen.push(...daemons.keys())
   })
-  return { follower, configurations, table, seen, leaving, readings, tasks: TaskGroup.create(clock, logger) }
+  return { follower, facts, configurations, table, seen, leaving, readings, tasks: TaskGroup.create(clock, logger) }
 }
 
 describe('follower of the store', () => {
@@ -63,7 +64,8 @@
   it('asks a peer while the store answers nothing, and is informed by it', async () => {
     const reader = makeFollower(true, async () => undefined)
     reader.configurations.adoptConfiguration(CONFIGURATION)
-    reader.table.putRunner(RUNNER, 4)
+    // A daemon that doesn't know itself what binds all can't inform another.
+    reader.follower.takeSnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
     const cutOff = makeFollower(false, async () => JSON.parse(JSON.stringify(reader.follower.makeSnapshot(-1, -1))) as FleetSnapshot)
     cutOff.follower.startTasks(cutOff.tasks)
     await SystemClock.create().waitFor(200)
@@ -74,7 +76,8 @@
   it('is informed at its start by peers that know, without reading the list itself', async () => {
     const reader = makeFollower(true, async () => undefined)
     reader.configurations.adoptConfiguration(CONFIGURATION)
-    reader.table.putRunner(RUNNER, 4)
+    // A daemon that doesn't know itself what binds all can't inform another.
+    reader.follower.takeSnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
     const other = makeFollower(true, async () => reader.follower.makeSnapshot(-1, -1), 'listener', false)
     other.readings.push(makeFailure(FAILURE))
     other.follower.startTasks(other.tasks)
@@ -91,6 +94,18 @@
     expect(other.follower.isInformed).toEqual(true)
   })
 
+  it('is not informed before it knows what binds every daemon, and gets that from a peer or the store', async () => {
+    const fact: Fact = { type: 'acquittal', id: 'a', fingerprint: 'f', atMs: Date.now() }
+    const snapshot: FleetSnapshot = { configuration: undefined, runners: [], removals: [], position: 4, daemons: [], facts: undefined, storeAgeMs: 0 }
+    const { follower, configurations, facts } = makeFollower(false, async () => undefined)
+    configurations.adoptConfiguration(CONFIGURATION)
+    follower.takeSnapshot(snapshot)
+    expect(follower.isInformed).toEqual(false)
+    follower.takeSnapshot({ ...snapshot, facts: [fact] })
+    expect([follower.isInformed, facts.listAfter(0)]).toEqual([true, [fact]])
+    expect(follower.makeSnapshot(7, 4).facts).toEqual([fact])
+  })
+
   it('looks itself soon after its reader has fallen quiet', async () => {
     const { follower, tasks, readings, configurations } = makeFollower(true, async () => undefined, 'looker')
     configurations.adoptConfiguration(CONFIGURATION)
@@ -111,7 +126,7 @@
       asked += 1
       return undefined
     }, 'listener')
-    follower.takeSnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], storeAgeMs: 0 })
+    follower.takeSnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
     follower.notePeer('b', { version: -1, position: 9, changedAt: 3, daemonCount: 0 })
     expect([asked, table.position]).toEqual([0, 9])
     follower.notePeer('b', { version: -1, position: 12, changedAt: 11, daemonCount: 0 })
