Let a stream go on past the attempts its route allows when its runners have ended

Cause: an attempt whose runner has ended took one of the attempts that the route allows, as one on a runner that lives does. The users' rule counts only the latter; the evidence of crashes bounds the former.

--- a/packages/figquay-serving/src/FigquayServingAttemptWatch.ts
+++ b/packages/figquay-serving/src/FigquayServingAttemptWatch.ts
@@ -35,7 +35,7 @@
 interface Incarnation {
   readonly runner: Runner
   readonly attempts: Set<WatchedAttempt>
-  question: Promise<void> | undefined
+  question: Promise<RunnerFate> | undefined
   askedAtMs: number
 }
 
@@ -102,15 +102,15 @@
   }
 
   /**
-   * Notes that an attempt's connection broke; resolves when its runner's fate is known, or a question has brought nothing.
+   * Notes that an attempt's connection broke, and asks what became of its runner.
    *
    * @example
-   * await watch.noteBroken(runner, attempt)
+   * if (await watch.noteBroken(runner, attempt) === 'ended') return
    */
-  async noteBroken (runner: Runner, attempt: WatchedAttempt): Promise<void> {
+  async noteBroken (runner: Runner, attempt: WatchedAttempt): Promise<RunnerFate> {
     attempt.endedAtMs = this.options.clock.readMonotonicMs()
     attempt.isBroken = true
-    await this.askRunner(makeIncarnationKey(runner))
+    return await this.askRunner(makeIncarnationKey(runner))
   }
 
   /** Notes that an attempt ended without a word of its runner: its caller left, or its time was over. */
@@ -152,16 +152,16 @@
   }
 
   /** One question to a runner at a time; whoever asks meanwhile waits for the same answer. */
-  private askRunner (key: string): Promise<void> {
+  private askRunner (key: string): Promise<RunnerFate> {
     const incarnation = this.incarnations.get(key)
-    if (incarnation === undefined) return Promise.resolve()
+    if (incarnation === undefined) return Promise.resolve('unknown')
     incarnation.question ??= this.judgeIncarnation(incarnation).finally(() => {
       incarnation.question = undefined
     })
     return incarnation.question
   }
 
-  private async judgeIncarnation (incarnation: Incarnation): Promise<void> {
+  private async judgeIncarnation (incarnation: Incarnation): Promise<RunnerFate> {
     const { clock, exchanges, recordQuestion } = this.options
     const { runner, attempts } = incarnation
     const startedAtMs = clock.readMonotonicMs()
@@ -169,13 +169,14 @@
     const sign = await exchanges.findLifeSign(runner)
     const fate = this.judgeFate(runner, sign)
     recordQuestion('runner was asked whether it lives', { runner: runner.id, bornMs: runner.bornMs, sign, fate, tookMs: Math.round(clock.readMonotonicMs() - startedAtMs), attempts: attempts.size })
-    if (fate === 'unknown') return
+    if (fate === 'unknown') return fate
     if (fate === 'ended') this.reportEnd(incarnation)
     for (const attempt of attempts) {
       // What was sent, or broke, after the question was put is not answered by it.
       if (fate !== 'lives' || (attempt.endedAtMs !== undefined && attempt.endedAtMs <= startedAtMs)) attempts.delete(attempt)
     }
     this.dropEmpty(incarnation)
+    return fate
   }
 
   private judgeFate (runner: Runner, sign: RunnerLifeSign): RunnerFate {
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -40,8 +40,10 @@
   readonly sink: AnswerSink
   readonly signal: AbortSignal
   readonly tried: Set<string>
-  /** Attempts that a runner may have run. */
+  /** Attempts that a runner which lives on may have run; one that has ended takes none of those that the route allows. */
   runs: number
+  /** The runner of the last attempt has ended under it. */
+  hasRunnerEnded: boolean
   /** Attempts that no runner took. */
   declined: number
   hasStarted: boolean
@@ -109,7 +111,7 @@
     this.options.findBudget(request.service).noteRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined, suspectSinceMs: undefined }
+    const progress: Progress = { request, sink, signal: deadline.signal, tried: new Set(), runs: 0, hasRunnerEnded: false, declined: 0, hasStarted: false, maySent: false, lastEventId: undefined, suspectSinceMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -225,12 +227,13 @@
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
     const attempt = watch.addAttempt(runner, request.fingerprint, isIsolated)
     const limit = Deadline.create(this.chooseSilenceLimit(progress), progress.signal)
+    const mayHaveRun = progress.maySent
     // From here on bytes may have left, until the runner or the connection says otherwise.
     progress.maySent = true
     try {
       const result = await this.runExchange(progress, runner, limit, open, attempt)
       await this.settleAttempt(progress, runner, attempt, result)
-      if (result.type === 'failed' && result.failure.execution === 'not-run') progress.maySent = progress.runs > 0
+      if (result.type === 'failed' && result.failure.execution === 'not-run') progress.maySent = mayHaveRun
       this.noteAttempt(progress, runner, result)
       return result
     } finally {
@@ -241,12 +244,15 @@
   }
 
   /** Only a runner that has answered, or never had the request, is known to have borne it. */
-  private async settleAttempt ({ request, signal }: Progress, runner: Runner, attempt: WatchedAttempt, result: AttemptResult): Promise<void> {
+  private async settleAttempt (progress: Progress, runner: Runner, attempt: WatchedAttempt, result: AttemptResult): Promise<void> {
     const { watch, evidence, acquitRequest, clock } = this.options
+    const { request, signal } = progress
+    progress.hasRunnerEnded = false
     const { reason, execution } = result.type === 'failed' ? result.failure : { reason: undefined, execution: undefined }
     const isBroken = reason === 'reset' || reason === 'truncated'
     if (isBroken && execution !== 'not-run') {
-      await Promise.race([watch.noteBroken(runner, attempt), clock.waitFor(FATE_WAIT_MS, signal)])
+      const fate = await Promise.race([watch.noteBroken(runner, attempt), clock.waitFor(FATE_WAIT_MS, signal)])
+      progress.hasRunnerEnded = fate === 'ended' || fate === 'left'
     } else if (reason === 'silent') watch.noteSilent(attempt)
     else watch.dropAttempt(runner, attempt)
     if (result.type === 'done' && evidence.countCrashes(request.fingerprint).inAll > 0) acquitRequest(request.fingerprint)
@@ -347,8 +353,9 @@
     this.options.traces.recordDecision('attempt failed', request, { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(request.fingerprint), crashes: this.options.evidence.countCrashes(request.fingerprint).inAll, reason, execution, detail: message })
     this.noteFailure(progress, runner, reason)
     if (execution === 'not-run') return await this.planAfterDecline(progress, reason)
-    const mayRun = this.canRunAgain(progress, 1)
-    progress.runs += 1
+    const newRuns = progress.hasRunnerEnded ? 0 : 1
+    const mayRun = this.canRunAgain(progress, newRuns)
+    progress.runs += newRuns
     if (mayRun && this.options.findBudget(request.service).spendRetry()) return undefined
     return Refusal.create('upstream_failed', `${reason}: ${message}`, { execution: 'unknown' })
   }
