Pass on that a runner's lapsed entry is back

Cause: a daemon that looks at the list by itself told its peers that the entries had lapsed; the reader saw them return, unchanged but for the time, which counts as a sign of life and isn't passed on. Engines came back by their next report. Now an entry that is back from a lapse counts as a change. Test: failed before.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -135,7 +135,7 @@
     const known = this.states.get(runner.id)
     if ((known?.position ?? this.removals.get(runner.id) ?? -1) >= position) return
     this.removals.delete(runner.id)
-    this.lapsing.delete(runner.id)
+    const isBack = this.lapsing.delete(runner.id)
     if (runner.isLeaving) this.rememberLeaving(runner.id, runner.bornMs)
     // An announcement may be older than what the runner itself, or a peer, has said: only a later start undoes a leaving.
     const isLeaving = this.isKnownLeaving(runner.id, runner.bornMs)
@@ -145,7 +145,8 @@
       this.addState(this.makeState({ ...runner, isLeaving }, position))
     } else {
       known.position = position
-      if (!isSameAnnouncement(known.announced, runner)) {
+      // An entry that is back says nothing new of its runner, but undoes a removal that the peers were told of.
+      if (isBack || !isSameAnnouncement(known.announced, runner)) {
         Object.assign(known, { announced: runner, announcedAt: position })
         this.noteChange(position)
       }
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -137,6 +137,12 @@
   })
 })
 
+/** A daemon's table, with its time. */
+interface Reader {
+  readonly clock: ManualClock
+  readonly table: FleetRunnerTable
+}
+
 describe('table of runners', () => {
   it('keeps the latest announcement, whatever the order in which they come', () => {
     const table = FleetRunnerTable.create(new ManualClock())
@@ -172,6 +178,18 @@
     expect(table.listRemovals(8)).toEqual([{ id: 'gone', position: 9, graceMs: 0 }])
   })
 
+  it('passes on that a lapsed entry is back, although it says nothing new of its runner', () => {
+    const [reader, listener] = [new ManualClock(), new ManualClock()].map((clock) => ({ clock, table: FleetRunnerTable.create(clock) })) as [Reader, Reader]
+    for (const { table } of [reader, listener]) table.putRunner(makeRunner(), 4)
+    reader.table.removeRunner('r', 5, 2_000)
+    for (const { id, position, graceMs } of reader.table.listRemovals(4)) listener.table.removeRunner(id, position, graceMs)
+    reader.table.putRunner(makeRunner(), 6)
+    expect(reader.table.changedAt).toEqual(6)
+    for (const { runner, position } of reader.table.listAnnouncements(5)) listener.table.putRunner(runner, position)
+    listener.clock.nowMs = 2_500
+    expect(listener.table.listCandidates('s').length).toEqual(1)
+  })
+
   it('tells listeners of what requests would find changed, and not of mere signs of life', () => {
     const table = FleetRunnerTable.create(new ManualClock())
     const changes: string[] = []
