Let no daemon go on hearing only when nobody whom it hears has read the store

Cause: each daemon judges by its own count whether the fleet is a large one. One that knows few takes a listener's part in a small fleet and waits for words that those of a large one don't send; only the large fleet's part asked how old its picture was. Now the age of the store's last read goes with every word between daemons, and a listener in a fleet of any size reads for itself once it is stale.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -20,6 +20,8 @@
   /** Daemons that are known there. */
   readonly daemonCount: number
   readonly facts: FactsState
+  /** Time since the store was last read, by this daemon or one that it has heard of, in milliseconds. */
+  readonly storeAgeMs: number
   /** By runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Arrivals by model since the last message. */
@@ -57,6 +59,8 @@
   readonly countDaemons: () => number
   /** Where this daemon's facts stand. */
   readonly readFacts: () => FactsState
+  /** Time since the store was last read, as far as this daemon has heard, in milliseconds. */
+  readonly measureStoreAge: () => number
 }
 
 /** Makes and takes in hints. */
@@ -114,7 +118,7 @@
   }
 
   private makeMessage (arrivals: ReadonlyMap<string, Arrivals>): FleetHints {
-    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, readFacts } = this.options
+    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, readFacts, measureStoreAge } = this.options
     const adapters = [...this.usedAdapters].map((text) => text.split('\n') as [string, string])
     this.usedAdapters = new Set()
     const needs = listNeeds()
@@ -127,6 +131,7 @@
       changedAt: table.changedAt,
       daemonCount: countDaemons(),
       facts: readFacts(),
+      storeAgeMs: Math.round(measureStoreAge()),
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnModels(runner)]]),
       arrivals: [...arrivals],
       needs,
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -60,7 +60,7 @@
     const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, countDaemons, leadership, facts } = options
     this.news = FleetNews.create(clock)
     this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeMethods(), clock, logger })
-    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons, readFacts: () => facts.state })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons, readFacts: () => facts.state, measureStoreAge: () => this.relay.storeAgeMs })
     const callPeer: PeerMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
     this.suspects = ServingSuspects.create({ self: self.id, clock, callPeer, findHolder: () => leadership.holder?.daemon })
     this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
@@ -111,9 +111,14 @@
     return this.zones.size > MESH_DAEMONS
   }
 
-  /** How this daemon follows the store. */
+  /**
+   * How this daemon follows the store. Whether the fleet is a large one each daemon knows only as far as it knows the
+   * others: one that takes it for small waits for words that those of a large one don't send.
+   */
   get storeRole (): StoreRole {
-    return this.isTree ? this.relay.storeRole : chooseRole(this.options.self.id, this.connectedPeers)
+    if (this.isTree) return this.relay.storeRole
+    const role = chooseRole(this.options.self.id, this.connectedPeers)
+    return role === 'listener' && this.relay.isStoreStale ? 'reader' : role
   }
 
   /**
@@ -198,6 +203,7 @@
     return {
       'fleet.hints': (hints: FleetHints) => {
         this.hints.takeHints(hints)
+        this.relay.noteStoreAge(hints.storeAgeMs)
         this.options.notePeer(hints.from, hints)
         this.factExchange.comparePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.planSoon()
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -108,10 +108,27 @@
   get storeRole (): StoreRole {
     const { part } = this
     if (part.uplink === undefined) return part.isFirstHead ? 'reader' : 'looker'
-    const isUninformed = this.options.clock.readMonotonicMs() - this.heardAtMs > STALE_UPLINK_MS || this.measureStoreAge() > STALE_STORE_MS
+    const isUninformed = this.options.clock.readMonotonicMs() - this.heardAtMs > STALE_UPLINK_MS || this.isStoreStale
     return isUninformed ? 'reader' : 'listener'
   }
 
+  /** Time since this daemon, or one that it has heard of in a fleet of any size, last read the store, in milliseconds. */
+  get storeAgeMs (): number {
+    const { clock, measureStoreAge } = this.options
+    // A finite number, as JSON has no other.
+    return Math.min(measureStoreAge(), clock.readMonotonicMs() - this.toldReadAtMs, Number.MAX_SAFE_INTEGER)
+  }
+
+  /** Whether nobody whom this daemon hears has read the store for too long: no part in the fleet lets it go on hearing only. */
+  get isStoreStale (): boolean {
+    return this.storeAgeMs > STALE_STORE_MS
+  }
+
+  /** Notes how long ago a peer, or one that it has heard of, read the store. */
+  noteStoreAge (ageMs: number): void {
+    if (Number.isFinite(ageMs)) this.toldReadAtMs = Math.max(this.toldReadAtMs, this.options.clock.readMonotonicMs() - ageMs)
+  }
+
   /**
    * Replaces the daemons that there are, with their data centres.
    *
@@ -217,8 +234,8 @@
   }
 
   private takeMessage (message: RelayMessage): void {
-    const { news, takeNews, leadership, notePeer, clock } = this.options
-    this.toldReadAtMs = Math.max(this.toldReadAtMs, clock.readMonotonicMs() - message.storeAgeMs)
+    const { news, takeNews, leadership, notePeer } = this.options
+    this.noteStoreAge(message.storeAgeMs)
     for (const item of message.news.filter(isNewsItem)) {
       if (news.addItem(item)) takeNews(item)
     }
@@ -244,18 +261,11 @@
       changedAt: table.changedAt,
       daemonCount: countDaemons(),
       facts: readFacts(),
-      storeAgeMs: Math.round(this.measureStoreAge()),
+      storeAgeMs: Math.round(this.storeAgeMs),
       loads: formatLoads(loads),
       news: news.listAfter(this.told.get(peer) ?? 0),
       revision: news.revision,
       heard: this.heard.get(peer)
     }
   }
-
-  /** Time since this daemon, or one that it has heard of, last read the store. */
-  private measureStoreAge (): number {
-    const { clock, measureStoreAge } = this.options
-    // A finite number, as JSON has no other.
-    return Math.min(measureStoreAge(), clock.readMonotonicMs() - this.toldReadAtMs, Number.MAX_SAFE_INTEGER)
-  }
 }
