--- a/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
+++ b/packages/figquay-routing/src/FigquayRoutingCrashGuard.ts
@@ -98,8 +98,7 @@
     return this.countCharges(fingerprint, nowMs) >= CHARGES_TO_QUARANTINE
   }
 
-  /** Crashes that a request is charged with. */
-  countCharges (fingerprint: string, nowMs: number): number {
+  private countCharges (fingerprint: string, nowMs: number): number {
     const entry = this.entries.get(fingerprint)
     if (entry === undefined) return 0
     if (nowMs - entry.chargedAtMs < FORGET_AFTER_MS) return entry.upstreams.size
--- a/packages/figquayctl/src/main.ts
+++ b/packages/figquayctl/src/main.ts
@@ -1,10 +1,11 @@
 #!/usr/bin/env node
 /** Entry point of the command-line tool of operators. */
-import { writeFile } from 'node:fs/promises'
-import { binary, command, flag, option, optional, positional, run, string, subcommands } from 'cmd-ts'
+import { readFile, writeFile } from 'node:fs/promises'
+import { array, binary, command, flag, multioption, option, optional, positional, restPositionals, run, string, subcommands } from 'cmd-ts'
 import { formatBurnHtml, formatBurnText, formatTable, type BurnReport, type StatusReport } from 'figquay-report'
 import { applyFile, listChanges } from './FigquayctlApply.js'
 import { OperatorClient } from './FigquayctlClient.js'
+import { explainLogs, formatExplanation, parseLog } from './FigquayctlExplain.js'
 import { EXIT_CODES, exitWith, writeResult } from './FigquayctlOutput.js'
 import { formatHistory, formatModels, formatMoves, formatRunners, formatStatus, formatTrace, type MoveView, type RunnerView } from './FigquayctlViews.js'
 
@@ -62,11 +63,26 @@
   }
 })
 
+async function explainFiles (wanted: string, files: readonly string[], isJson: boolean): Promise<void> {
+  const texts = await Promise.all(files.map((file) => readFile(file, 'utf8').catch((error: unknown) => exitWith(EXIT_CODES.usage, String(error)))))
+  const logs = texts.map(parseLog)
+  const unreadable = logs.reduce((sum, log) => sum + log.unreadable, 0)
+  if (unreadable > 0) process.stderr.write(`${unreadable} lines are no log lines\n`)
+  const explanation = explainLogs(logs.flatMap(({ lines }) => lines), wanted)
+  writeResult(isJson, explanation, () => formatExplanation(explanation))
+}
+
 const explain = command({
   name: 'explain',
-  description: 'Show why a request went the way it did',
-  args: { ...connection, request: positional({ type: string, displayName: 'request id' }) },
+  description: 'Show why a request went the way it did, from a running daemon or from log files of all daemons',
+  args: {
+    ...connection,
+    request: positional({ type: string, displayName: 'request id or fingerprint' }),
+    logs: multioption({ type: array(string), long: 'logs', description: 'log file of a daemon; more may follow' }),
+    moreLogs: restPositionals({ type: string, displayName: 'log file' })
+  },
   handler: async (options) => {
+    if (options.logs.length > 0) return await explainFiles(options.request, [...options.logs, ...options.moreLogs], options.json)
     const events = await callOrExit<Parameters<typeof formatTrace>[0]>(options, 'explain.get', { requestId: options.request })
     writeResult(options.json, events, () => formatTrace(events))
   }
