--- a/packages/figquay-fleet/src/FigquayFleetFacts.ts
+++ b/packages/figquay-fleet/src/FigquayFleetFacts.ts
@@ -47,6 +47,8 @@
 const FACT_LIFE_MS = 600_000
 /** A fact may lie this far ahead, in milliseconds: clocks of VMs differ by seconds. */
 const MOST_AHEAD_MS = 60_000
+/** Facts that no longer hold are looked for this often, in milliseconds: a small part of their life. */
+const EXPIRY_INTERVAL_MS = 1_000
 /** Facts that are kept at most, oldest dropped: far more than runners end in a fact's life. */
 const MOST_FACTS = 20_000
 /** Digits of a fact's hash in the digest: enough that two sets hardly ever have the same. */
@@ -75,6 +77,7 @@
   private readonly listeners = new Set<(fact: Fact) => void>()
   private latest = 0
   private sum = 0
+  private expiredAtMs = Number.NEGATIVE_INFINITY
 
   private constructor (private readonly clock: Clock) {}
 
@@ -116,7 +119,7 @@
     if (!this.isInForce(fact)) return false
     this.latest += 1
     this.entries.set(fact.id, { fact, revision: this.latest, learntAtMs: this.clock.readMonotonicMs(), isStored })
-    this.sum ^= digestId(fact.id)
+    this.sum ^= hashId(fact.id)
     if (this.entries.size > MOST_FACTS) this.dropFact(this.entries.keys().next().value!)
     for (const listener of [...this.listeners]) listener(fact)
     return true
@@ -148,17 +151,20 @@
   }
 
   private dropExpired (): void {
+    const nowMs = this.clock.readMonotonicMs()
+    if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return
+    this.expiredAtMs = nowMs
     for (const [id, { fact }] of this.entries) {
       if (!this.isInForce(fact)) this.dropFact(id)
     }
   }
 
   private dropFact (id: string): void {
-    if (this.entries.delete(id)) this.sum ^= digestId(id)
+    if (this.entries.delete(id)) this.sum ^= hashId(id)
   }
 }
 
-function digestId (id: string): number {
+function hashId (id: string): number {
   return parseInt(hashText(id).slice(0, DIGEST_DIGITS), HEXADECIMAL) | 0
 }
 
--- a/packages/figquay-serving/src/FigquayServingCrashEvidence.ts
+++ b/packages/figquay-serving/src/FigquayServingCrashEvidence.ts
@@ -43,10 +43,14 @@
   return asSuspect > 0 ? 'suspect' : 'clear'
 }
 
+/** Fingerprints beyond which those without a fact in force are looked for: more than one bad hour brings. */
+const SWEPT_FINGERPRINTS = 4_000
+
 /** Crashes and acquittals by fingerprint. */
 export class CrashEvidence {
   private readonly crashes = new Map<string, Set<CrashFact>>()
   private readonly acquittals = new Map<string, AcquittalFact>()
+  private sweepSize = SWEPT_FINGERPRINTS
 
   private constructor (private readonly isInForce: (fact: Fact) => boolean) {}
 
@@ -68,6 +72,19 @@
     for (const fingerprint of [...fact.suspects, ...fact.bystanders]) {
       this.crashes.set(fingerprint, (this.crashes.get(fingerprint) ?? new Set()).add(fact))
     }
+    if (this.crashes.size > this.sweepSize) this.dropExpired()
+  }
+
+  /** Fingerprints that are kept. */
+  get size (): number {
+    return this.crashes.size
+  }
+
+  private dropExpired (): void {
+    for (const [fingerprint, acquittal] of this.acquittals) if (!this.isInForce(acquittal)) this.acquittals.delete(fingerprint)
+    // Counting drops what no longer holds.
+    for (const fingerprint of [...this.crashes.keys()]) this.countCrashes(fingerprint)
+    this.sweepSize = Math.max(SWEPT_FINGERPRINTS, 2 * this.crashes.size)
   }
 
   /** What the facts say of a request. */
--- a/packages/figquay-serving/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/CrashEvidence.test.ts
@@ -71,6 +71,17 @@
     expect(facts.flatMap(({ suspects }) => suspects).filter((name) => name !== 'p' && evidence.judgeRequest(name) === 'quarantined')).toEqual([])
   })
 
+  it('forgets requests that nobody asks about any more', () => {
+    let oldest = 0
+    const evidence = CrashEvidence.create(({ atMs }) => atMs >= oldest)
+    for (let end = 0; end < 200; end += 1) {
+      const fact = makeCrash(`r${end}`, { bystanders: Array.from({ length: 64 }, (_, index) => `b${end}-${index}`) })
+      oldest = fact.atMs - 10
+      evidence.addFact(fact)
+    }
+    expect(evidence.size <= 4_064).toEqual(true)
+  })
+
   it('never lets more ends pass than four, of whatever kinds', () => {
     for (let asSuspect = 0; asSuspect <= 4; asSuspect += 1) {
       for (let inIsolation = 0; inIsolation <= asSuspect; inIsolation += 1) expect(judgeCrashes({ asSuspect, inIsolation, inAll: 4 })).toEqual('quarantined')
