Keep the doubt about a runner that gives no answer; claim isolation by the holder's word only

All daemons were killed again and again between the ends and their verdicts, which died with them. Now a runner that owes an answer is asked while the request is still open, and if it stays silent the doubt is a fact: kept in the store, and an end for as long as the list says that this start is over. While nobody held the office each daemon gave itself permits and took its suspect for isolated, so companions were quarantined at their second end. Without the holder's word no isolation is claimed now, and the first daemon in reach gives permits.

--- a/packages/figquay-fleet/src/FigquayFleetFacts.ts
+++ b/packages/figquay-fleet/src/FigquayFleetFacts.ts
@@ -5,9 +5,12 @@
  */
 import { hashText, type Clock } from 'figquay'
 
-/** A runner ended while requests were under way at it. */
+/**
+ * A runner ended while requests were under way at it, or may have: it gave no answer, and its finder may be gone before it
+ * knows. A doubt counts as an end for as long as the list of runners says that this start of the runner is over.
+ */
 export interface CrashFact {
-  readonly type: 'crash'
+  readonly type: 'crash' | 'doubt'
   /** Tells this report from others of the same end. */
   readonly id: string
   readonly runner: string
@@ -184,5 +187,5 @@
   if (typeof id !== 'string' || typeof atMs !== 'number') return false
   if (type === 'acquittal') return typeof fingerprint === 'string'
   if (typeof runner !== 'string' || typeof bornMs !== 'number') return false
-  return type === 'leaving' || (type === 'crash' && [suspects, isolated, bystanders].every(isTexts))
+  return type === 'leaving' || ((type === 'crash' || type === 'doubt') && [suspects, isolated, bystanders].every(isTexts))
 }
--- a/packages/figquay-serving/src/FigquayServingAttemptWatch.ts
+++ b/packages/figquay-serving/src/FigquayServingAttemptWatch.ts
@@ -14,6 +14,8 @@
   readonly exchanges: Pick<RunnerExchangeClient, 'findLifeSign'>
   /** Told of each end of a runner with requests on the watch; ids and times are added by the listener. */
   readonly reportCrash: (runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>) => void
+  /** Told of requests whose runner gives no answer and is listed all the same, once each. */
+  readonly reportDoubt: (runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>) => void
   /** Told of each question and its answer. */
   readonly recordQuestion: (message: string, fields: Readonly<Record<string, unknown>>) => void
 }
@@ -23,12 +25,15 @@
   readonly fingerprint: string
   /** Kept apart from all other suspects. */
   readonly isIsolated: boolean
+  readonly sentAtMs: number
   firstOutputAtMs: number | undefined
   lastOutputAtMs: number | undefined
   /** Undefined while it is under way. */
   endedAtMs: number | undefined
   /** Its connection broke: bytes of other exchanges don't show that the process which had it lives on. */
   isBroken: boolean
+  /** Its doubt has been told. */
+  isDoubted: boolean
 }
 
 /** One start of a runner with attempts on the watch. */
@@ -43,8 +48,10 @@
 const BEGUN_MS = 500
 /** A runner is asked again this long after it gave no clear answer, in milliseconds. */
 const ASK_AGAIN_MS = 500
-/** Attempts that ended without a word wait this long for other bytes of their runner before it is asked, in milliseconds: questions cost. */
+/** A runner that owes an answer is asked after a silence of this length, in milliseconds: questions cost, and any bytes will do. */
 const HEARING_MS = 1_000
+/** The same while the answer may still come: prompts are read in silence. */
+const OPEN_HEARING_MS = 1_500
 /** After this time the list of runners would show an end, in milliseconds: the lapse of an entry or a restart, and the reading of the list. */
 const UNSURE_MS = 8_000
 
@@ -74,7 +81,7 @@
    * const attempt = watch.addAttempt(runner, request.fingerprint, false)
    */
   addAttempt (runner: Runner, fingerprint: string, isIsolated: boolean): WatchedAttempt {
-    const attempt: WatchedAttempt = { fingerprint, isIsolated, firstOutputAtMs: undefined, lastOutputAtMs: undefined, endedAtMs: undefined, isBroken: false }
+    const attempt: WatchedAttempt = { fingerprint, isIsolated, sentAtMs: this.options.clock.readMonotonicMs(), isDoubted: false, firstOutputAtMs: undefined, lastOutputAtMs: undefined, endedAtMs: undefined, isBroken: false }
     const key = makeIncarnationKey(runner)
     const incarnation = this.incarnations.get(key) ?? { runner, attempts: new Set(), question: undefined, askedAtMs: Number.NEGATIVE_INFINITY }
     this.incarnations.set(key, incarnation)
@@ -128,16 +135,26 @@
     const nowMs = this.options.clock.readMonotonicMs()
     for (const [key, incarnation] of this.incarnations) {
       this.dropSettled(incarnation, nowMs)
-      const oldest = Math.min(...[...incarnation.attempts].map(({ endedAtMs }) => endedAtMs ?? Number.POSITIVE_INFINITY))
-      const isDue = nowMs - oldest >= HEARING_MS && nowMs - incarnation.askedAtMs >= ASK_AGAIN_MS
-      if (isDue) this.askRunner(key)
+      const isDue = [...incarnation.attempts].some((attempt) => this.isUnheard(incarnation.runner, attempt, nowMs))
+      if (isDue && nowMs - incarnation.askedAtMs >= ASK_AGAIN_MS) this.askRunner(key)
     }
   }
 
+  private isUnheard (runner: Runner, { sentAtMs, endedAtMs, isBroken, isDoubted }: WatchedAttempt, nowMs: number): boolean {
+    if (endedAtMs === undefined && isDoubted) return false
+    const heardAtMs = isBroken ? endedAtMs! : Math.max(sentAtMs, this.readHeardAt(runner))
+    return nowMs - heardAtMs >= (endedAtMs === undefined ? OPEN_HEARING_MS : HEARING_MS)
+  }
+
+  /** When the last bytes came from this start of a runner. */
+  private readHeardAt (runner: Runner): number {
+    return this.isListed(runner) ? this.options.table.readHeardAt(runner.id) ?? Number.NEGATIVE_INFINITY : Number.NEGATIVE_INFINITY
+  }
+
   /** Bytes that came later show that the runner lived on; so does a list that says nothing else for long enough. */
   private dropSettled (incarnation: Incarnation, nowMs: number): void {
     const { runner, attempts } = incarnation
-    const heardAtMs = this.isListed(runner) ? this.options.table.readHeardAt(runner.id) ?? Number.NEGATIVE_INFINITY : Number.NEGATIVE_INFINITY
+    const heardAtMs = this.readHeardAt(runner)
     for (const attempt of attempts) {
       if (attempt.endedAtMs === undefined) continue
       const isHeard = !attempt.isBroken && heardAtMs > attempt.endedAtMs
@@ -169,8 +186,11 @@
     const sign = await exchanges.findLifeSign(runner)
     const fate = this.judgeFate(runner, sign)
     recordQuestion('runner was asked whether it lives', { runner: runner.id, bornMs: runner.bornMs, sign, fate, tookMs: Math.round(clock.readMonotonicMs() - startedAtMs), attempts: attempts.size })
-    if (fate === 'unknown') return fate
-    if (fate === 'ended') this.reportEnd(incarnation)
+    if (fate === 'unknown') {
+      if (sign === 'silent') this.reportDoubt(incarnation, startedAtMs)
+      return fate
+    }
+    if (fate === 'ended') this.options.reportCrash(runner, this.listSuspects([...attempts]))
     for (const attempt of attempts) {
       // What was sent, or broke, after the question was put is not answered by it.
       if (fate !== 'lives' || (attempt.endedAtMs !== undefined && attempt.endedAtMs <= startedAtMs)) attempts.delete(attempt)
@@ -185,14 +205,21 @@
     return judgeRunner(sign, listing, this.options.table.hasLeft(runner.id, runner.bornMs))
   }
 
-  private reportEnd ({ runner, attempts }: Incarnation): void {
+  private reportDoubt ({ runner, attempts }: Incarnation, askedAtMs: number): void {
+    const doubted = [...attempts].filter((attempt) => !attempt.isDoubted && attempt.sentAtMs < askedAtMs)
+    if (doubted.length === 0) return
+    for (const attempt of doubted) attempt.isDoubted = true
+    this.options.reportDoubt(runner, this.listSuspects(doubted))
+  }
+
+  private listSuspects (attempts: readonly WatchedAttempt[]): Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'> {
     const isSuspect = (attempt: WatchedAttempt): boolean => !this.hasBegun(attempt)
-    const list = (isWanted: (attempt: WatchedAttempt) => boolean): string[] => [...new Set([...attempts].filter(isWanted).map(({ fingerprint }) => fingerprint))]
-    this.options.reportCrash(runner, {
+    const list = (isWanted: (attempt: WatchedAttempt) => boolean): string[] => [...new Set(attempts.filter(isWanted).map(({ fingerprint }) => fingerprint))]
+    return {
       suspects: list(isSuspect),
       isolated: list((attempt) => isSuspect(attempt) && attempt.isIsolated),
       bystanders: list((attempt) => !isSuspect(attempt))
-    })
+    }
   }
 
   private dropEmpty (incarnation: Incarnation | undefined): void {
--- a/packages/figquay-serving/src/FigquayServingCrashEvidence.ts
+++ b/packages/figquay-serving/src/FigquayServingCrashEvidence.ts
@@ -52,14 +52,14 @@
   private readonly acquittals = new Map<string, AcquittalFact>()
   private sweepSize = SWEPT_FINGERPRINTS
 
-  private constructor (private readonly isInForce: (fact: Fact) => boolean) {}
+  private constructor (private readonly isInForce: (fact: Fact) => boolean, private readonly hasEnded: (fact: CrashFact) => boolean) {}
 
   /**
    * @example
-   * const evidence = CrashEvidence.create((fact) => facts.isInForce(fact))
+   * const evidence = CrashEvidence.create((fact) => facts.isInForce(fact), ({ runner, bornMs }) => table.findRunner(runner)?.bornMs !== bornMs)
    */
-  static create (isInForce: (fact: Fact) => boolean): CrashEvidence {
-    return new CrashEvidence(isInForce)
+  static create (isInForce: (fact: Fact) => boolean, hasEnded: (fact: CrashFact) => boolean): CrashEvidence {
+    return new CrashEvidence(isInForce, hasEnded)
   }
 
   /** Takes in a fact. */
@@ -68,7 +68,7 @@
       const known = this.acquittals.get(fact.fingerprint)
       if (known === undefined || known.atMs < fact.atMs) this.acquittals.set(fact.fingerprint, fact)
     }
-    if (fact.type !== 'crash') return
+    if (fact.type !== 'crash' && fact.type !== 'doubt') return
     for (const fingerprint of [...fact.suspects, ...fact.bystanders]) {
       this.crashes.set(fingerprint, (this.crashes.get(fingerprint) ?? new Set()).add(fact))
     }
@@ -107,7 +107,7 @@
       this.acquittals.delete(fingerprint)
     }
     const acquittedAtMs = this.acquittals.get(fingerprint)?.atMs ?? Number.NEGATIVE_INFINITY
-    const counted = [...facts].filter(({ atMs }) => atMs > acquittedAtMs)
+    const counted = [...facts].filter((fact) => fact.atMs > acquittedAtMs && (fact.type === 'crash' || this.hasEnded(fact)))
     const countEnds = (isCounted: (fact: CrashFact) => boolean): number => new Set(counted.filter(isCounted).map(({ runner, bornMs }) => `${runner}/${bornMs}`)).size
     return {
       asSuspect: countEnds(({ suspects }) => suspects.includes(fingerprint)),
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -67,7 +67,7 @@
     this.table = FleetRunnerTable.create(clock)
     const facts = FleetFacts.create(clock)
     this.facts = facts
-    this.evidence = CrashEvidence.create((fact) => facts.isInForce(fact))
+    this.evidence = CrashEvidence.create((fact) => facts.isInForce(fact), (fact) => this.hasEnded(fact))
     facts.registerListener((fact) => this.takeFact(fact))
     const demand = FleetDemand.create(clock)
     const memory = PromptMemory.create(clock)
@@ -75,7 +75,7 @@
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, mayApply: () => this.follower.mayWrite })
     const { leadership } = this
     this.keeper = FactKeeper.create({ clock, logger, store, facts, isHolder: () => leadership.isHolder })
-    this.watch = AttemptWatch.create({ clock, table, exchanges, reportCrash: (runner, crash) => this.reportCrash(runner, crash), recordQuestion: (message, fields) => this.traces.recordQuestion(message, fields) })
+    this.watch = AttemptWatch.create({ clock, table, exchanges, reportCrash: (runner, crash) => this.reportCrash('crash', runner, crash), reportDoubt: (runner, crash) => this.reportCrash('doubt', runner, crash), recordQuestion: (message, fields) => this.traces.recordQuestion(message, fields) })
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderBook.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpen: () => this.peers.hints.sumOpen() })
@@ -232,17 +232,22 @@
   private takeFact (fact: Fact): void {
     this.evidence.addFact(fact)
     if (fact.type === 'leaving') this.table.markLeaving(fact.runner, fact.bornMs)
-    if (fact.type !== 'crash') return
+    if (fact.type !== 'crash' && fact.type !== 'doubt') return
     const fingerprints = [...fact.suspects, ...fact.bystanders]
     const quarantined = fingerprints.filter((fingerprint) => this.evidence.judgeRequest(fingerprint) === 'quarantined')
-    this.options.logger.info('runner ended under requests', {
+    this.options.logger.info(fact.type === 'crash' ? 'runner ended under requests' : 'runner may have ended under requests', {
       fact: fact.id, runner: fact.runner, bornMs: fact.bornMs, ageMs: this.options.clock.now().getTime() - fact.atMs, suspects: fact.suspects.map(shortenFingerprint), isolated: fact.isolated.length, bystanders: fact.bystanders.length, quarantined: quarantined.map(shortenFingerprint)
     })
   }
 
-  private reportCrash (runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>): void {
+  /** Whether a start of a runner is over, by the list alone and without its having left. */
+  private hasEnded ({ runner, bornMs }: CrashFact): boolean {
+    return this.follower.isInformed && this.table.findRunner(runner)?.bornMs !== bornMs && !this.table.hasLeft(runner, bornMs)
+  }
+
+  private reportCrash (type: CrashFact['type'], runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>): void {
     this.table.restRunner(runner.id)
-    this.publishLasting({ type: 'crash', id: makeId('crash'), runner: runner.id, bornMs: runner.bornMs, atMs: this.options.clock.now().getTime(), ...crash })
+    this.publishLasting({ type, id: makeId(type), runner: runner.id, bornMs: runner.bornMs, atMs: this.options.clock.now().getTime(), ...crash })
   }
 
   /** Tells what must outlive this daemon. */
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -62,7 +62,7 @@
     this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeMethods(), clock, logger })
     this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons, readFacts: () => facts.state, measureStoreAge: () => this.relay.storeAgeMs })
     const callPeer: PeerMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
-    this.suspects = ServingSuspects.create({ self: self.id, clock, callPeer, findHolder: () => leadership.holder?.daemon })
+    this.suspects = ServingSuspects.create({ self: self.id, clock, callPeer, listConnected: () => this.mesh.connectedPeers, findHolder: () => leadership.holder?.daemon })
     this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
     this.relay = FleetRelay.create({
       self: self.id,
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -6,7 +6,7 @@
 import type { CrashEvidence } from './FigquayServingCrashEvidence.js'
 import { chooseMostIdle } from './FigquayServingReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
-import type { SuspectRequest } from './FigquayServingSuspects.js'
+import type { PermitReply, SuspectRequest } from './FigquayServingSuspects.js'
 import type { ServingTraces } from './FigquayServingTraces.js'
 import type { AnswerSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, RunnerNotice, ServedRequest, ServedResult } from './FigquayServingTypes.js'
 
@@ -25,8 +25,8 @@
   readonly evidence: CrashEvidence
   /** Tells everybody that a request which had been charged was answered whole. */
   readonly acquitRequest: (fingerprint: string) => void
-  /** Keeps a suspect apart from others; false while another has the runner. */
-  readonly takePermit: (request: SuspectRequest) => Promise<boolean>
+  /** Keeps a suspect apart from others. */
+  readonly takePermit: (request: SuspectRequest) => Promise<PermitReply>
   readonly returnPermit: (request: SuspectRequest) => void
   readonly noteAdapterUse: (runner: string, key: string) => void
   /** Tells the peers that a runner leaves. */
@@ -54,7 +54,7 @@
 }
 
 /** How a request stands beside suspects on a runner. */
-type Isolation = 'unneeded' | 'granted' | 'refused' | 'given-up'
+type Isolation = 'unneeded' | PermitReply | 'given-up'
 
 /** How an attempt went; a failure of the runner's own is an answer that another runner may better. */
 type AttemptResult =
@@ -170,7 +170,7 @@
         await this.options.clock.waitFor(ISOLATION_PAUSE_MS, signal)
         continue
       }
-      const result = await this.runAttempt(progress, choice, isolation === 'granted')
+      const result = await this.runAttempt(progress, choice, isolation)
       if (result.type === 'done') return undefined
       if (signal.aborted) break
       const refusal = await this.planRetry(progress, choice, result)
@@ -186,13 +186,13 @@
     if (evidence.judgeRequest(request.fingerprint) === 'clear') return 'unneeded'
     progress.suspectSinceMs ??= clock.readMonotonicMs()
     const permit = { runner: runner.id, requestId: request.id }
-    const isGranted = await takePermit(permit)
-    if (isGranted && (signal.aborted || evidence.judgeRequest(request.fingerprint) === 'quarantined')) {
+    const reply = await takePermit(permit)
+    if (reply !== 'refused' && (signal.aborted || evidence.judgeRequest(request.fingerprint) === 'quarantined')) {
       returnPermit(permit)
       return 'refused'
     }
     const waitedMs = clock.readMonotonicMs() - progress.suspectSinceMs
-    const isolation = isGranted ? 'granted' : waitedMs < ISOLATION_WAIT_MS ? 'refused' : 'given-up'
+    const isolation = reply === 'refused' && waitedMs >= ISOLATION_WAIT_MS ? 'given-up' : reply
     if (isolation !== 'refused') traces.recordDecision('sent though a runner has ended under it', request, { runner: runner.id, fingerprint: shortenFingerprint(request.fingerprint), isolation, ...evidence.countCrashes(request.fingerprint) })
     return isolation
   }
@@ -209,7 +209,7 @@
     return Refusal.create('upstream_failed', refusal.message, { execution: 'unknown' })
   }
 
-  private async runAttempt (progress: Progress, runner: Runner, isIsolated: boolean): Promise<AttemptResult> {
+  private async runAttempt (progress: Progress, runner: Runner, isolation: Isolation): Promise<AttemptResult> {
     const { request } = progress
     const { table, clock, memory, watch } = this.options
     progress.tried.add(runner.id)
@@ -225,7 +225,7 @@
     const release = table.registerOpen(runner.id, open)
     memory.noteParts(runner.id, weights, request.parts)
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
-    const attempt = watch.addAttempt(runner, request.fingerprint, isIsolated)
+    const attempt = watch.addAttempt(runner, request.fingerprint, isolation === 'granted')
     const limit = Deadline.create(this.chooseSilenceLimit(progress), progress.signal)
     const mayHaveRun = progress.maySent
     // From here on bytes may have left, until the runner or the connection says otherwise.
@@ -239,7 +239,7 @@
     } finally {
       limit.dispose()
       release()
-      if (isIsolated) this.options.returnPermit({ runner: runner.id, requestId: request.id })
+      if (isolation === 'granted' || isolation === 'unconfirmed') this.options.returnPermit({ runner: runner.id, requestId: request.id })
     }
   }
 
--- a/packages/figquay-serving/src/FigquayServingSuspects.ts
+++ b/packages/figquay-serving/src/FigquayServingSuspects.ts
@@ -8,9 +8,19 @@
   readonly clock: Clock
   /** Daemon that gives permits; undefined while nobody is known to. */
   readonly findHolder: () => string | undefined
+  /** Daemons that can be reached now. */
+  readonly listConnected: () => readonly string[]
   readonly callPeer: <T>(daemon: string, method: string, params: unknown, timeoutMs: number) => Promise<Outcome<T, string>>
 }
 
+/** Whether a suspect may run. */
+export type PermitReply =
+  /** By the holder: no other suspect runs there. */
+  | 'granted'
+  /** No other suspect of this daemon runs there, nor one that the same stand-in was asked for; the holder can't be asked. */
+  | 'unconfirmed'
+  | 'refused'
+
 /** A suspect and the runner that it wants or has. */
 export interface SuspectRequest {
   readonly runner: string
@@ -38,20 +48,23 @@
    * Takes the permit for a runner; without a holder that answers, only this daemon's own suspects are kept apart.
    *
    * @example
-   * if (!await suspects.takePermit({ runner: 'runner-1', requestId })) return
+   * const isApart = await suspects.takePermit({ runner: 'runner-1', requestId }) === 'granted'
    */
-  async takePermit (request: SuspectRequest): Promise<boolean> {
-    const { callPeer } = this.options
-    const holder = this.findOtherHolder()
-    const reply = holder === undefined ? undefined : await callPeer<boolean>(holder, 'suspect.take', request, PERMIT_TIMEOUT_MS)
-    return reply?.ok === true ? reply.value : this.answerTake(request)
+  async takePermit (request: SuspectRequest): Promise<PermitReply> {
+    const { callPeer, self } = this.options
+    const { daemon, isHolder } = this.chooseGiver()
+    const granted: PermitReply = isHolder ? 'granted' : 'unconfirmed'
+    if (daemon === self) return this.answerTake(request) ? granted : 'refused'
+    const reply = await callPeer<boolean>(daemon, 'suspect.take', request, PERMIT_TIMEOUT_MS)
+    if (reply.ok) return reply.value ? granted : 'refused'
+    return this.answerTake(request) ? 'unconfirmed' : 'refused'
   }
 
   /** Gives a permit back. A word that is lost costs the permit's life only. */
   returnPermit (request: SuspectRequest): void {
     this.answerReturn(request)
-    const holder = this.findOtherHolder()
-    if (holder !== undefined) this.options.callPeer(holder, 'suspect.return', request, PERMIT_TIMEOUT_MS)
+    const { daemon } = this.chooseGiver()
+    if (daemon !== this.options.self) this.options.callPeer(daemon, 'suspect.return', request, PERMIT_TIMEOUT_MS)
   }
 
   /** Answers a daemon that wants a permit. */
@@ -64,8 +77,11 @@
     this.permits.returnPermit(runner, requestId)
   }
 
-  private findOtherHolder (): string | undefined {
-    const holder = this.options.findHolder()
-    return holder === this.options.self || holder === '' ? undefined : holder
+  /** While nobody holds the office, most daemons agree on the first that they reach: not on more than that. */
+  private chooseGiver (): { readonly daemon: string, readonly isHolder: boolean } {
+    const { self, findHolder, listConnected } = this.options
+    const holder = findHolder()
+    if (holder !== undefined && holder !== '') return { daemon: holder, isHolder: true }
+    return { daemon: [...listConnected(), self].sort()[0]!, isHolder: false }
   }
 }
--- a/packages/figquay-serving/src/__tests__/unit/AttemptWatch.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/AttemptWatch.test.ts
@@ -20,6 +20,7 @@
   table.putRunner(RUNNER, 1)
   const state = { sign: 'silent' as RunnerLifeSign, asked: 0 }
   const crashes: Array<Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>> = []
+  const doubts: Array<Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>> = []
   const watch = AttemptWatch.create({
     clock,
     table,
@@ -30,6 +31,7 @@
       }
     },
     reportCrash: (_runner, crash) => crashes.push(crash),
+    reportDoubt: (_runner, doubt) => doubts.push(doubt),
     recordQuestion: () => {}
   })
   /** Lets time pass in steps, looking after the attempts at each. */
@@ -40,7 +42,7 @@
       await new Promise((resolve) => setImmediate(resolve))
     }
   }
-  return { clock, table, watch, state, crashes, pass }
+  return { clock, table, watch, state, crashes, doubts, pass }
 }
 
 describe('watch over attempts', () => {
@@ -55,6 +57,16 @@
     expect(watch.size).toEqual(0)
   })
 
+  it('tells its doubt while the answer may still come, once, so that it outlives this daemon', async () => {
+    const { watch, state, crashes, doubts, pass } = makeWatch()
+    const attempt = watch.addAttempt(RUNNER, 'p', false)
+    await pass(2_000)
+    expect([doubts, crashes, state.asked]).toEqual([[{ suspects: ['p'], isolated: [], bystanders: [] }], [], 1])
+    watch.noteSilent(attempt)
+    await pass(3_000)
+    expect(doubts.length).toEqual(1)
+  })
+
   it('charges every attempt that broke while a question was out, not only the one that raised it', async () => {
     const { watch, state, crashes } = makeWatch()
     state.sign = 'refused'
--- a/packages/figquay-serving/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/CrashEvidence.test.ts
@@ -12,7 +12,7 @@
 }
 
 function judgeFacts (facts: readonly CrashFact[], fingerprint: string): CrashVerdict {
-  const evidence = CrashEvidence.create(() => true)
+  const evidence = CrashEvidence.create(() => true, () => false)
   for (const fact of facts) evidence.addFact(fact)
   return evidence.judgeRequest(fingerprint)
 }
@@ -37,7 +37,7 @@
   })
 
   it('forgets what lies before a whole answer, also when the two are heard of in the other order', () => {
-    const evidence = CrashEvidence.create(() => true)
+    const evidence = CrashEvidence.create(() => true, () => false)
     const crashes = [makeCrash('r1', { suspects: ['p'] }), makeCrash('r2', { suspects: ['p'] })]
     evidence.addFact({ type: 'acquittal', id: 'a', fingerprint: 'p', atMs: serial })
     for (const crash of crashes) evidence.addFact(crash)
@@ -49,7 +49,7 @@
   it('keeps the companions of a request that ends every runner, whatever company the draw gives them', () => {
     // Twelve requests on four runners; each end lays its company under suspicion, and suspects run apart from each other.
     const facts: CrashFact[] = []
-    const evidence = CrashEvidence.create(() => true)
+    const evidence = CrashEvidence.create(() => true, () => false)
     const open = new Set(['p', ...Array.from({ length: 11 }, (_, index) => `c${index}`)])
     let ends = 0
     for (let round = 0; round < 30 && open.size > 0; round += 1) {
@@ -71,9 +71,22 @@
     expect(facts.flatMap(({ suspects }) => suspects).filter((name) => name !== 'p' && evidence.judgeRequest(name) === 'quarantined')).toEqual([])
   })
 
+  it('counts a doubt as an end while the list says so, and once beside the verdict on it', () => {
+    const over = new Set<string>()
+    const evidence = CrashEvidence.create(() => true, ({ runner }) => over.has(runner))
+    evidence.addFact(makeCrash('r1', { type: 'doubt', suspects: ['p'] }))
+    expect(evidence.judgeRequest('p')).toEqual('clear')
+    over.add('r1')
+    expect(evidence.judgeRequest('p')).toEqual('suspect')
+    evidence.addFact(makeCrash('r1', { suspects: ['p'] }))
+    expect(evidence.countCrashes('p')).toEqual({ asSuspect: 1, inIsolation: 0, inAll: 1 })
+    over.clear()
+    expect(evidence.countCrashes('p').inAll).toEqual(1)
+  })
+
   it('forgets requests that nobody asks about any more', () => {
     let oldest = 0
-    const evidence = CrashEvidence.create(({ atMs }) => atMs >= oldest)
+    const evidence = CrashEvidence.create(({ atMs }) => atMs >= oldest, () => false)
     for (let end = 0; end < 200; end += 1) {
       const fact = makeCrash(`r${end}`, { bystanders: Array.from({ length: 64 }, (_, index) => `b${end}-${index}`) })
       oldest = fact.atMs - 10
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -117,10 +117,10 @@
   const memory = PromptMemory.create(clock)
   const exchanges = new ScriptedExchanges(scripts)
   const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, exchanges, announceNeeds: () => {} })
-  const evidence = CrashEvidence.create(() => true)
+  const evidence = CrashEvidence.create(() => true, () => false)
   const addFact = (fact: Fact): void => evidence.addFact(fact)
   const watch = AttemptWatch.create({
-    clock, table, exchanges, recordQuestion: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
+    clock, table, exchanges, recordQuestion: () => {}, reportDoubt: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
   })
   const budget = RetryBudget.create({ perRequest: 0, largestReserve: burst, firstReserve: burst })
   const router = ServingRouter.create({
@@ -135,7 +135,7 @@
     watch,
     evidence,
     acquitRequest: (fingerprint) => addFact({ type: 'acquittal', id: `acquittal-${fingerprint}`, fingerprint, atMs: clock.now().getTime() }),
-    takePermit: async () => true,
+    takePermit: async () => 'granted',
     returnPermit: () => {},
     noteAdapterUse: () => {},
     announceLeaving: (runner) => leaving.push(runner),
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -6,7 +6,7 @@
 export { CrashEvidence, judgeCrashes, type CrashCount, type CrashVerdict } from './FigquayServingCrashEvidence.js'
 export { FactExchange, type FactExchangeOptions, type FactsMessage } from './FigquayServingFactExchange.js'
 export { FACT_PREFIX, FactKeeper, type FactKeeperOptions } from './FigquayServingFactKeeper.js'
-export { ServingSuspects, type ServingSuspectsOptions, type SuspectRequest } from './FigquayServingSuspects.js'
+export { ServingSuspects, type PermitReply, type ServingSuspectsOptions, type SuspectRequest } from './FigquayServingSuspects.js'
 export { ServingTraces } from './FigquayServingTraces.js'
 export { ServingDispatcher, spreadRetry, type ServingDispatcherOptions } from './FigquayServingDispatcher.js'
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
--- a/packages/figquayctl/src/FigquayctlExplain.ts
+++ b/packages/figquayctl/src/FigquayctlExplain.ts
@@ -25,6 +25,8 @@
 
 /** Questions to a runner belong to an attempt that failed so long before them at most, in milliseconds. */
 const QUESTION_MS = 10_000
+/** What daemons write of ends of runners, sure or not. */
+const END_MESSAGES: ReadonlySet<string> = new Set(['runner ended under requests', 'runner may have ended under requests'])
 const HELD_FIELDS: ReadonlySet<string> = new Set(['time', 'level', 'origin', 'message'])
 
 /**
@@ -74,7 +76,7 @@
 
 function isEndUnder ({ message, fields }: LogLine, fingerprints: ReadonlySet<string>): boolean {
   const named = [fields['suspects'], fields['quarantined']].flatMap((value) => Array.isArray(value) ? value : [])
-  return message === 'runner ended under requests' && named.some((name) => fingerprints.has(String(name)))
+  return END_MESSAGES.has(message) && named.some((name) => fingerprints.has(String(name)))
 }
 
 function isQuestionAfter ({ message, origin, atMs, fields }: LogLine, own: readonly LogLine[]): boolean {
@@ -85,7 +87,7 @@
 
 /** What all daemons write of within moments of each other: facts, and who holds the office. */
 function findSharedEvent ({ message, fields }: LogLine): string | undefined {
-  if (message === 'runner ended under requests') return String(fields['fact'])
+  if (END_MESSAGES.has(message)) return String(fields['fact'])
   if (message === 'holder of the runners changed') return `fence ${String(fields['fence'])}`
   return undefined
 }
