Let go of an attempt after an error of the daemon's own

Found by reading: an exchange that threw left its attempt on the watch for good, and its runner was asked again and again. Test: failed before.

--- a/packages/figquay-serving/src/FigquayServingAttemptWatch.ts
+++ b/packages/figquay-serving/src/FigquayServingAttemptWatch.ts
@@ -104,10 +104,16 @@
   /** Takes an attempt off the watch: its runner has answered it, or never had it. */
   dropAttempt (runner: Runner, attempt: WatchedAttempt): void {
     const incarnation = this.incarnations.get(makeIncarnationKey(runner))
+    attempt.endedAtMs = this.options.clock.readMonotonicMs()
     incarnation?.attempts.delete(attempt)
     this.dropEmpty(incarnation)
   }
 
+  /** Whether it is known how an attempt ended. */
+  isSettled ({ endedAtMs }: WatchedAttempt): boolean {
+    return endedAtMs !== undefined
+  }
+
   /**
    * Notes that an attempt's connection broke, and asks what became of its runner.
    *
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -239,6 +239,8 @@
     } finally {
       limit.dispose()
       release()
+      // After an error of this daemon's own nothing is known of the runner.
+      if (!watch.isSettled(attempt)) watch.noteSilent(attempt)
       if (isolation === 'granted' || isolation === 'unconfirmed') this.options.returnPermit({ runner: runner.id, requestId: request.id })
     }
   }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -101,11 +101,13 @@
   readonly deadlineMs?: number
   /** How often the request is sent, one after the other. */
   readonly calls?: number
+  /** Given the watch over attempts, which outlives the request. */
+  readonly noteWatch?: (watch: AttemptWatch) => void
   /** Called while the request is being served. */
   readonly interfere?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlineMs = 300, calls = 1, interfere }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlineMs = 300, calls = 1, interfere, noteWatch = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
@@ -122,6 +124,7 @@
   const watch = AttemptWatch.create({
     clock, table, exchanges, recordQuestion: () => {}, reportDoubt: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
   })
+  noteWatch(watch)
   const budget = RetryBudget.create({ perRequest: 0, largestReserve: burst, firstReserve: burst })
   const router = ServingRouter.create({
     clock,
@@ -266,6 +269,20 @@
     expect([sink.text, sink.ending]).toEqual(['200 one two', 'finished'])
   })
 
+  it('does not watch over a runner for ever after an error of its own', async () => {
+    const watches: AttemptWatch[] = []
+    const fail: Script = makeScript()
+    const failing: Script = async function * (...parameters) {
+      yield * fail(...parameters)
+      throw new Error('an error of the daemon')
+    }
+    await expect(serve([failing], {}, { noteWatch: (watch) => watches.push(watch) })).toBeRejectedWith('an error of the daemon')
+    await SystemClock.create().waitFor(1_600)
+    watches[0]!.refresh()
+    await SystemClock.create().waitFor(50)
+    expect(watches[0]!.size).toEqual(0)
+  })
+
   it('gives a final answer to what waits, or is at a runner, when the daemon exits', async () => {
     const waiting = await serve([], {}, { model: 'm', deadlineMs: 3_000, interfere: (router) => router.abandonRequests() })
     expect([waiting.sink.ending, waiting.sink.refusal?.retryAfterMs, waiting.tookMs < 1_000]).toEqual(['refused 503 not-run', 0, true])
