Tell a daemon at once that it knows too few of the fleet

Cause, by its log and by reading: it knew 15 others and took the fleet for a small one; readers told it that the store had just been read before they knew anything new, which put off its own look. The answer to a listener in doubt was slow: it had to become stale first. Now a daemon of a large fleet answers hints that name fewer daemons than it knows, and ages of the store's reading that were only heard of are not told on in a small fleet, where they grew younger on each way.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -20,7 +20,7 @@
   /** Daemons that are known there. */
   readonly daemonCount: number
   readonly facts: FactsState
-  /** Time since the store was last read, by this daemon or one that it has heard of, in milliseconds. */
+  /** Time since the store was last read, by this daemon or where its picture comes from, in milliseconds: what hints alone have told grows younger on each way and isn't told on. */
   readonly storeAgeMs: number
   /** By runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
@@ -59,7 +59,7 @@
   readonly countDaemons: () => number
   /** Where this daemon's facts stand. */
   readonly readFacts: () => FactsState
-  /** Time since the store was last read, as far as this daemon has heard, in milliseconds. */
+  /** Time since the store was last read, here or where this daemon's picture comes from, in milliseconds. */
   readonly measureStoreAge: () => number
 }
 
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -60,7 +60,7 @@
     const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, notePeer, measureStoreAge, countDaemons, leadership, facts } = options
     this.news = FleetNews.create(clock)
     this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeMethods(), clock, logger })
-    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons, readFacts: () => facts.state, measureStoreAge: () => this.relay.storeAgeMs })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, noteAdapterUse, countDaemons, readFacts: () => facts.state, measureStoreAge })
     const callPeer: PeerMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
     this.suspects = ServingSuspects.create({ self: self.id, clock, callPeer, listConnected: () => this.mesh.connectedPeers, findHolder: () => leadership.holder?.daemon })
     this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
@@ -203,11 +203,13 @@
     return {
       'fleet.hints': (hints: FleetHints) => {
         this.hints.takeHints(hints)
+        this.correctPeer(hints)
         this.relay.noteStoreAge(hints.storeAgeMs)
         this.options.notePeer(hints.from, hints)
         this.factExchange.comparePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.planSoon()
       },
+      'fleet.reading': ({ from, reading }: { readonly from: string, readonly reading: PeerReading }) => this.options.notePeer(from, reading),
       'fleet.report': (hints: FleetHints) => this.takeReport(hints),
       'fleet.exchange': (message: RelayMessage) => this.relay.answerExchange(message),
       'fleet.news': (items: readonly unknown[]) => {
@@ -220,6 +222,16 @@
     }
   }
 
+  /** A peer that tells everybody everything takes a large fleet for a small one, and hears of none in it unless it is told. */
+  private correctPeer ({ from, daemonCount }: FleetHints): void {
+    const { self, configurations, table, countDaemons, logger } = this.options
+    if (!this.isTree || daemonCount >= countDaemons()) return
+    const reading: PeerReading = { version: configurations.version, position: table.position, changedAt: table.changedAt, daemonCount: countDaemons() }
+    this.mesh.callPeer(from, 'fleet.reading', { from: self.id, reading }).then((outcome) => {
+      if (!outcome.ok) logger.debug('peer knows too few daemons; its next words are answered again', { peer: from, error: outcome.error })
+    })
+  }
+
   private takeNews (item: NewsItem): void {
     if (item.type === 'holdings') this.options.table.putHoldings(item.runner, item.bornMs, item.holdings)
     else this.options.table.markLeaving(item.runner, item.bornMs)
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -10,7 +10,7 @@
 const SELF = { id: '127.0.0.1:28471', zone: 'z', address: '127.0.0.1:28471' }
 const OTHER = { id: '127.0.0.1:28472', zone: 'z', address: '127.0.0.1:28472' }
 const SECRETS = ['a-secret-of-these-tests']
-const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'suspect.take', 'suspect.return', 'fleet.read']
+const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'fleet.reading', 'suspect.take', 'suspect.return', 'fleet.read']
 
 describe('exchange with a peer that sends anything', () => {
   const clock = SystemClock.create()
