--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,5 +1,5 @@
 /** Exchanges state with the other daemons: over a full mesh in a small fleet, along a tree in a large one. */
-import type { Clock, Logger, TaskGroup } from 'figquay'
+import { describeError, type Clock, type Logger, type TaskGroup } from 'figquay'
 import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress } from 'figquay-peers'
 import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
@@ -163,8 +163,12 @@
     const peers = this.mesh.connectedPeers
     const peer = preferredPeer ?? peers[Math.floor(Math.random() * peers.length)]
     if (peer === undefined) return undefined
+    const { clock, logger } = this.options
+    const startedAtMs = clock.readMonotonicMs()
     const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', { version, position })
-    return snapshot.ok ? snapshot.value : undefined
+    if (snapshot.ok) return snapshot.value
+    logger.info('snapshot request to a peer failed', { peer, version, position, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
+    return undefined
   }
 
   /** Sends new needs without waiting for the next hints or report. */
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -134,6 +134,8 @@
   private laggingSinceMs: number | undefined
   private peerAhead: string | undefined
   private isFetching = false
+  /** Newest configuration version that a peer has announced, and when its first announcement arrived. */
+  private announced = { version: -1, atMs: 0 }
   private runnersReadAtMs = Number.NEGATIVE_INFINITY
   private storeRecoveredAtMs = Number.NEGATIVE_INFINITY
 
@@ -244,14 +246,13 @@
   }
 
   private async readConfiguration (signal: AbortSignal): Promise<boolean> {
-    const { store, configurations, logger } = this.options
+    const { store, configurations, clock } = this.options
     const reading = await store.readConfiguration(this.configurationPosition, LONG_POLL_MS, signal)
     if (!reading.ok) return this.logReadFailure('configuration', reading)
     this.configurationPosition = reading.value.position
     const { configuration } = reading.value
-    if (configuration !== undefined && configurations.adoptConfiguration(configuration)) {
-      logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length, source: 'store' })
-    }
+    const startedAtMs = clock.readMonotonicMs()
+    if (configuration !== undefined && configurations.adoptConfiguration(configuration)) this.logActivation('store', startedAtMs)
     return true
   }
 
@@ -375,6 +376,7 @@
   comparePeerProgress (peer: string, { version, position, changedAt, daemonCount }: PeerProgress): void {
     const { configurations, table, clock } = this.options
     const nowMs = clock.readMonotonicMs()
+    this.noteAnnouncedVersion(peer, version, nowMs)
     if (version <= configurations.version && changedAt <= table.position && daemonCount <= this.daemons.size) {
       // The peer has read nothing but heartbeats beyond this daemon's position.
       if (this.hasReadRunners) table.advancePosition(position)
@@ -391,6 +393,23 @@
     this.fetchFromPeer(peer).catch((error: unknown) => this.options.logger.error('snapshot request failed', { peer, error: describeError(error) }))
   }
 
+  private noteAnnouncedVersion (peer: string, version: number, nowMs: number): void {
+    const { configurations, logger } = this.options
+    if (version <= Math.max(this.announced.version, configurations.version)) return
+    this.announced = { version, atMs: nowMs }
+    logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
+  }
+
+  /** Logs a configuration that has just become active, with the time since a peer announced it. */
+  private logActivation (source: string, startedAtMs: number): void {
+    const { configurations, clock, logger } = this.options
+    const nowMs = clock.readMonotonicMs()
+    const isAnnounced = this.announced.version === configurations.version
+    logger.info('configuration in force', {
+      version: configurations.version, source, routes: configurations.current?.routes.length, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.announced.atMs) : undefined
+    })
+  }
+
   private async fetchFromPeer (peer?: string): Promise<void> {
     const { configurations, table, logger } = this.options
     this.isFetching = true
@@ -406,9 +425,10 @@
 
   /** Applies the snapshot of a peer. */
   applySnapshot (snapshot: FleetSnapshot): void {
-    const { configurations, table, logger, clock } = this.options
+    const { configurations, table, clock } = this.options
+    const startedAtMs = clock.readMonotonicMs()
     if (snapshot.configuration !== undefined && configurations.adoptConfiguration(deserializeConfiguration(snapshot.configuration))) {
-      logger.info('configuration in force', { version: configurations.version, source: 'peer' })
+      this.logActivation('peer', startedAtMs)
     }
     for (const { runner, position } of snapshot.runners) table.putRunner(runner, position)
     for (const { id, position, graceMs } of snapshot.removals) table.removeRunner(id, position, graceMs)
