--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -6,7 +6,7 @@
 import { CrashHistory } from './FigquayServingCrashHistory.js'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { FactStoreSync } from './FigquayServingFactStoreSync.js'
-import { ServingPeers } from './FigquayServingPeers.js'
+import { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
 import { ServingRouter, shortenFingerprint } from './FigquayServingRouter.js'
 import { StoreWatcher, type StoreRole } from './FigquayServingStoreWatcher.js'
 import { ServingTelemetry } from './FigquayServingTelemetry.js'
@@ -29,6 +29,7 @@
   readonly store: FleetStore
   readonly orderClient: RunnerOrderClient
   readonly exchanges: RunnerExchangeClient
+  readonly createMesh?: ServingPeersOptions['createMesh']
 }
 
 const PLAN_INTERVAL_MS = 100
@@ -99,7 +100,8 @@
       comparePeerProgress: (peer, progress) => this.storeWatcher.comparePeerProgress(peer, progress),
       measureStoreAge: () => this.storeWatcher.storeAgeMs,
       countDaemons: () => this.storeWatcher.daemonCount,
-      schedulePlanning: () => this.schedulePlanning()
+      schedulePlanning: () => this.schedulePlanning(),
+      createMesh: options.createMesh
     })
     this.storeWatcher = StoreWatcher.create({
       isSeed: options.seeds.length === 0 || options.seeds.includes(address),
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,12 +1,15 @@
 /** Exchanges state with the other daemons: over a full mesh in a small fleet, along a tree in a large one. */
 import { describeError, type Clock, type Logger, type TaskGroup } from 'figquay'
 import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
-import { PeerMesh, type PeerAddress } from 'figquay-peers'
+import { PeerMesh, type PeerAddress, type PeerMeshOptions } from 'figquay-peers'
 import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { chooseStoreRole, type FleetSnapshot, type PeerProgress, type StoreRole } from './FigquayServingStoreWatcher.js'
 
+/** Connections to the other daemons, as the exchange with peers needs them. */
+export type ServingMesh = Pick<PeerMesh, 'connectedPeers' | 'isConnected' | 'callPeer' | 'notifyPeer' | 'notifyNeighbours' | 'setDaemons' | 'listen' | 'close'>
+
 /** Options of the exchange with peers. */
 export interface ServingPeersOptions {
   readonly self: PeerAddress
@@ -30,6 +33,8 @@
   readonly countDaemons: () => number
   /** Schedules a placement run, as requests wait for a model or adapter. */
   readonly schedulePlanning: () => void
+  /** Creates the connections to the other daemons; `PeerMesh` over TCP by default. */
+  readonly createMesh?: (options: PeerMeshOptions) => ServingMesh
 }
 
 /**
@@ -49,7 +54,7 @@
   readonly hints: HintExchange
   readonly suspects: SuspectIsolator
   private readonly factExchange: FactExchange
-  private readonly mesh: PeerMesh
+  private readonly mesh: ServingMesh
   private readonly relay: FleetRelay
   private readonly news: RunnerUpdateBuffer
   private zoneByDaemon: ReadonlyMap<string, string> = new Map()
@@ -62,9 +67,10 @@
   private constructor (private readonly options: ServingPeersOptions) {
     const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, comparePeerProgress, measureStoreAge, countDaemons, leadership, facts } = options
     this.news = RunnerUpdateBuffer.create(clock)
-    this.mesh = PeerMesh.create({ self, secrets: options.secrets, methods: this.makeRpcMethods(), clock, logger })
+    const createMesh = options.createMesh ?? ((meshOptions: PeerMeshOptions) => PeerMesh.create(meshOptions))
+    this.mesh = createMesh({ self, secrets: options.secrets, methods: this.makeRpcMethods(), clock, logger })
     this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, recordAdapterUse: noteAdapterUse, countDaemons, readFactsState: () => facts.state, measureStoreAge })
-    const callPeer: PeerMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
+    const callPeer: ServingMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
     this.suspects = SuspectIsolator.create({ self: self.id, clock, callPeer, listConnected: () => this.mesh.connectedPeers, findLeader: () => leadership.leader?.daemon })
     this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
     this.relay = FleetRelay.create({
--- /dev/null
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -0,0 +1,208 @@
+/** Daemons of one fleet in one process, on virtual time, with a store and links between them that take time for each byte. */
+import { JsonLogger, makeFailure, makeSuccess, type CallFailure, type Logger, type Outcome } from 'figquay'
+import { FleetStore, type FleetConfiguration, type Route, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
+import { rankDaemons, ServingDaemon, type RunnerExchangeClient } from '../../index.js'
+import { SimulatedClock } from './SimulatedClock.js'
+import { SimulatedNetwork } from './SimulatedNetwork.js'
+
+const UNAVAILABLE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'the store did not respond in time' }
+/** Timeout of a read beyond its long poll, in milliseconds: that of the daemons' client of the store. */
+const STORE_CALL_TIMEOUT_MS = 1_000
+const STORE_LATENCY_MS = 4
+
+/** Records of the store, and how fast it responds. */
+class StoreState {
+  configuration: FleetConfiguration | undefined
+  configurationPosition = -1
+  readonly shared: Array<{ readonly key: string, readonly value: string | undefined }> = []
+  readonly waiters = new Set<() => void>()
+  latencyMs = STORE_LATENCY_MS
+
+  wakeReaders (): void {
+    for (const wake of [...this.waiters]) wake()
+  }
+}
+
+/** The store as one daemon reads it: a response takes its latency and the time of its bytes on the daemon's link. */
+class SimulatedStore extends FleetStore {
+  constructor (private readonly state: StoreState, private readonly clock: SimulatedClock, private readonly bytesPerMs: number) {
+    super()
+  }
+
+  override async readConfiguration (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<{ readonly configuration: FleetConfiguration | undefined, readonly position: number }, CallFailure>> {
+    const { state } = this
+    const readNewest = () => ({ configuration: state.configurationPosition > after ? state.configuration : undefined, position: Math.max(after, state.configurationPosition) })
+    return await this.read(waitMs, signal, () => state.configurationPosition > after, readNewest, ({ configuration }) => configuration === undefined ? 0 : JSON.stringify(configuration).length)
+  }
+
+  override async readRunners (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
+    return await this.read(waitMs, signal, () => after < 0, () => ({ changes: [], isComplete: after < 0, position: Math.max(0, after) }), () => 0)
+  }
+
+  override async readShared (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>> {
+    const { shared } = this.state
+    const readNew = () => ({ records: shared.slice(after + 1).map((record, index) => ({ ...record, position: after + 1 + index })), end: shared.length })
+    return await this.read(waitMs, signal, () => shared.length > after + 1, readNew, ({ records }) => JSON.stringify(records).length)
+  }
+
+  override async writeShared (key: string, value: string, expectedEnd: number | undefined): Promise<Outcome<WriteResult, CallFailure>> {
+    await this.clock.waitFor(this.state.latencyMs)
+    const position = this.state.shared.length
+    if (expectedEnd !== undefined && expectedEnd !== position) return makeSuccess({ type: 'overtaken' })
+    this.state.shared.push({ key, value })
+    this.state.wakeReaders()
+    return makeSuccess({ type: 'written', position })
+  }
+
+  override async writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>> {
+    await this.clock.waitFor(this.state.latencyMs)
+    this.state.shared.push(...records)
+    this.state.wakeReaders()
+    return makeSuccess(undefined)
+  }
+
+  override close (): void {}
+
+  /** Waits until there is something to read, then for the time that the response takes. */
+  private async read<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number): Promise<Outcome<T, CallFailure>> {
+    const { state, clock } = this
+    const startedAtMs = clock.readMonotonicMs()
+    const untilMs = startedAtMs + waitMs
+    while (!hasNew() && clock.readMonotonicMs() < untilMs && !signal.aborted) {
+      const end = new AbortController()
+      const wake = (): void => end.abort()
+      state.waiters.add(wake)
+      signal.addEventListener('abort', wake, { once: true })
+      await clock.waitFor(untilMs - clock.readMonotonicMs(), end.signal)
+      signal.removeEventListener('abort', wake)
+      state.waiters.delete(wake)
+    }
+    const result = take()
+    const responseMs = state.latencyMs + countBytes(result) / this.bytesPerMs
+    const leftMs = startedAtMs + waitMs + STORE_CALL_TIMEOUT_MS - clock.readMonotonicMs()
+    await clock.waitFor(Math.min(responseMs, leftMs), signal)
+    return responseMs > leftMs || signal.aborted ? makeFailure(UNAVAILABLE) : makeSuccess(result)
+  }
+}
+
+/** Size and speed of a simulated fleet. */
+export interface SimulatedFleetOptions {
+  readonly zones: readonly string[]
+  readonly daemonsPerZone: number
+  /** Bandwidth of a daemon's link, in bytes per millisecond. */
+  readonly bytesPerMs: number
+  readonly logger?: Logger
+}
+
+/** Delay between daemons on the network, in milliseconds. */
+const NETWORK_LATENCY_MS = 1
+
+/** A fleet on virtual time. */
+export class SimulatedFleet {
+  readonly clock = SimulatedClock.create()
+  readonly daemons = new Map<string, ServingDaemon>()
+  readonly network: SimulatedNetwork
+  private readonly store = new StoreState()
+
+  private constructor (private readonly options: SimulatedFleetOptions) {
+    this.network = SimulatedNetwork.create(this.clock, { bytesPerMs: options.bytesPerMs, latencyMs: NETWORK_LATENCY_MS })
+  }
+
+  /**
+   * Starts a fleet with a configuration and runs it until it has settled.
+   *
+   * @example
+   * const fleet = await SimulatedFleet.create({ zones: ['a', 'b'], daemonsPerZone: 10, bytesPerMs: 875 }, makeConfiguration(1, 49))
+   */
+  static async create (options: SimulatedFleetOptions, configuration: FleetConfiguration): Promise<SimulatedFleet> {
+    const fleet = new SimulatedFleet(options)
+    fleet.publish(configuration)
+    const addresses = options.zones.flatMap((zone, zoneIndex) => Array.from({ length: options.daemonsPerZone }, (_, index) => ({ zone, address: `10.${zoneIndex}.0.${index}:80` })))
+    const seeds = options.zones.map((_, zoneIndex) => `10.${zoneIndex}.0.0:80`)
+    for (const { zone, address } of addresses) await fleet.addDaemon(address, zone, seeds)
+    await fleet.clock.runFor(SETTLE_MS)
+    return fleet
+  }
+
+  /** Writes a configuration to the store, which acknowledges it at once. */
+  publish (configuration: FleetConfiguration): void {
+    this.store.configuration = configuration
+    this.store.configurationPosition += 1
+    this.store.wakeReaders()
+  }
+
+  /** Sets the time that the store takes for a response, in milliseconds. */
+  setStoreLatency (latencyMs: number = STORE_LATENCY_MS): void {
+    this.store.latencyMs = latencyMs
+  }
+
+  /** Active version of each daemon, by address. */
+  listVersions (): Map<string, number> {
+    return new Map([...this.daemons].map(([address, daemon]) => [address, daemon.configurations.version]))
+  }
+
+  /** Daemons, suspended ones excluded, that don't have a version yet. */
+  listBehind (version: number): string[] {
+    return [...this.listVersions()].filter(([address, active]) => active < version && !this.network.isSuspended(address)).map(([address]) => address)
+  }
+
+  /** Suspends a daemon for good; its peers notice by its silence. */
+  suspendDaemon (address: string): void {
+    this.network.suspendDaemon(address)
+  }
+
+  /** The daemon that ranks first in each data centre: the root of its tree. */
+  listTopRanked (): string[] {
+    const { zones } = this.options
+    const ranked = rankDaemons(new Map([...this.daemons.keys()].map((address) => [address, zones[Number(address.split('.')[1])]!])))
+    return [...ranked.values()].map((addresses) => addresses[0]!)
+  }
+
+  /** Bytes that all daemons have sent to each other. */
+  countSentBytes (): number {
+    return [...this.daemons.keys()].reduce((sum, address) => sum + this.network.countSentBytes(address), 0)
+  }
+
+  /** Stops all daemons. */
+  async close (): Promise<void> {
+    const stopped = Promise.all([...this.daemons.values()].map((daemon) => daemon.stop()))
+    await this.clock.runFor(SETTLE_MS)
+    await stopped
+  }
+
+  private async addDaemon (address: string, zone: string, seeds: readonly string[]): Promise<void> {
+    const { clock, network } = this
+    const daemon = ServingDaemon.create({
+      address,
+      zone,
+      bootId: `boot-${address}`,
+      seeds,
+      peerSecrets: ['a-secret-of-these-tests'],
+      retries: { perRequest: 0.1, burst: 10 },
+      clock,
+      logger: this.options.logger ?? JsonLogger.create('test', 'silent'),
+      store: new SimulatedStore(this.store, clock, this.options.bytesPerMs),
+      orderClient: {} as RunnerOrderClient,
+      exchanges: {} as RunnerExchangeClient,
+      createMesh: (options) => network.createMesh(options)
+    })
+    this.daemons.set(address, daemon)
+    await daemon.start()
+  }
+}
+
+/** Time in which a fleet that starts or stops comes to rest, in milliseconds. */
+const SETTLE_MS = 6_000
+
+/** Makes a configuration with routes of random-looking names, as operators generate them. */
+export function makeConfiguration (version: number, routeCount: number): FleetConfiguration {
+  const routes = Array.from({ length: routeCount }, (_, index): Route => ({
+    name: `r-${scramble(index)}`, host: `site-${index % 30}.example`, pathPrefix: `/${scramble(index + 7)}/`, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1_041, objectiveMs: 147, patienceMs: 1_041, priority: 1, targets: [{ service: 'ledger', weight: 1 }], maxAttempts: 2
+  }))
+  return { version, routes, services: new Map([['ledger', { name: 'ledger', healthPath: '/health', maxConnections: 100, engine: undefined }]]), limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 } }
+}
+
+/** Spreads consecutive numbers over unlike names, which compress as little as generated names do. */
+function scramble (index: number): string {
+  return (Math.imul(index + 1, 0x9e3779b1) >>> 0).toString(36).padStart(7, '0')
+}
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -12,6 +12,6 @@
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
 export { chooseStoreRole, StoreWatcher, type FleetSnapshot, type PeerProgress, type StoreWatcherOptions, type StoreRole } from './FigquayServingStoreWatcher.js'
 export { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
-export { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
+export { ServingPeers, type ServingMesh, type ServingPeersOptions } from './FigquayServingPeers.js'
 export { FleetRelay, type FleetRelayOptions, type RelayMesh, type RelayMessage } from './FigquayServingRelay.js'
 export { ServingDaemon, type ServingDaemonOptions } from './FigquayServingDaemon.js'
