Send configurations between daemons as compressed differences, a few transfers at a time

Cause: a configuration travelled whole, and to everybody at once. Each of the 18 children of one parent asked for it at the same exchange; the parent serialized 556 KB anew for each and sent all copies over one link, in single messages that exchanges and heartbeats waited behind. Calls ended after 1 s with their bytes spent, children lost their parents, and most read the store in the end. A daemon asked one peer at a time and dropped other offers meanwhile; nobody was told that a version existed which its parent didn't have.

Ruled out: decoding. 371 KB take 29 ms at the median and 169 ms at most on these VMs, and the play without processor time shows the same spread.

Every message between daemons names the newest version that is known to exist; who is behind asks one peer after the other, and the store after 1.2 to 1.8 s.

During an upgrade, daemons of the older release get the configuration from the store.

--- a/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
+++ b/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
@@ -1,6 +1,10 @@
 /** The active configuration. Its version only increases, whichever source a configuration comes from. */
+import { shareUnchangedParts } from './FigquayFleetConfigurationUpdate.js'
 import type { FleetConfiguration, Route, Service } from './FigquayFleetTypes.js'
 
+/** Versions that are kept, so that a daemon that has one of them can be sent the difference alone. */
+const KEPT_VERSIONS = 32
+
 /** Routes by host, the longest path prefix first. */
 type RouteIndex = ReadonlyMap<string, readonly Route[]>
 
@@ -18,6 +22,8 @@
 /** Holds the newest configuration that this daemon has received. */
 export class ConfigurationHolder {
   private configuration: FleetConfiguration | undefined
+  /** The newest versions, the active one included, by version. */
+  private readonly kept = new Map<number, FleetConfiguration>()
   private routeIndex: RouteIndex = new Map()
   private readonly listeners = new Set<(configuration: FleetConfiguration) => void>()
 
@@ -49,9 +55,12 @@
    */
   adoptConfiguration (configuration: FleetConfiguration): boolean {
     if (configuration.version <= this.version) return false
-    this.configuration = configuration
-    this.routeIndex = makeRouteIndex(configuration.routes)
-    for (const listener of [...this.listeners]) listener(configuration)
+    const active = this.configuration === undefined ? configuration : shareUnchangedParts(this.configuration, configuration)
+    this.configuration = active
+    this.kept.set(active.version, active)
+    if (this.kept.size > KEPT_VERSIONS) this.kept.delete(this.kept.keys().next().value!)
+    this.routeIndex = makeRouteIndex(active.routes)
+    for (const listener of [...this.listeners]) listener(active)
     return true
   }
 
@@ -78,6 +87,11 @@
     return this.routeIndex.get(host)?.find((route) => path.startsWith(route.pathPrefix))
   }
 
+  /** One of the newest versions; undefined when this daemon never had it or no longer keeps it. */
+  findVersion (version: number): FleetConfiguration | undefined {
+    return this.kept.get(version)
+  }
+
   findService (name: string): Service | undefined {
     return this.configuration?.services.get(name)
   }
--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -14,6 +14,8 @@
   readonly holder: Leader | undefined
   /** Version of the active configuration. */
   readonly version: number
+  /** Newest version of the configuration that the sender knows to exist. */
+  readonly newestVersion: number
   /** Position up to which the list of runners has been read. */
   readonly position: number
   /** Position of the last change in that list, heartbeats excluded. */
@@ -61,6 +63,8 @@
   readonly recordAdapterUse: (runner: string, key: string) => void
   /** Number of announced daemons that this one knows of. */
   readonly countDaemons: () => number
+  /** Newest version of the configuration that this daemon knows to exist. */
+  readonly findNewestVersion: () => number
   /** Summary of this daemon's facts. */
   readonly readFactsState: () => FactsState
   /** Time since the store was last read, by this daemon or the one that its state comes from, in milliseconds. */
@@ -125,7 +129,7 @@
   }
 
   private makeMessage (arrivals: ReadonlyMap<string, Arrivals>): FleetHints {
-    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, readFactsState, measureStoreAge } = this.options
+    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, findNewestVersion, readFactsState, measureStoreAge } = this.options
     const adapters = [...this.usedAdapters].map((entry) => entry.split('\n') as [string, string])
     this.usedAdapters = new Set()
     const needs = listNeeds()
@@ -134,6 +138,7 @@
       from: self,
       holder: leadership.leader,
       version: configurations.version,
+      newestVersion: findNewestVersion(),
       position: table.position,
       changedAt: table.lastChangePosition,
       daemonCount: countDaemons(),
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -0,0 +1,253 @@
+/**
+ * Keeps the configuration of one daemon up to date: notes which versions its peers have and which exist at all, fetches
+ * what it lacks from one peer after the other, and reads the store when no peer delivers in time.
+ */
+import { gunzipSync } from 'node:zlib'
+import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
+import { applyConfigurationUpdate, type ConfigurationHolder, type ConfigurationUpdate, type FleetConfiguration } from 'figquay-fleet'
+import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
+
+/** Versions that a peer announces. */
+export interface VersionAnnouncement {
+  /** Version of the peer's active configuration. */
+  readonly version: number
+  /** Newest version that the peer knows to exist. */
+  readonly newestVersion: number
+}
+
+/** Options of the sync. */
+export interface ConfigurationSyncOptions {
+  readonly self: string
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly tasks: TaskGroup
+  readonly configurations: ConfigurationHolder
+  readonly callPeer: <T>(peer: string, method: string, params: unknown, timeoutMs: number) => Promise<Outcome<T, string>>
+  /** Peers to which a connection is open. */
+  readonly listConnected: () => readonly string[]
+  /** Reads the newest configuration from the store; undefined if it can't be read. */
+  readonly readFromStore: (signal: AbortSignal) => Promise<FleetConfiguration | undefined>
+}
+
+/** Result of an attempt to fetch from a peer. */
+type FetchResult = 'activated' | 'busy' | 'failed'
+
+/** Timeout of one chunk, in milliseconds: several times what it takes on a slow link that other transfers share. */
+const CHUNK_TIMEOUT_MS = 600
+/** A peer that failed to deliver isn't asked again for this long, in milliseconds. */
+const FAILED_PEER_BACKOFF_MS = 1_000
+/** A peer that was busy, or had nothing newer yet, isn't asked again for this long, in milliseconds: about one transfer. */
+const BUSY_PEER_BACKOFF_MS = 150
+/** Random addition to that time, in milliseconds, so that receivers don't return at once. */
+const BUSY_PEER_JITTER_MS = 100
+/** Delay before the peers are checked again when none can be asked, in milliseconds. */
+const RETRY_DELAY_MS = 50
+/** A daemon that has been behind for this long reads the store, in milliseconds: less than half of the time that a change may take. */
+const STORE_FALLBACK_MS = 1_200
+/** Random addition to that time, in milliseconds: what the first daemons read there, the others get from them. */
+const STORE_FALLBACK_JITTER_MS = 600
+/** Largest compressed update that is accepted, in bytes. */
+const MAX_ENCODED_BYTES = 8 * 2 ** 20
+/** Largest update after decompression, in bytes. */
+const MAX_UPDATE_BYTES = 128 * 2 ** 20
+
+/** Fetches newer configurations for one daemon. */
+export class ConfigurationSync {
+  /** Peers with the active version or a newer one. */
+  private readonly peerVersions = new Map<string, number>()
+  private readonly retryAtMs = new Map<string, number>()
+  private newest = { version: -1, sinceMs: 0 }
+  private nextStoreReadAtMs = Number.POSITIVE_INFINITY
+  private isFetching = false
+
+  private constructor (private readonly options: ConfigurationSyncOptions) {
+    options.configurations.registerListener((configuration) => this.forgetOlderPeers(configuration.version))
+  }
+
+  /**
+   * @example
+   * const sync = ConfigurationSync.create(options)
+   */
+  static create (options: ConfigurationSyncOptions): ConfigurationSync {
+    return new ConfigurationSync(options)
+  }
+
+  /** Newest version that is known to exist, active here or not. */
+  get newestVersion (): number {
+    return Math.max(this.newest.version, this.options.configurations.version)
+  }
+
+  /** Whether a version exists that is newer than the active one, or none is active. */
+  get isBehind (): boolean {
+    const { version } = this.options.configurations
+    return version < 0 || this.newest.version > version
+  }
+
+  /** Starts to fetch a configuration while none is active. */
+  start (): void {
+    this.ensureFetching()
+  }
+
+  /** Peers that are known to have a version. */
+  listPeersWith (version: number): string[] {
+    return [...this.peerVersions].filter(([, peerVersion]) => peerVersion >= version).map(([peer]) => peer)
+  }
+
+  /**
+   * Notes what a peer announces, and fetches what this daemon lacks.
+   *
+   * @example
+   * sync.noteAnnouncement('10.0.0.2:80', { version: 7, newestVersion: 8 })
+   */
+  noteAnnouncement (peer: string, { version, newestVersion }: VersionAnnouncement): void {
+    const active = this.options.configurations.version
+    if (version >= active && version >= 0) this.peerVersions.set(peer, version)
+    else this.peerVersions.delete(peer)
+    // Daemons of an older release don't announce the newest version.
+    const announced = Math.max(...[version, newestVersion].filter(Number.isInteger))
+    if (announced > this.newestVersion) this.noteNewest(peer, announced)
+    if (this.isBehind) this.ensureFetching()
+  }
+
+  /**
+   * Activates a configuration that was read from the store.
+   *
+   * @example
+   * sync.activateFromStore(configuration)
+   */
+  activateFromStore (configuration: FleetConfiguration): void {
+    this.activate(configuration, 'store', this.options.clock.readMonotonicMs())
+  }
+
+  private noteNewest (peer: string, version: number): void {
+    const { clock, logger, configurations } = this.options
+    const nowMs = clock.readMonotonicMs()
+    if (!this.isBehind) this.nextStoreReadAtMs = nowMs + STORE_FALLBACK_MS + STORE_FALLBACK_JITTER_MS * Math.random()
+    this.newest = { version, sinceMs: nowMs }
+    logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
+  }
+
+  private forgetOlderPeers (version: number): void {
+    const nowMs = this.options.clock.readMonotonicMs()
+    for (const [peer, peerVersion] of this.peerVersions) if (peerVersion < version) this.peerVersions.delete(peer)
+    for (const [peer, retryAtMs] of this.retryAtMs) if (retryAtMs <= nowMs) this.retryAtMs.delete(peer)
+  }
+
+  private ensureFetching (): void {
+    if (this.isFetching) return
+    this.isFetching = true
+    this.options.tasks.startTask('configuration from peers', async (signal) => {
+      try {
+        while (this.isBehind && !signal.aborted) await this.fetchOnce(signal)
+      } finally {
+        this.isFetching = false
+      }
+    })
+  }
+
+  private async fetchOnce (signal: AbortSignal): Promise<void> {
+    const { clock, configurations } = this.options
+    const peer = this.choosePeer()
+    const result = peer === undefined ? 'failed' : await this.fetchFromPeer(peer)
+    if (result === 'activated') return
+    // Without any configuration, the store's own tasks read it as soon as no peer has helped.
+    if (this.isBehind && configurations.version >= 0 && clock.readMonotonicMs() >= this.nextStoreReadAtMs) {
+      this.nextStoreReadAtMs = clock.readMonotonicMs() + STORE_FALLBACK_MS
+      const configuration = await this.options.readFromStore(signal)
+      if (configuration !== undefined) this.activateFromStore(configuration)
+      return
+    }
+    if (peer === undefined) await clock.waitFor(RETRY_DELAY_MS, signal)
+  }
+
+  /** A peer that has a newer version and can be asked now, a connected one if there is any. */
+  private choosePeer (): string | undefined {
+    const { clock, configurations, listConnected } = this.options
+    const nowMs = clock.readMonotonicMs()
+    const connected = listConnected()
+    const sources = configurations.version < 0 ? [...connected] : this.listPeersWith(configurations.version + 1)
+    const available = sources.filter((peer) => nowMs >= (this.retryAtMs.get(peer) ?? 0))
+    const preferred = available.filter((peer) => connected.includes(peer))
+    return pickRandom(preferred.length > 0 ? preferred : available)
+  }
+
+  /** Fetches the changes chunk by chunk, and activates what they yield. */
+  private async fetchFromPeer (peer: string): Promise<FetchResult> {
+    const { clock, configurations } = this.options
+    const startedAtMs = clock.readMonotonicMs()
+    const baseVersion = configurations.version
+    let version: number | undefined
+    let chunks: Buffer[] = []
+    let receivedBytes = 0
+    while (true) {
+      const reply = await this.requestChunk(peer, { from: this.options.self, baseVersion, version, offset: receivedBytes })
+      if (configurations.version !== baseVersion) return 'activated'
+      if (reply === undefined) return 'failed'
+      if (reply.type !== 'chunk') return this.noteNoDelivery(peer, reply)
+      if (version !== undefined && version !== reply.version) {
+        chunks = []
+        receivedBytes = 0
+      }
+      version = reply.version
+      chunks.push(Buffer.from(reply.data, 'base64'))
+      receivedBytes += chunks.at(-1)!.length
+      if (reply.totalBytes > MAX_ENCODED_BYTES || chunks.at(-1)!.length === 0) return this.noteFailure(peer, 'the transfer has an invalid size', startedAtMs)
+      if (receivedBytes >= reply.totalBytes) return this.activateEncoded(peer, Buffer.concat(chunks), startedAtMs)
+    }
+  }
+
+  private async requestChunk (peer: string, request: ConfigurationRequest): Promise<ConfigurationReply | undefined> {
+    const startedAtMs = this.options.clock.readMonotonicMs()
+    const reply = await this.options.callPeer<ConfigurationReply>(peer, 'fleet.configuration', request, CHUNK_TIMEOUT_MS)
+    if (reply.ok && isConfigurationReply(reply.value)) return reply.value
+    this.noteFailure(peer, reply.ok ? 'the reply is malformed' : reply.error, startedAtMs)
+    return undefined
+  }
+
+  private noteNoDelivery (peer: string, reply: Exclude<ConfigurationReply, { type: 'chunk' }>): 'busy' {
+    this.retryAtMs.set(peer, this.options.clock.readMonotonicMs() + BUSY_PEER_BACKOFF_MS + BUSY_PEER_JITTER_MS * Math.random())
+    if (reply.type === 'none') this.peerVersions.delete(peer)
+    else for (const referred of reply.peers) if (referred !== this.options.self && !this.peerVersions.has(referred)) this.peerVersions.set(referred, reply.version)
+    return 'busy'
+  }
+
+  private noteFailure (peer: string, error: string, startedAtMs: number): 'failed' {
+    const { clock, logger, configurations } = this.options
+    const nowMs = clock.readMonotonicMs()
+    this.retryAtMs.set(peer, nowMs + FAILED_PEER_BACKOFF_MS)
+    logger.info('could not fetch the configuration from a peer', { peer, active: configurations.version, newest: this.newestVersion, error: describeError(error), tookMs: Math.round(nowMs - startedAtMs) })
+    return 'failed'
+  }
+
+  private activateEncoded (peer: string, encoded: Buffer, startedAtMs: number): FetchResult {
+    const { configurations } = this.options
+    try {
+      const update = JSON.parse(gunzipSync(encoded, { maxOutputLength: MAX_UPDATE_BYTES }).toString()) as ConfigurationUpdate
+      const configuration = applyConfigurationUpdate(configurations.current, update)
+      if (configuration === undefined) return this.noteFailure(peer, 'the changes don\'t apply to the active version', startedAtMs)
+      this.activate(configuration, 'peer', startedAtMs, { peer, bytes: encoded.length, isWhole: update.baseVersion === undefined })
+      return 'activated'
+    } catch (error) {
+      return this.noteFailure(peer, describeError(error), startedAtMs)
+    }
+  }
+
+  private activate (configuration: FleetConfiguration, source: 'store' | 'peer', startedAtMs: number, details: Record<string, unknown> = {}): void {
+    const { configurations, logger, clock } = this.options
+    if (!configurations.adoptConfiguration(configuration)) return
+    const nowMs = clock.readMonotonicMs()
+    const isAnnounced = this.newest.version === configuration.version
+    logger.info('configuration in force', { version: configuration.version, source, routes: configuration.routes.length, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.newest.sinceMs) : undefined, ...details })
+  }
+}
+
+function pickRandom<T> (items: readonly T[]): T | undefined {
+  return items[Math.floor(Math.random() * items.length)]
+}
+
+function isConfigurationReply (value: unknown): value is ConfigurationReply {
+  const reply = value as Partial<Record<string, unknown>> | null
+  if (reply?.type === 'chunk') return Number.isInteger(reply.version) && Number.isInteger(reply.totalBytes) && typeof reply.data === 'string'
+  if (reply?.type === 'busy') return Number.isInteger(reply.version) && Array.isArray(reply.peers) && reply.peers.every((peer) => typeof peer === 'string')
+  return reply?.type === 'none'
+}
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -3,6 +3,8 @@
 import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
 import { AttemptTracker } from './FigquayServingAttemptTracker.js'
+import { ConfigurationSource } from './FigquayServingConfigurationSource.js'
+import { ConfigurationSync } from './FigquayServingConfigurationSync.js'
 import { CrashHistory } from './FigquayServingCrashHistory.js'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { FactStoreSync } from './FigquayServingFactStoreSync.js'
@@ -48,6 +50,7 @@
   private readonly table: FleetRunnerTable
   private readonly peers: ServingPeers
   private readonly storeWatcher: StoreWatcher
+  private readonly configurationSync: ConfigurationSync
   private readonly leadership: FleetLeadership
   private readonly placement: FleetPlacement
   private readonly dispatcher: ServingDispatcher
@@ -81,6 +84,18 @@
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => this.peers.hints.sumOpenRequests() })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, announceNeeds: () => this.peers.announceNeeds() })
+    this.configurationSync = ConfigurationSync.create({
+      self: address,
+      clock,
+      logger,
+      tasks: this.tasks,
+      configurations,
+      callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs),
+      listConnected: () => this.peers.connectedPeers,
+      readFromStore: (signal) => this.storeWatcher.readNewestConfiguration(signal)
+    })
+    const { configurationSync } = this
+    const configurationSource = ConfigurationSource.create({ clock, configurations, listPeersWith: (version) => configurationSync.listPeersWith(version) })
     this.peers = ServingPeers.create({
       self: { id: address, zone, address },
       bootId,
@@ -96,8 +111,13 @@
       listNeeds: () => this.dispatcher.listNeeds(),
       noteAdapterUse: (runner, key) => this.placement.recordAdapterUse(runner, key),
       facts,
-      makeSnapshot: (version, position) => this.storeWatcher.makeSnapshot(version, position),
-      comparePeerProgress: (peer, progress) => this.storeWatcher.comparePeerProgress(peer, progress),
+      makeSnapshot: (position) => this.storeWatcher.makeSnapshot(position),
+      serveConfiguration: (request) => configurationSource.serveRequest(request),
+      findNewestVersion: () => configurationSync.newestVersion,
+      comparePeerProgress: (peer, progress) => {
+        configurationSync.noteAnnouncement(peer, progress)
+        this.storeWatcher.comparePeerProgress(peer, progress)
+      },
       measureStoreAge: () => this.storeWatcher.storeAgeMs,
       countDaemons: () => this.storeWatcher.daemonCount,
       schedulePlanning: () => this.schedulePlanning(),
@@ -114,7 +134,8 @@
       facts,
       factStore: this.factStore,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
-      requestSnapshot: (version, position, peer) => this.peers.requestSnapshot(version, position, peer),
+      requestSnapshot: (position, peer) => this.peers.requestSnapshot(position, peer),
+      activateConfiguration: (configuration) => configurationSync.activateFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
       announceLeaving
     })
@@ -165,6 +186,7 @@
   async start (): Promise<void> {
     await this.peers.start()
     this.storeWatcher.startTasks(this.tasks)
+    this.configurationSync.start()
     this.tasks.startTask('announcement', (signal) => this.storeWatcher.announceSelf(this.options.address, this.options.zone, signal))
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
     this.tasks.startLoop('unresolved attempts', FACTS_INTERVAL_MS, async () => this.attemptWatch.refresh())
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,7 +1,9 @@
 /** Exchanges state with the other daemons: over a full mesh in a small fleet, along a tree in a large one. */
-import { describeError, type Clock, type Logger, type TaskGroup } from 'figquay'
+import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress, type PeerMeshOptions } from 'figquay-peers'
+import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
+import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
@@ -26,8 +28,11 @@
   readonly listNeeds: () => readonly ModelNeed[]
   readonly noteAdapterUse: (runner: string, key: string) => void
   readonly facts: FleetFacts
-  readonly makeSnapshot: (version: number, position: number) => FleetSnapshot
-  readonly comparePeerProgress: (peer: string, progress: PeerProgress) => void
+  readonly makeSnapshot: (position: number) => FleetSnapshot
+  readonly serveConfiguration: (request: ConfigurationRequest) => ConfigurationReply
+  /** Returns the newest version of the configuration that this daemon knows to exist. */
+  readonly findNewestVersion: () => number
+  readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
   readonly measureStoreAge: () => number
   /** Returns the number of registered daemons that this one knows. */
   readonly countDaemons: () => number
@@ -65,11 +70,11 @@
   private newsSerial = 0
 
   private constructor (private readonly options: ServingPeersOptions) {
-    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, comparePeerProgress, measureStoreAge, countDaemons, leadership, facts } = options
+    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, comparePeerProgress, measureStoreAge, countDaemons, findNewestVersion, leadership, facts } = options
     this.news = RunnerUpdateBuffer.create(clock)
     const createMesh = options.createMesh ?? ((meshOptions: PeerMeshOptions) => PeerMesh.create(meshOptions))
     this.mesh = createMesh({ self, secrets: options.secrets, methods: this.makeRpcMethods(), clock, logger })
-    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, recordAdapterUse: noteAdapterUse, countDaemons, readFactsState: () => facts.state, measureStoreAge })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, recordAdapterUse: noteAdapterUse, countDaemons, findNewestVersion, readFactsState: () => facts.state, measureStoreAge })
     const callPeer: ServingMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
     this.suspects = SuspectIsolator.create({ self: self.id, clock, callPeer, listConnected: () => this.mesh.connectedPeers, findLeader: () => leadership.leader?.daemon })
     this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
@@ -86,6 +91,7 @@
       mesh: this.mesh,
       measureStoreAge,
       countDaemons,
+      findNewestVersion,
       readFacts: () => facts.state,
       reconcileFacts: (peer, state) => this.factExchange.reconcilePeer(peer, state),
       applyUpdate: (item) => this.applyUpdate(item),
@@ -164,16 +170,21 @@
     this.updateConnections()
   }
 
+  /** Calls a method of a peer, to which a connection is opened if there is none. */
+  callPeer <T>(peer: string, method: string, params: unknown, timeoutMs: number): Promise<Outcome<T, string>> {
+    return this.mesh.callPeer<T>(peer, method, params, timeoutMs)
+  }
+
   /** Requests what is newer than this daemon's copy from the preferred peer, or from a random one if none is given. */
-  async requestSnapshot (version: number, position: number, preferredPeer: string | undefined): Promise<FleetSnapshot | undefined> {
+  async requestSnapshot (position: number, preferredPeer: string | undefined): Promise<FleetSnapshot | undefined> {
     const peers = this.mesh.connectedPeers
     const peer = preferredPeer ?? peers[Math.floor(Math.random() * peers.length)]
     if (peer === undefined) return undefined
     const { clock, logger } = this.options
     const startedAtMs = clock.readMonotonicMs()
-    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', { version, position })
+    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', { position })
     if (snapshot.ok) return snapshot.value
-    logger.info('snapshot request to a peer failed', { peer, version, position, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
+    logger.info('snapshot request to a peer failed', { peer, position, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
     return undefined
   }
 
@@ -228,7 +239,7 @@
         this.factExchange.reconcilePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.schedulePlanning()
       },
-      'fleet.reading': ({ from, reading }: { readonly from: string, readonly reading: PeerProgress }) => this.options.comparePeerProgress(from, reading),
+      'fleet.reading': ({ from, reading }: { readonly from: string, readonly reading: PeerProgress & VersionAnnouncement }) => this.options.comparePeerProgress(from, reading),
       'fleet.report': (hints: FleetHints) => this.handleReport(hints),
       'fleet.exchange': (message: RelayMessage) => this.relay.handleExchange(message),
       'fleet.news': (items: readonly unknown[]) => {
@@ -237,15 +248,16 @@
       'fleet.facts': (message: FactsMessage) => this.factExchange.handleExchange(message),
       'suspect.take': (request: PermitRequest) => this.suspects.handleAcquire(request),
       'suspect.return': (request: PermitRequest) => this.suspects.handleRelease(request),
-      'fleet.read': ({ version, position }: { readonly version: number, readonly position: number }) => this.options.makeSnapshot(version, position)
+      'fleet.read': ({ position }: { readonly position: number }) => this.options.makeSnapshot(position),
+      'fleet.configuration': (request: ConfigurationRequest) => this.options.serveConfiguration(request)
     }
   }
 
   /** Sends this daemon's progress to a peer that takes a large fleet for a small one, as it would not learn of the others otherwise. */
   private correctDaemonCount ({ from, daemonCount }: FleetHints): void {
-    const { self, configurations, table, countDaemons, logger } = this.options
+    const { self, configurations, table, countDaemons, findNewestVersion, logger } = this.options
     if (!this.isLargeFleet || daemonCount >= countDaemons()) return
-    const progress: PeerProgress = { version: configurations.version, position: table.position, changedAt: table.lastChangePosition, daemonCount: countDaemons() }
+    const progress: PeerProgress & VersionAnnouncement = { version: configurations.version, newestVersion: findNewestVersion(), position: table.position, changedAt: table.lastChangePosition, daemonCount: countDaemons() }
     this.mesh.callPeer(from, 'fleet.reading', { from: self.id, reading: progress }).then((outcome) => {
       if (!outcome.ok) logger.debug('could not send the daemon count to a peer; retrying at its next hints', { peer: from, error: outcome.error })
     })
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,6 +1,7 @@
 /** Exchanges fleet state along the tree: up to the root of each data centre, between the roots, and down again. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { formatLoads, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
+import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 import type { PeerProgress, StoreRole } from './FigquayServingStoreWatcher.js'
 import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
@@ -12,8 +13,10 @@
   readonly bootId: string
   /** Leader that the sender knows. */
   readonly holder: Leader | undefined
-  /** Version of the sender's configuration. */
+  /** Version of the sender's active configuration. */
   readonly version: number
+  /** Newest version of the configuration that the sender knows to exist. */
+  readonly newestVersion: number
   /** Position up to which the sender has read the list of runners. */
   readonly position: number
   /** Position of the last change in that list, heartbeats excluded. */
@@ -60,7 +63,9 @@
   /** Applies an item that this daemon did not have. */
   readonly applyUpdate: (item: RunnerUpdate) => void
   /** Compares how far a peer has read the store with this daemon. */
-  readonly comparePeerProgress: (peer: string, progress: PeerProgress) => void
+  readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
+  /** Returns the newest version of the configuration that this daemon knows to exist. */
+  readonly findNewestVersion: () => number
   /** Called with the new neighbours when they change. */
   readonly setNeighbours: (daemons: readonly string[]) => void
 }
@@ -257,13 +262,14 @@
   }
 
   private makeMessage (peer: string, loads: ReturnType<FleetRunnerTable['exportLoads']>): RelayMessage {
-    const { self, zone, bootId, leadership, configurations, table, news, countDaemons, readFacts } = this.options
+    const { self, zone, bootId, leadership, configurations, table, news, countDaemons, readFacts, findNewestVersion } = this.options
     return {
       from: self,
       zone,
       bootId,
       holder: leadership.leader,
       version: configurations.version,
+      newestVersion: findNewestVersion(),
       position: table.position,
       changedAt: table.lastChangePosition,
       daemonCount: countDaemons(),
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -4,10 +4,8 @@
 
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
 
-/** State that a daemon sends to one that can't read the store or lags behind. */
+/** State that a daemon sends to one that can't read the store or lags behind; the configuration is sent by `ConfigurationSource`. */
 export interface FleetSnapshot {
-  /** Undefined when the requester has this version or a newer one. */
-  readonly configuration: (Omit<FleetConfiguration, 'services'> & { readonly services: ReadonlyArray<readonly [string, SerializedService]> }) | undefined
   readonly runners: ReadonlyArray<{ readonly runner: Runner, readonly position: number }>
   readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number, readonly graceMs: number }>
   readonly position: number
@@ -20,8 +18,6 @@
 
 /** How far a peer has read the store. */
 export interface PeerProgress {
-  /** Version of the peer's configuration. */
-  readonly version: number
   /** Position up to which the peer has read the list of runners. */
   readonly position: number
   /** Position of the last change in that list, heartbeats excluded. */
@@ -30,11 +26,6 @@
   readonly daemonCount: number
 }
 
-type SerializedService = Omit<ServiceConfiguration, 'engine'> & { readonly engine: (Omit<EngineConfiguration, 'models'> & { readonly models: ReadonlyArray<readonly [string, ModelConfiguration]> }) | undefined }
-type ServiceConfiguration = FleetConfiguration['services'] extends ReadonlyMap<string, infer S> ? S : never
-type EngineConfiguration = NonNullable<ServiceConfiguration['engine']>
-type ModelConfiguration = EngineConfiguration['models'] extends ReadonlyMap<string, infer M> ? M : never
-
 /**
  * How a daemon follows the store. A `reader` long-polls everything and passes it on to its peers. A `looker` long-polls
  * everything except the list of runners, which it gets from the reader and polls rarely. A `listener` gets everything from
@@ -76,7 +67,9 @@
   /** Tells the peers at once that a runner is leaving, before they compare their progress. */
   readonly announceLeaving: (runner: string, bornMs: number) => void
   /** Requests what is newer than this daemon's copy from a peer, or from any if none is given; undefined without a response. */
-  readonly requestSnapshot: (configurationVersion: number, position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
+  readonly requestSnapshot: (position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
+  /** Activates a configuration that was read from the store. */
+  readonly activateConfiguration: (configuration: FleetConfiguration) => void
 }
 
 /** Timeout of a long poll for records that rarely change, in milliseconds. */
@@ -134,8 +127,6 @@
   private laggingSinceMs: number | undefined
   private peerAhead: string | undefined
   private isFetching = false
-  /** Newest configuration version that a peer has announced, and when its first announcement arrived. */
-  private announced = { version: -1, atMs: 0 }
   private runnersReadAtMs = Number.NEGATIVE_INFINITY
   private storeRecoveredAtMs = Number.NEGATIVE_INFINITY
 
@@ -191,7 +182,7 @@
     while (!signal.aborted && clock.readMonotonicMs() - startedAtMs < BOOTSTRAP_TIMEOUT_MS) {
       // The store role is known only once the daemon is connected to peers.
       if (this.isListener) return
-      if (!this.isSynced) await this.fetchFromPeer()
+      if (!this.hasReadRunners || !this.hasFacts) await this.fetchFromPeer()
       await clock.waitFor(BOOTSTRAP_RETRY_MS, signal)
     }
   }
@@ -210,12 +201,10 @@
     return this.daemons.size
   }
 
-  /** Makes a snapshot of what is newer than the given configuration and position. */
-  makeSnapshot (configurationVersion: number, position: number): FleetSnapshot {
-    const { configurations, table } = this.options
-    const current = configurations.current
+  /** Makes a snapshot of what is newer than the given position. */
+  makeSnapshot (position: number): FleetSnapshot {
+    const { table } = this.options
     return {
-      configuration: current === undefined || current.version <= configurationVersion ? undefined : serializeConfiguration(current),
       runners: table.listAnnouncements(position),
       removals: table.listRemovals(position),
       position: table.position,
@@ -246,16 +235,22 @@
   }
 
   private async readConfiguration (signal: AbortSignal): Promise<boolean> {
-    const { store, configurations, clock } = this.options
+    const { store, activateConfiguration } = this.options
     const reading = await store.readConfiguration(this.configurationPosition, LONG_POLL_MS, signal)
     if (!reading.ok) return this.logReadFailure('configuration', reading)
     this.configurationPosition = reading.value.position
-    const { configuration } = reading.value
-    const startedAtMs = clock.readMonotonicMs()
-    if (configuration !== undefined && configurations.adoptConfiguration(configuration)) this.logActivation('store', startedAtMs)
+    if (reading.value.configuration !== undefined) activateConfiguration(reading.value.configuration)
     return true
   }
 
+  /** Reads the newest configuration from the store without waiting for a newer one; undefined if it can't be read. */
+  async readNewestConfiguration (signal: AbortSignal): Promise<FleetConfiguration | undefined> {
+    const reading = await this.options.store.readConfiguration(-1, 0, signal)
+    if (reading.ok) return reading.value.configuration
+    this.logReadFailure('newest configuration', reading)
+    return undefined
+  }
+
   private async readSharedRecords (signal: AbortSignal): Promise<boolean> {
     const { store, clock, leadership } = this.options
     const reading = await store.readShared(this.sharedPosition, LONG_POLL_MS, signal)
@@ -373,11 +368,10 @@
    * @example
    * watcher.comparePeerProgress('daemon-2', hints)
    */
-  comparePeerProgress (peer: string, { version, position, changedAt, daemonCount }: PeerProgress): void {
-    const { configurations, table, clock } = this.options
+  comparePeerProgress (peer: string, { position, changedAt, daemonCount }: PeerProgress): void {
+    const { table, clock } = this.options
     const nowMs = clock.readMonotonicMs()
-    this.noteAnnouncedVersion(peer, version, nowMs)
-    if (version <= configurations.version && changedAt <= table.position && daemonCount <= this.daemons.size) {
+    if (changedAt <= table.position && daemonCount <= this.daemons.size) {
       // The peer has read nothing but heartbeats beyond this daemon's position.
       if (this.hasReadRunners) table.advancePosition(position)
       if (this.peerAhead === peer) this.laggingSinceMs = undefined
@@ -393,31 +387,14 @@
     this.fetchFromPeer(peer).catch((error: unknown) => this.options.logger.error('snapshot request failed', { peer, error: describeError(error) }))
   }
 
-  private noteAnnouncedVersion (peer: string, version: number, nowMs: number): void {
-    const { configurations, logger } = this.options
-    if (version <= Math.max(this.announced.version, configurations.version)) return
-    this.announced = { version, atMs: nowMs }
-    logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
-  }
-
-  /** Logs a configuration that has just become active, with the time since a peer announced it. */
-  private logActivation (source: string, startedAtMs: number): void {
-    const { configurations, clock, logger } = this.options
-    const nowMs = clock.readMonotonicMs()
-    const isAnnounced = this.announced.version === configurations.version
-    logger.info('configuration in force', {
-      version: configurations.version, source, routes: configurations.current?.routes.length, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.announced.atMs) : undefined
-    })
-  }
-
   private async fetchFromPeer (peer?: string): Promise<void> {
-    const { configurations, table, logger } = this.options
+    const { table, logger } = this.options
     this.isFetching = true
     try {
-      const snapshot = await this.options.requestSnapshot(configurations.version, table.position, peer)
+      const snapshot = await this.options.requestSnapshot(table.position, peer)
       if (snapshot === undefined) return
       this.applySnapshot(snapshot)
-      logger.debug('snapshot received from a peer', { version: configurations.version, position: table.position })
+      logger.debug('snapshot received from a peer', { position: table.position })
     } finally {
       this.isFetching = false
     }
@@ -425,11 +402,7 @@
 
   /** Applies the snapshot of a peer. */
   applySnapshot (snapshot: FleetSnapshot): void {
-    const { configurations, table, clock } = this.options
-    const startedAtMs = clock.readMonotonicMs()
-    if (snapshot.configuration !== undefined && configurations.adoptConfiguration(deserializeConfiguration(snapshot.configuration))) {
-      this.logActivation('peer', startedAtMs)
-    }
+    const { table, clock } = this.options
     for (const { runner, position } of snapshot.runners) table.putRunner(runner, position)
     for (const { id, position, graceMs } of snapshot.removals) table.removeRunner(id, position, graceMs)
     table.advancePosition(snapshot.position)
@@ -455,17 +428,3 @@
     return false
   }
 }
-
-function serializeConfiguration (configuration: FleetConfiguration): FleetSnapshot['configuration'] {
-  const services = [...configuration.services].map(([name, service]): readonly [string, SerializedService] => [name, {
-    ...service, engine: service.engine === undefined ? undefined : { ...service.engine, models: [...service.engine.models] }
-  }])
-  return { ...configuration, services }
-}
-
-function deserializeConfiguration (serialized: NonNullable<FleetSnapshot['configuration']>): FleetConfiguration {
-  const services = new Map(serialized.services.map(([name, service]): [string, ServiceConfiguration] => [name, {
-    ...service, engine: service.engine === undefined ? undefined : { ...service.engine, models: new Map(service.engine.models) }
-  }]))
-  return { ...serialized, services }
-}
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -91,7 +91,7 @@
   readonly daemonsPerZone: number
   /** Bandwidth of a daemon's link, in bytes per millisecond. */
   readonly bytesPerMs: number
-  readonly logger?: Logger
+  readonly createLogger?: (address: string) => Logger
 }
 
 /** Delay between daemons on the network, in milliseconds. */
@@ -180,7 +180,7 @@
       peerSecrets: ['a-secret-of-these-tests'],
       retries: { perRequest: 0.1, burst: 10 },
       clock,
-      logger: this.options.logger ?? JsonLogger.create('test', 'silent'),
+      logger: this.options.createLogger?.(address) ?? JsonLogger.create(address, 'silent'),
       store: new SimulatedStore(this.store, clock, this.options.bytesPerMs),
       orderClient: {} as RunnerOrderClient,
       exchanges: {} as RunnerExchangeClient,
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
@@ -27,7 +27,9 @@
   /** Resolves once the bytes have left the link. Bytes of abandoned calls are sent all the same. */
   send (connection: string, bytes: number): Promise<void> {
     return new Promise((resolve) => {
-      this.queues.set(connection, [...this.queues.get(connection) ?? [], { remainingBytes: bytes, finish: resolve }])
+      const queue = this.queues.get(connection) ?? []
+      queue.push({ remainingBytes: bytes, finish: resolve })
+      this.queues.set(connection, queue)
       if (!this.isSending) this.sendSegments().catch((error: unknown) => process.stderr.write(`${String(error)}\n`))
     })
   }
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -5,20 +5,22 @@
 import { JsonLogger, SystemClock, TaskGroup } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetRunnerTable, type FleetStore } from 'figquay-fleet'
 import { PeerMesh } from 'figquay-peers'
-import { ServingPeers, type FleetSnapshot } from '../../index.js'
+import { ConfigurationSource, ServingPeers, type FleetSnapshot } from '../../index.js'
 
 const SELF = { id: '127.0.0.1:28471', zone: 'z', address: '127.0.0.1:28471' }
 const OTHER = { id: '127.0.0.1:28472', zone: 'z', address: '127.0.0.1:28472' }
 const SECRETS = ['a-secret-of-these-tests']
-const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'fleet.reading', 'suspect.take', 'suspect.return', 'fleet.read']
+const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'fleet.reading', 'suspect.take', 'suspect.return', 'fleet.read', 'fleet.configuration']
 
 describe('peer that sends arbitrary messages', () => {
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
   const tasks = TaskGroup.create(clock, logger)
   const table = FleetRunnerTable.create(clock)
+  const configurations = ConfigurationHolder.create()
+  const source = ConfigurationSource.create({ clock, configurations, listPeersWith: () => [] })
   const leadership = FleetLeadership.create({ self: SELF.id, bootId: 'b', store: {} as FleetStore, clock, logger, listConnected: () => [], isEligible: () => false })
-  const snapshot: FleetSnapshot = { configuration: undefined, runners: [], removals: [], position: 7, daemons: [], facts: [], storeAgeMs: 0 }
+  const snapshot: FleetSnapshot = { runners: [], removals: [], position: 7, daemons: [], facts: [], storeAgeMs: 0 }
   const peers = ServingPeers.create({
     self: SELF,
     bootId: 'b',
@@ -30,11 +32,13 @@
     table,
     leadership,
     demand: FleetDemand.create(clock),
-    configurations: ConfigurationHolder.create(),
+    configurations,
     listNeeds: () => [],
     noteAdapterUse: () => {},
     facts: FleetFacts.create(clock),
     makeSnapshot: () => snapshot,
+    serveConfiguration: (request) => source.serveRequest(request),
+    findNewestVersion: () => -1,
     comparePeerProgress: () => {},
     measureStoreAge: () => 0,
     countDaemons: () => 1,
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -69,6 +69,7 @@
         if (item.type === 'leaving') table.markLeaving(item.runner, item.bornMs)
       },
       comparePeerProgress: () => {},
+      findNewestVersion: () => -1,
       setNeighbours: () => {}
     })
     relay.setDaemons(zones)
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
-import { FactStoreSync, StoreWatcher, type FleetSnapshot, type StoreRole } from '../../index.js'
+import { ConfigurationSource, ConfigurationSync, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -28,7 +28,7 @@
   } as unknown as FleetStore
 }
 
-function makeWatcher (isUp: boolean, requestSnapshot: () => Promise<FleetSnapshot | undefined>, role: StoreRole = 'reader', isSeed = true) {
+function makeWatcher (isUp: boolean, requestSnapshot: () => Promise<FleetSnapshot | undefined>, role: StoreRole = 'reader', isSeed = true, peerConfigurations = ConfigurationHolder.create()) {
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
   const readings: Array<Outcome<RunnerRegistryUpdate, CallFailure>> = []
@@ -39,35 +39,39 @@
   const facts = FleetFacts.create(clock)
   const seenDaemons: string[] = []
   const leaving: string[] = []
+  const tasks = TaskGroup.create(clock, logger)
+  const source = ConfigurationSource.create({ clock, configurations: peerConfigurations, listPeersWith: () => [] })
+  const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
+  const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
-    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), configurations, table, leadership, requestSnapshot, findStoreRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
+    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), configurations, table, leadership, requestSnapshot, activateConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
-  return { watcher, facts, configurations, table, seenDaemons, leaving, readings, tasks: TaskGroup.create(clock, logger) }
+  return { watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
 
 describe('store watcher', () => {
-  it('loads configuration, runners and daemons from the store and passes all of it to peers in a snapshot', async () => {
+  it('loads configuration, runners and daemons from the store and passes runners and daemons to peers in a snapshot', async () => {
     const reader = makeWatcher(true, async () => undefined)
     reader.watcher.startTasks(reader.tasks)
     await SystemClock.create().waitFor(150)
     await reader.tasks.stop()
     expect([reader.watcher.isSynced, reader.configurations.version, reader.seenDaemons.includes('10.0.0.2:80')]).toEqual([true, 7, true])
     expect(reader.leaving).toEqual(['r'])
-    const wire = JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(-1, -1))) as FleetSnapshot
+    const wire = JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(-1))) as FleetSnapshot
     const other = makeWatcher(false, async () => wire)
     other.watcher.applySnapshot(wire)
-    expect([other.configurations.findService('s')?.engine?.models.size, other.table.findRunner('r')?.isLeaving]).toEqual([0, true])
-    expect(reader.watcher.makeSnapshot(7, 4).configuration).toEqual(undefined)
-    expect(reader.watcher.makeSnapshot(7, 4).runners).toEqual([])
+    expect(other.table.findRunner('r')?.isLeaving).toEqual(true)
+    expect(reader.watcher.makeSnapshot(4).runners).toEqual([])
   })
 
   it('syncs from a peer while the store is unreachable', async () => {
     const reader = makeWatcher(true, async () => undefined)
     reader.configurations.adoptConfiguration(CONFIGURATION)
     // A daemon can sync another one only if it has the facts itself.
-    reader.watcher.applySnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
-    const cutOff = makeWatcher(false, async () => JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(-1, -1))) as FleetSnapshot)
+    reader.watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
+    const cutOff = makeWatcher(false, async () => JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(-1))) as FleetSnapshot, 'reader', true, reader.configurations)
     cutOff.watcher.startTasks(cutOff.tasks)
+    cutOff.sync.start()
     await SystemClock.create().waitFor(200)
     await cutOff.tasks.stop()
     expect([cutOff.watcher.isSynced, cutOff.watcher.isStoreReachable, cutOff.configurations.version]).toEqual([true, false, 7])
@@ -77,10 +81,11 @@
     const reader = makeWatcher(true, async () => undefined)
     reader.configurations.adoptConfiguration(CONFIGURATION)
     // A daemon can sync another one only if it has the facts itself.
-    reader.watcher.applySnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
-    const other = makeWatcher(true, async () => reader.watcher.makeSnapshot(-1, -1), 'listener', false)
+    reader.watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
+    const other = makeWatcher(true, async () => reader.watcher.makeSnapshot(-1), 'listener', false, reader.configurations)
     other.readings.push(makeFailure(FAILURE))
     other.watcher.startTasks(other.tasks)
+    other.sync.start()
     await SystemClock.create().waitFor(400)
     await other.tasks.stop()
     expect([other.watcher.isSynced, other.table.position, other.readings.length]).toEqual([true, 4, 1])
@@ -96,14 +101,14 @@
 
   it('is not synced before it has the facts, which it gets from a peer or the store', async () => {
     const fact: Fact = { type: 'acquittal', id: 'a', fingerprint: 'f', atMs: Date.now() }
-    const snapshot: FleetSnapshot = { configuration: undefined, runners: [], removals: [], position: 4, daemons: [], facts: undefined, storeAgeMs: 0 }
+    const snapshot: FleetSnapshot = { runners: [], removals: [], position: 4, daemons: [], facts: undefined, storeAgeMs: 0 }
     const { watcher, configurations, facts } = makeWatcher(false, async () => undefined)
     configurations.adoptConfiguration(CONFIGURATION)
     watcher.applySnapshot(snapshot)
     expect(watcher.isSynced).toEqual(false)
     watcher.applySnapshot({ ...snapshot, facts: [fact] })
     expect([watcher.isSynced, facts.listAfter(0)]).toEqual([true, [fact]])
-    expect(watcher.makeSnapshot(7, 4).facts).toEqual([fact])
+    expect(watcher.makeSnapshot(4).facts).toEqual([fact])
   })
 
   it('polls as a looker soon after the reader has become silent', async () => {
@@ -126,14 +131,14 @@
       asked += 1
       return undefined
     }, 'listener')
-    watcher.applySnapshot({ configuration: undefined, runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
-    watcher.comparePeerProgress('b', { version: -1, position: 9, changedAt: 3, daemonCount: 0 })
+    watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
+    watcher.comparePeerProgress('b', { position: 9, changedAt: 3, daemonCount: 0 })
     expect([asked, table.position]).toEqual([0, 9])
-    watcher.comparePeerProgress('b', { version: -1, position: 12, changedAt: 11, daemonCount: 0 })
-    watcher.comparePeerProgress('c', { version: -1, position: 12, changedAt: 11, daemonCount: 0 })
+    watcher.comparePeerProgress('b', { position: 12, changedAt: 11, daemonCount: 0 })
+    watcher.comparePeerProgress('c', { position: 12, changedAt: 11, daemonCount: 0 })
     expect([asked, table.position]).toEqual([1, 9])
     await SystemClock.create().waitFor(0)
-    watcher.comparePeerProgress('b', { version: -1, position: 9, changedAt: 3, daemonCount: 1 })
+    watcher.comparePeerProgress('b', { position: 9, changedAt: 3, daemonCount: 1 })
     expect(asked).toEqual(2)
   })
 
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -7,6 +7,8 @@
 export { FactExchange, type FactExchangeOptions, type FactsMessage } from './FigquayServingFactExchange.js'
 export { FACT_KEY_PREFIX, FactStoreSync, type FactStoreSyncOptions } from './FigquayServingFactStoreSync.js'
 export { SuspectIsolator, type PermitReply, type SuspectIsolatorOptions, type PermitRequest } from './FigquayServingSuspectIsolator.js'
+export { ConfigurationSource, type ConfigurationReply, type ConfigurationRequest, type ConfigurationSourceOptions } from './FigquayServingConfigurationSource.js'
+export { ConfigurationSync, type ConfigurationSyncOptions, type VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 export { ServingTelemetry } from './FigquayServingTelemetry.js'
 export { ServingDispatcher, addRetryJitter, type ServingDispatcherOptions } from './FigquayServingDispatcher.js'
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
