Refuse a request without a route with 503 while a newer configuration is known

Cause: a daemon answered from its active configuration alone. It now knows the newest version that exists, and while that isn't active, a request that no route fits is refused as not run, with Retry-After 0.5 s.

ConfigurationSync.test.ts, 'refuses a request without a route as not found, unless ...': without the new condition it gives 404 for the third of its four requests.

--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -3,8 +3,8 @@
  * what it lacks from one peer after the other, and reads the store when no peer delivers in time.
  */
 import { gunzipSync } from 'node:zlib'
-import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { applyConfigurationUpdate, type ConfigurationHolder, type ConfigurationUpdate, type FleetConfiguration } from 'figquay-fleet'
+import { describeError, Refusal, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
+import { applyConfigurationUpdate, type ConfigurationHolder, type ConfigurationUpdate, type FleetConfiguration, type Route } from 'figquay-fleet'
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
 
 /** Versions that a peer announces. */
@@ -46,6 +46,8 @@
 const STORE_FALLBACK_MS = 1_200
 /** Random addition to that time, in milliseconds: what the first daemons read there, the others get from them. */
 const STORE_FALLBACK_JITTER_MS = 600
+/** `Retry-After` of a request that only a newer configuration may have a route for, in milliseconds: most daemons fetch it within this time. */
+const OUTDATED_RETRY_AFTER_MS = 500
 /** Largest compressed update that is accepted, in bytes. */
 const MAX_ENCODED_BYTES = 8 * 2 ** 20
 /** Largest update after decompression, in bytes. */
@@ -88,6 +90,20 @@
     this.ensureFetching()
   }
 
+  /**
+   * Finds the route of a request. If none matches, the request is refused: as not found, or to be retried while a newer
+   * configuration is known to exist, since its route may have been added there.
+   *
+   * @example
+   * sync.resolveRoute('desk.example', '/orders/17')
+   */
+  resolveRoute (host: string, path: string): Route | Refusal {
+    const route = this.options.configurations.findRoute(host, path)
+    if (route !== undefined) return route
+    if (!this.isBehind) return Refusal.create('not_found', 'no route matches the host and path')
+    return Refusal.create('not_configured', 'a newer configuration has not been loaded yet', { retryAfterMs: OUTDATED_RETRY_AFTER_MS })
+  }
+
   /** Peers that are known to have a version. */
   listPeersWith (version: number): string[] {
     return [...this.peerVersions].filter(([, peerVersion]) => peerVersion >= version).map(([peer]) => peer)
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,6 +1,6 @@
 /** Composes the components of a serving daemon, starts and stops them, and schedules its placement runs. */
-import { makeId, TaskGroup, type Clock, type Logger } from 'figquay'
-import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Runner, type RunnerOrderClient } from 'figquay-fleet'
+import { makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
+import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Route, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
 import { AttemptTracker } from './FigquayServingAttemptTracker.js'
 import { ConfigurationSource } from './FigquayServingConfigurationSource.js'
@@ -172,6 +172,16 @@
     return !this.stopping && this.storeWatcher.isSynced
   }
 
+  /**
+   * Finds the route of a request, or the refusal of a request that has none.
+   *
+   * @example
+   * daemon.resolveRoute('desk.example', '/orders/17')
+   */
+  resolveRoute (host: string, path: string): Route | Refusal {
+    return this.configurationSync.resolveRoute(host, path)
+  }
+
   /** Whether draining or the stop has begun. */
   get isStopping (): boolean {
     return this.stopping
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import { JsonLogger, makeFailure, makeSuccess, TaskGroup, type Outcome } from 'figquay'
+import { JsonLogger, makeFailure, makeSuccess, Refusal, TaskGroup, type Outcome } from 'figquay'
 import { applyConfigurationUpdate, computeConfigurationUpdate, ConfigurationHolder, type FleetConfiguration, type Route } from 'figquay-fleet'
 import { ConfigurationSource, ConfigurationSync, type ConfigurationReply, type ConfigurationRequest } from '../../index.js'
 import { SimulatedClock } from '../standins/SimulatedClock.js'
@@ -113,6 +113,22 @@
     expect([configurations.version, sync.isBehind]).toEqual([5, false])
   })
 
+  it('refuses a request without a route as not found, unless a newer configuration is known, which may have it', () => {
+    const { sync, configurations } = makeReceiver(SimulatedClock.create(), () => makeSuccess({ type: 'none' }))
+    const readStatus = (): number | undefined => {
+      const route = sync.resolveRoute('nowhere.example', '/x/')
+      return route instanceof Refusal ? route.status : undefined
+    }
+    const statuses = [readStatus()]
+    configurations.adoptConfiguration(makeConfiguration(1, 1))
+    statuses.push(readStatus())
+    sync.noteAnnouncement('a', { version: 1, newestVersion: 2 })
+    statuses.push(readStatus())
+    configurations.adoptConfiguration(makeConfiguration(2, 1))
+    statuses.push(readStatus())
+    expect(statuses).toEqual([503, 404, 503, 404])
+  })
+
   it('never goes back to an older version', async () => {
     const clock = SimulatedClock.create()
     const { source } = makePeer(clock, makeConfiguration(1, 1))
