--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -111,7 +111,7 @@
       listNeeds: () => this.dispatcher.listNeeds(),
       noteAdapterUse: (runner, key) => this.placement.recordAdapterUse(runner, key),
       facts,
-      makeSnapshot: (position) => this.storeWatcher.makeSnapshot(position),
+      makeSnapshot: (request) => this.storeWatcher.makeSnapshot(request),
       serveConfiguration: (request) => configurationSource.serveRequest(request),
       findNewestVersion: () => configurationSync.newestVersion,
       comparePeerProgress: (peer, progress) => {
@@ -134,7 +134,7 @@
       facts,
       factStore: this.factStore,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
-      requestSnapshot: (position, peer) => this.peers.requestSnapshot(position, peer),
+      requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       activateConfiguration: (configuration) => configurationSync.activateFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
       announceLeaving
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -7,7 +7,7 @@
 import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
-import { chooseStoreRole, type FleetSnapshot, type PeerProgress, type StoreRole } from './FigquayServingStoreWatcher.js'
+import { chooseStoreRole, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreRole } from './FigquayServingStoreWatcher.js'
 
 /** Connections to the other daemons, as the exchange with peers needs them. */
 export type ServingMesh = Pick<PeerMesh, 'connectedPeers' | 'isConnected' | 'callPeer' | 'notifyPeer' | 'notifyNeighbours' | 'setDaemons' | 'listen' | 'close'>
@@ -28,7 +28,7 @@
   readonly listNeeds: () => readonly ModelNeed[]
   readonly noteAdapterUse: (runner: string, key: string) => void
   readonly facts: FleetFacts
-  readonly makeSnapshot: (position: number) => FleetSnapshot
+  readonly makeSnapshot: (request: SnapshotRequest) => FleetSnapshot
   readonly serveConfiguration: (request: ConfigurationRequest) => ConfigurationReply
   /** Returns the newest version of the configuration that this daemon knows to exist. */
   readonly findNewestVersion: () => number
@@ -176,15 +176,15 @@
   }
 
   /** Requests what is newer than this daemon's copy from the preferred peer, or from a random one if none is given. */
-  async requestSnapshot (position: number, preferredPeer: string | undefined): Promise<FleetSnapshot | undefined> {
+  async requestSnapshot (request: SnapshotRequest, preferredPeer: string | undefined): Promise<FleetSnapshot | undefined> {
     const peers = this.mesh.connectedPeers
     const peer = preferredPeer ?? peers[Math.floor(Math.random() * peers.length)]
     if (peer === undefined) return undefined
     const { clock, logger } = this.options
     const startedAtMs = clock.readMonotonicMs()
-    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', { position })
+    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', request)
     if (snapshot.ok) return snapshot.value
-    logger.info('snapshot request to a peer failed', { peer, position, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
+    logger.info('snapshot request to a peer failed', { peer, ...request, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
     return undefined
   }
 
@@ -248,7 +248,7 @@
       'fleet.facts': (message: FactsMessage) => this.factExchange.handleExchange(message),
       'suspect.take': (request: PermitRequest) => this.suspects.handleAcquire(request),
       'suspect.return': (request: PermitRequest) => this.suspects.handleRelease(request),
-      'fleet.read': ({ position }: { readonly position: number }) => this.options.makeSnapshot(position),
+      'fleet.read': (request: SnapshotRequest) => this.options.makeSnapshot(request),
       'fleet.configuration': (request: ConfigurationRequest) => this.options.serveConfiguration(request)
     }
   }
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -10,12 +10,20 @@
   readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number, readonly graceMs: number }>
   readonly position: number
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
-  /** Undefined while the sender hasn't loaded the facts itself. */
+  /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
   readonly facts: readonly Fact[] | undefined
   /** Time since the list of runners was last read from the store, in milliseconds. */
   readonly storeAgeMs: number
 }
 
+/** Request for a snapshot. */
+export interface SnapshotRequest {
+  /** Position up to which the requester has read the list of runners. */
+  readonly position: number
+  /** Whether it has no facts yet; later it reconciles them by their digest. */
+  readonly needsFacts: boolean
+}
+
 /** How far a peer has read the store. */
 export interface PeerProgress {
   /** Position up to which the peer has read the list of runners. */
@@ -67,7 +75,7 @@
   /** Tells the peers at once that a runner is leaving, before they compare their progress. */
   readonly announceLeaving: (runner: string, bornMs: number) => void
   /** Requests what is newer than this daemon's copy from a peer, or from any if none is given; undefined without a response. */
-  readonly requestSnapshot: (position: number, peer: string | undefined) => Promise<FleetSnapshot | undefined>
+  readonly requestSnapshot: (request: SnapshotRequest, peer: string | undefined) => Promise<FleetSnapshot | undefined>
   /** Activates a configuration that was read from the store. */
   readonly activateConfiguration: (configuration: FleetConfiguration) => void
 }
@@ -201,15 +209,15 @@
     return this.daemons.size
   }
 
-  /** Makes a snapshot of what is newer than the given position. */
-  makeSnapshot (position: number): FleetSnapshot {
+  /** Makes a snapshot of what is newer than the given position, with the facts if they are needed. */
+  makeSnapshot ({ position, needsFacts }: SnapshotRequest): FleetSnapshot {
     const { table } = this.options
     return {
       runners: table.listAnnouncements(position),
       removals: table.listRemovals(position),
       position: table.position,
       daemons: [...this.daemons],
-      facts: this.hasFacts ? this.options.facts.listAfter(0) : undefined,
+      facts: needsFacts && this.hasFacts ? this.options.facts.listAfter(0) : undefined,
       storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
     }
   }
@@ -391,7 +399,7 @@
     const { table, logger } = this.options
     this.isFetching = true
     try {
-      const snapshot = await this.options.requestSnapshot(table.position, peer)
+      const snapshot = await this.options.requestSnapshot({ position: table.position, needsFacts: !this.hasFacts }, peer)
       if (snapshot === undefined) return
       this.applySnapshot(snapshot)
       logger.debug('snapshot received from a peer', { position: table.position })
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
-import { ConfigurationSource, ConfigurationSync, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type StoreRole } from '../../index.js'
+import { ConfigurationSource, ConfigurationSync, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -12,6 +12,7 @@
   services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 1, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map() } }]]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
+const EVERYTHING: SnapshotRequest = { position: -1, needsFacts: true }
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
 /** A store whose reads always fail, or always return the same after the queued readings. */
@@ -57,11 +58,11 @@
     await reader.tasks.stop()
     expect([reader.watcher.isSynced, reader.configurations.version, reader.seenDaemons.includes('10.0.0.2:80')]).toEqual([true, 7, true])
     expect(reader.leaving).toEqual(['r'])
-    const wire = JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(-1))) as FleetSnapshot
+    const wire = JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(EVERYTHING))) as FleetSnapshot
     const other = makeWatcher(false, async () => wire)
     other.watcher.applySnapshot(wire)
     expect(other.table.findRunner('r')?.isLeaving).toEqual(true)
-    expect(reader.watcher.makeSnapshot(4).runners).toEqual([])
+    expect(reader.watcher.makeSnapshot({ position: 4, needsFacts: true }).runners).toEqual([])
   })
 
   it('syncs from a peer while the store is unreachable', async () => {
@@ -69,7 +70,7 @@
     reader.configurations.adoptConfiguration(CONFIGURATION)
     // A daemon can sync another one only if it has the facts itself.
     reader.watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
-    const cutOff = makeWatcher(false, async () => JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(-1))) as FleetSnapshot, 'reader', true, reader.configurations)
+    const cutOff = makeWatcher(false, async () => JSON.parse(JSON.stringify(reader.watcher.makeSnapshot(EVERYTHING))) as FleetSnapshot, 'reader', true, reader.configurations)
     cutOff.watcher.startTasks(cutOff.tasks)
     cutOff.sync.start()
     await SystemClock.create().waitFor(200)
@@ -82,7 +83,7 @@
     reader.configurations.adoptConfiguration(CONFIGURATION)
     // A daemon can sync another one only if it has the facts itself.
     reader.watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
-    const other = makeWatcher(true, async () => reader.watcher.makeSnapshot(-1), 'listener', false, reader.configurations)
+    const other = makeWatcher(true, async () => reader.watcher.makeSnapshot(EVERYTHING), 'listener', false, reader.configurations)
     other.readings.push(makeFailure(FAILURE))
     other.watcher.startTasks(other.tasks)
     other.sync.start()
@@ -108,7 +109,8 @@
     expect(watcher.isSynced).toEqual(false)
     watcher.applySnapshot({ ...snapshot, facts: [fact] })
     expect([watcher.isSynced, facts.listAfter(0)]).toEqual([true, [fact]])
-    expect(watcher.makeSnapshot(4).facts).toEqual([fact])
+    expect(watcher.makeSnapshot({ position: 4, needsFacts: true }).facts).toEqual([fact])
+    expect(watcher.makeSnapshot({ position: 4, needsFacts: false }).facts).toEqual(undefined)
   })
 
   it('polls as a looker soon after the reader has become silent', async () => {
