--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -289,12 +289,13 @@
   }
 
   /** Applies a runner's notice: draining is announced to the peers, a back-off request concerns this daemon only. */
-  private applyNotice (request: ServedRequest, runner: Runner, { isLeaving, refusesForMs }: RunnerNotice): void {
+  private applyNotice (request: ServedRequest, runner: Runner, { isLeaving, refusesForMs, requestsPerSecond }: RunnerNotice): void {
     const { table, telemetry, announceLeaving } = this.options
     if (isLeaving && table.markLeaving(runner.id, runner.bornMs)) {
       telemetry.recordDecision('runner reported that it is draining', request, { runner: runner.id, bornMs: runner.bornMs })
       announceLeaving(runner.id, runner.bornMs)
     }
+    if (requestsPerSecond !== undefined) telemetry.recordDecision('runner named a request limit', request, { runner: runner.id, bornMs: runner.bornMs, requestsPerSecond })
     if (refusesForMs === undefined) return
     table.noteBackoff(runner.id, runner.bornMs, refusesForMs)
     telemetry.recordDecision('runner asked for backoff', request, { runner: runner.id, refusesForMs })
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -49,12 +49,14 @@
   readonly message: string
 }
 
-/** Availability that a runner reports along with a response. */
+/** Availability that a runner reports along with a response; a response without a notice names no limit either. */
 export interface RunnerNotice {
   /** The runner is draining and accepts no more requests. */
   readonly isLeaving: boolean
   /** Time for which this daemon must not send it requests, in milliseconds. */
   readonly refusesForMs: number | undefined
+  /** Requests per second that it takes from all daemons together; undefined while it names no limit. */
+  readonly requestsPerSecond: number | undefined
 }
 
 /** One event of an exchange with a runner. */
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -65,7 +65,7 @@
 const HEAD: ExchangeEvent = { type: 'head', status: 200, head: [], load: undefined }
 const ERROR_HEAD: ExchangeEvent = { type: 'head', status: 500, head: [], load: undefined }
 const END: ExchangeEvent = { type: 'end' }
-const LEAVING: ExchangeEvent = { type: 'notice', notice: { isLeaving: true, refusesForMs: undefined } }
+const LEAVING: ExchangeEvent = { type: 'notice', notice: { isLeaving: true, refusesForMs: undefined, requestsPerSecond: undefined } }
 
 function makeData (text: string, lastEventId?: string): ExchangeEvent {
   return { type: 'data', bytes: Buffer.from(text), lastEventId }
@@ -233,7 +233,7 @@
   })
 
   it('sends nothing to a runner for the time that it asked for, and refuses at once if all runners have asked', async () => {
-    const declineFor = (refusesForMs: number): Script => makeScript({ type: 'notice', notice: { isLeaving: false, refusesForMs } }, makeFailure('declined', 'not-run'))
+    const declineFor = (refusesForMs: number): Script => makeScript({ type: 'notice', notice: { isLeaving: false, refusesForMs, requestsPerSecond: undefined } }, makeFailure('declined', 'not-run'))
     const { sent, answers, tookMs } = await serve([declineFor(5_000), declineFor(3_000), declineFor(4_000)], {}, { calls: 3, deadlineMs: 2_000 })
     expect([new Set(sent).size, sent.length]).toEqual([3, 3])
     expect(answers.map((sink) => sink.ending)).toEqual(Array.from({ length: 3 }, () => 'refused 503 not-run'))
