Keep the request limits that runners name, over all daemons together

Cause: what a runner says of itself that binds the whole fleet was not read, and nothing in the daemon could have kept it: each daemon chooses runners by its own view. A share for each daemon would not keep it either: 66 daemons with a burst of one request exceed a limit of 1 a second.

Change: the leader issues a permit for each request to a limited runner, from one token bucket (RequestLimiter). All attempts pass it, also repeats and resumed streams; a denied one takes the runner out of the choice until a permit may be available, so the request goes elsewhere, or is refused at once with that time as Retry-After. Other healthy runners are preferred while the limit is fresh. Without a leader that answers, a limited runner gets nothing. One answer without the header ends the limit for all daemons, by way of the leader. The token bucket of the customers' limits moves to a file of its own and serves both; so does setBounded.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -1,5 +1,5 @@
 /** State of each runner: its announcement, its holdings, and the load that daemons put on it. */
-import type { Clock } from 'figquay'
+import { setBounded, type Clock } from 'figquay'
 import { PeerLoads, RECENT_TOKENS_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 import type { LoadedModel, Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
 
@@ -201,7 +201,7 @@
   }
 
   private recordLeaving (id: string, bornMs: number): void {
-    setBounded(this.leavingBornMs, id, Math.max(bornMs, this.leavingBornMs.get(id) ?? bornMs))
+    setBounded(this.leavingBornMs, id, Math.max(bornMs, this.leavingBornMs.get(id) ?? bornMs), MAX_REMEMBERED_RUNNERS)
   }
 
   private isKnownLeaving (id: string, bornMs: number): boolean {
@@ -310,7 +310,7 @@
     const untilMs = this.clock.readMonotonicMs() + durationMs
     const known = this.backoffs.get(id)
     const isCovered = known !== undefined && known.bornMs === bornMs && known.untilMs >= untilMs
-    if (!isCovered) setBounded(this.backoffs, id, { bornMs, untilMs })
+    if (!isCovered) setBounded(this.backoffs, id, { bornMs, untilMs }, MAX_REMEMBERED_RUNNERS)
   }
 
   private measureBackoffMs ({ id, bornMs }: Runner, nowMs: number): number {
@@ -500,13 +500,6 @@
   return models.some((loaded) => loaded.name === model && loaded.adapters.includes(adapter))
 }
 
-/** Makes an entry the newest of a map and evicts the oldest beyond the limit. */
-function setBounded<T> (map: Map<string, T>, key: string, value: T): void {
-  map.delete(key)
-  map.set(key, value)
-  if (map.size > MAX_REMEMBERED_RUNNERS) map.delete(map.keys().next().value!)
-}
-
 function measureRecentTokens (entry: RunnerEntry, nowMs: number): number {
   return entry.recentTokens * Math.exp((entry.recentTokensAtMs - nowMs) / RECENT_TOKENS_DECAY_MS)
 }
--- a/packages/figquay-routing/src/FigquayRoutingLimits.ts
+++ b/packages/figquay-routing/src/FigquayRoutingLimits.ts
@@ -3,6 +3,7 @@
 import type { Contract } from 'figquay-contracts'
 import type { HintTable } from 'figquay-peers'
 import { RateTable } from './FigquayRoutingRateMeter.js'
+import { TokenBucket } from './FigquayRoutingTokenBucket.js'
 
 /** Dependencies of the rate limiter. */
 export interface CustomerRateLimiterOptions {
@@ -18,30 +19,6 @@
 const BURST_MS = 800
 const MIN_RETRY_AFTER_MS = 100
 
-/** A token bucket with a variable rate. */
-class TokenBucket {
-  private available: number
-  private refilledAtMs: number
-
-  constructor (capacity: number, nowMs: number) {
-    this.available = capacity
-    this.refilledAtMs = nowMs
-  }
-
-  /** Refills the bucket at `rate` per second and returns the milliseconds until `cost` is available; 0 if it is now. */
-  computeWaitMs (cost: number, rate: number, capacity: number, nowMs: number): number {
-    this.available = Math.min(capacity, this.available + (nowMs - this.refilledAtMs) * rate / 1_000)
-    this.refilledAtMs = nowMs
-    // A cost above the capacity only requires a full bucket, which then drops below zero.
-    const needed = Math.min(cost, capacity)
-    return this.available >= needed ? 0 : (needed - this.available) * 1_000 / rate
-  }
-
-  consume (cost: number): void {
-    this.available -= cost
-  }
-}
-
 interface CustomerBuckets {
   readonly requests: TokenBucket
   readonly tokens: TokenBucket
@@ -117,8 +94,8 @@
     let buckets = this.buckets.get(customer)
     if (buckets === undefined) {
       buckets = {
-        requests: new TokenBucket(Math.max(1, requestRate * BURST_MS / 1_000), nowMs),
-        tokens: new TokenBucket(tokenRate * BURST_MS / 1_000, nowMs)
+        requests: TokenBucket.create(Math.max(1, requestRate * BURST_MS / 1_000), nowMs),
+        tokens: TokenBucket.create(tokenRate * BURST_MS / 1_000, nowMs)
       }
       this.buckets.set(customer, buckets)
     }
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -83,7 +83,7 @@
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => this.peers.hints.sumOpenRequests() })
-    this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, announceNeeds: () => this.peers.announceNeeds() })
+    this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, isAvoided: (runner) => this.peers.requestLimiter.isAvoided(runner), announceNeeds: () => this.peers.announceNeeds() })
     this.configurationSync = ConfigurationSync.create({
       self: address,
       clock,
@@ -154,6 +154,7 @@
       publishAcquittal: (fingerprint) => this.publishDurableFact({ type: 'acquittal', id: makeId('acquittal'), fingerprint, atMs: clock.now().getTime() }),
       acquirePermit: (request) => this.peers.suspects.acquirePermit(request),
       releasePermit: (request) => this.peers.suspects.releasePermit(request),
+      requestLimiter: this.peers.requestLimiter,
       noteAdapterUse: (runner, key) => this.peers.hints.recordAdapterUse(runner, key),
       announceLeaving
     })
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -13,6 +13,8 @@
   readonly table: FleetRunnerTable
   readonly memory: PromptCacheIndex
   readonly exchanges: RunnerExchangeClient
+  /** Whether a runner is chosen only if no other healthy one has capacity. */
+  readonly isAvoided: (runner: Runner) => boolean
   /** Called when a request waits for a model or adapter that the peers have not been told of. */
   readonly announceNeeds: () => void
 }
@@ -95,7 +97,7 @@
     while (true) {
       const candidates = this.listCandidates(request)
       const candidatesWithCapacity = candidates.filter(hasCapacity)
-      const chosen = chooseRunner(candidatesWithCapacity, { ...request, zone: this.options.zone, triedRunners }, (runner) => this.measureAffinity(runner, request))
+      const chosen = this.chooseCandidate(candidatesWithCapacity, request, triedRunners)
       if (chosen !== undefined) return chosen.runner
       const refusal = candidates.length > 0 ? this.refuseAtCapacity(candidates) : this.refuseUnlessReadyInTime(request)
       if (refusal !== undefined) return refusal
@@ -104,6 +106,13 @@
     }
   }
 
+  /** Avoided runners are left for the requests that no other runner can take. */
+  private chooseCandidate (candidates: readonly RunnerView[], request: ServedRequest, triedRunners: ReadonlySet<string>): RunnerView | undefined {
+    const { zone, isAvoided } = this.options
+    const preferred = candidates.filter((view) => view.isHealthy && !triedRunners.has(view.runner.id) && !isAvoided(view.runner))
+    return chooseRunner(preferred.length > 0 ? preferred : candidates, { ...request, zone, triedRunners }, (runner) => this.measureAffinity(runner, request))
+  }
+
   private measureAffinity (runner: Runner, request: ServedRequest): ReusableState {
     const { memory, exchanges } = this.options
     const weightsKey = request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter)
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
+import { RequestLimiter, type LimitEnd, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { chooseStoreRole, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreRole } from './FigquayServingStoreWatcher.js'
@@ -58,6 +59,7 @@
 export class ServingPeers {
   readonly hints: HintExchange
   readonly suspects: SuspectIsolator
+  readonly requestLimiter: RequestLimiter
   private readonly factExchange: FactExchange
   private readonly mesh: ServingMesh
   private readonly relay: FleetRelay
@@ -77,6 +79,7 @@
     this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, recordAdapterUse: noteAdapterUse, countDaemons, findNewestVersion, readFactsState: () => facts.state, measureStoreAge })
     const callPeer: ServingMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
     this.suspects = SuspectIsolator.create({ self: self.id, clock, callPeer, listConnected: () => this.mesh.connectedPeers, findLeader: () => leadership.leader?.daemon })
+    this.requestLimiter = RequestLimiter.create({ self: self.id, clock, callPeer, notifyPeer: (peer, method, params) => this.mesh.notifyPeer(peer, method, params), findLeader: () => leadership.leader?.daemon })
     this.factExchange = FactExchange.create({ self: self.id, bootId, clock, logger, facts, callPeer, listConnected: () => this.mesh.connectedPeers })
     this.relay = FleetRelay.create({
       self: self.id,
@@ -247,6 +250,8 @@
       },
       'fleet.facts': (message: FactsMessage) => this.factExchange.handleExchange(message),
       'suspect.take': (request: PermitRequest) => this.suspects.handleAcquire(request),
+      'limit.take': (request: RequestPermitRequest) => this.requestLimiter.handleAcquire(request),
+      'limit.end': (end: LimitEnd) => this.requestLimiter.handleEnd(end),
       'suspect.return': (request: PermitRequest) => this.suspects.handleRelease(request),
       'fleet.read': (request: SnapshotRequest) => this.options.makeSnapshot(request),
       'fleet.configuration': (request: ConfigurationRequest) => this.options.serveConfiguration(request)
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -6,6 +6,7 @@
 import type { CrashHistory } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
+import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import type { PermitReply, PermitRequest } from './FigquayServingSuspectIsolator.js'
 import type { ServingTelemetry } from './FigquayServingTelemetry.js'
 import type { ResponseSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, RunnerNotice, ServedRequest, ServedResult } from './FigquayServingTypes.js'
@@ -28,6 +29,7 @@
   /** Acquires the permit that lets at most one suspect request run on a runner. */
   readonly acquirePermit: (request: PermitRequest) => Promise<PermitReply>
   readonly releasePermit: (request: PermitRequest) => void
+  readonly requestLimiter: RequestLimiter
   readonly noteAdapterUse: (runner: string, key: string) => void
   /** Tells the peers that a runner is draining. */
   readonly announceLeaving: (runner: string, bornMs: number) => void
@@ -164,6 +166,7 @@
       const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
+      if (!await this.acquireRequestPermit(choice)) continue
       const isolation = await this.isolateRequest(progress, choice)
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
@@ -179,6 +182,13 @@
     return this.makeTimeoutRefusal(progress)
   }
 
+  /** Without a permit, a runner that limits its requests gets none from this daemon until one may be available. */
+  private async acquireRequestPermit (runner: Runner): Promise<boolean> {
+    const waitMs = await this.options.requestLimiter.acquirePermit(runner)
+    if (waitMs > 0) this.options.table.noteBackoff(runner.id, runner.bornMs, waitMs)
+    return waitMs === 0
+  }
+
   /** Checked just before the attempt, as crashes may have been recorded while the request waited for a runner. */
   private async isolateRequest (progress: RequestProgress, runner: Runner): Promise<IsolationResult> {
     const { crashHistory, acquirePermit, releasePermit, clock, telemetry } = this.options
@@ -272,13 +282,18 @@
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const priority = Math.min(LOWEST_PRIORITY, request.route.priority)
     const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.lastEventId, priority, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
+    let namesLimit = false
     for await (const event of events) {
       this.options.table.noteActivity(runner.id)
       if (event.type === 'notice') {
         this.applyNotice(request, runner, event.notice)
+        namesLimit = event.notice.requestsPerSecond !== undefined
         continue
       }
-      if (event.type === 'head') silenceDeadline.stopTimer()
+      if (event.type === 'head') {
+        silenceDeadline.stopTimer()
+        if (!namesLimit) this.noteUnlimited(request, runner, openRequest.sentAtMs)
+      }
       if (event.type === 'data') this.options.attemptTracker.noteOutput(attempt)
       // Whole events restart the timer, partial ones don't: a stall is detected while the caller still waits and another runner can resume.
       if (request.route.isResumable && event.type !== 'failed') silenceDeadline.restartTimer(request.route.patienceMs * STALL_PATIENCE_FRACTION)
@@ -290,17 +305,22 @@
 
   /** Applies a runner's notice: draining is announced to the peers, a back-off request concerns this daemon only. */
   private applyNotice (request: ServedRequest, runner: Runner, { isLeaving, refusesForMs, requestsPerSecond }: RunnerNotice): void {
-    const { table, telemetry, announceLeaving } = this.options
+    const { table, telemetry, announceLeaving, requestLimiter } = this.options
     if (isLeaving && table.markLeaving(runner.id, runner.bornMs)) {
       telemetry.recordDecision('runner reported that it is draining', request, { runner: runner.id, bornMs: runner.bornMs })
       announceLeaving(runner.id, runner.bornMs)
     }
-    if (requestsPerSecond !== undefined) telemetry.recordDecision('runner named a request limit', request, { runner: runner.id, bornMs: runner.bornMs, requestsPerSecond })
+    if (requestsPerSecond !== undefined && requestLimiter.noteLimit(runner, requestsPerSecond)) telemetry.recordDecision('runner named a request limit', request, { runner: runner.id, bornMs: runner.bornMs, requestsPerSecond })
     if (refusesForMs === undefined) return
     table.noteBackoff(runner.id, runner.bornMs, refusesForMs)
     telemetry.recordDecision('runner asked for backoff', request, { runner: runner.id, refusesForMs })
   }
 
+  private noteUnlimited (request: ServedRequest, runner: Runner, sentAtMs: number): void {
+    const { requestLimiter, telemetry } = this.options
+    if (requestLimiter.noteNoLimit(runner, sentAtMs)) telemetry.recordDecision('runner no longer limits requests', request, { runner: runner.id, bornMs: runner.bornMs })
+  }
+
   /** Forwards an event to the caller; returns the result once the attempt is over. */
   private async forwardEvent (progress: RequestProgress, event: Exclude<ExchangeEvent, { type: 'notice' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
--- a/packages/figquay-serving/src/__tests__/unit/Dispatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Dispatcher.test.ts
@@ -32,6 +32,7 @@
   let announcements = 0
   const exchanges = { hasReusableConnection: () => false } as unknown as RunnerExchangeClient
   const dispatcher: ServingDispatcher = ServingDispatcher.create({
+    isAvoided: () => false,
     clock,
     zone: 'z',
     configurations,
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -10,7 +10,7 @@
 const SELF = { id: '127.0.0.1:28471', zone: 'z', address: '127.0.0.1:28471' }
 const OTHER = { id: '127.0.0.1:28472', zone: 'z', address: '127.0.0.1:28472' }
 const SECRETS = ['a-secret-of-these-tests']
-const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'fleet.reading', 'suspect.take', 'suspect.return', 'fleet.read', 'fleet.configuration']
+const METHODS = ['fleet.hints', 'fleet.report', 'fleet.exchange', 'fleet.news', 'fleet.facts', 'fleet.reading', 'suspect.take', 'suspect.return', 'fleet.read', 'fleet.configuration', 'limit.take', 'limit.end']
 
 describe('peer that sends arbitrary messages', () => {
   const clock = SystemClock.create()
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -4,7 +4,7 @@
 import { JsonLogger, SystemClock, type Refusal } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptCacheIndex, type Fact, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
-import { ResponseSink, AttemptTracker, CrashHistory, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest } from '../../index.js'
+import { ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest } from '../../index.js'
 
 const ROUTE: Route = {
   name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, priority: 0, targets: [], maxAttempts: 1
@@ -118,7 +118,8 @@
   if (model !== undefined) configurations.adoptConfiguration(CONFIGURATION)
   const memory = PromptCacheIndex.create(clock)
   const exchanges = new ScriptedExchanges(scripts)
-  const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, exchanges, announceNeeds: () => {} })
+  const requestLimiter = RequestLimiter.create({ self: 'a', clock, findLeader: () => 'a', callPeer: async () => ({ ok: false, error: 'timeout' }), notifyPeer: () => {} })
+  const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, exchanges, isAvoided: (runner) => requestLimiter.isAvoided(runner), announceNeeds: () => {} })
   const crashHistory = CrashHistory.create(() => true, () => false)
   const addFact = (fact: Fact): void => crashHistory.addFact(fact)
   const attemptTracker = AttemptTracker.create({
@@ -140,6 +141,7 @@
     publishAcquittal: (fingerprint) => addFact({ type: 'acquittal', id: `acquittal-${fingerprint}`, fingerprint, atMs: clock.now().getTime() }),
     acquirePermit: async () => 'granted',
     releasePermit: () => {},
+    requestLimiter,
     noteAdapterUse: () => {},
     announceLeaving: (runner) => leaving.push(runner),
     telemetry: ServingTelemetry.create(clock, JsonLogger.create('test', 'silent'))
@@ -240,6 +242,20 @@
     expect([answers[2]!.refusal!.retryAfterMs! > 2_500, tookMs < 1_000]).toEqual([true, true])
   })
 
+  it('sends to a runner that names a limit only what it takes, while the others take the rest', async () => {
+    const limited = makeScript({ type: 'notice', notice: { isLeaving: false, refusesForMs: undefined, requestsPerSecond: 1 } }, HEAD, END)
+    const plain = makeScript(HEAD, END)
+    const { sent, answers } = await serve([limited, ...Array.from({ length: 20 }, () => plain)], {}, { calls: 20 })
+    expect([sent.slice(1).includes(sent[0]!), answers.every((sink) => sink.ending === 'finished')]).toEqual([false, true])
+  })
+
+  it('refuses at once, with the time at which there is room, when all runners name a limit and it is used up', async () => {
+    const limited = makeScript({ type: 'notice', notice: { isLeaving: false, refusesForMs: undefined, requestsPerSecond: 0.5 } }, HEAD, END)
+    const { sent, answers, tookMs } = await serve(Array.from({ length: 12 }, () => limited), {}, { calls: 12, deadlineMs: 2_000 })
+    // The first request to each of the three runners learns of its limit, and the second takes the one permit at hand.
+    expect([sent.length, answers.at(-1)!.ending, answers.at(-1)!.refusal!.retryAfterMs! > 1_000, tookMs < 1_000]).toEqual([6, 'refused 503 not-run', true, true])
+  })
+
   it('resumes a stalled stream on another runner, and leaves a slow one on its runner', async () => {
     const stall: Script = async function * (runner, options, signal) {
       yield * [HEAD, makeData('one ', '1')]
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -6,6 +6,7 @@
 export { CrashHistory, classifyCrashes, type CrashCount, type QuarantineState } from './FigquayServingCrashHistory.js'
 export { FactExchange, type FactExchangeOptions, type FactsMessage } from './FigquayServingFactExchange.js'
 export { FACT_KEY_PREFIX, FactStoreSync, type FactStoreSyncOptions } from './FigquayServingFactStoreSync.js'
+export { RequestLimiter, type LimitEnd, type RequestLimiterOptions, type RequestPermitReply, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
 export { SuspectIsolator, type PermitReply, type SuspectIsolatorOptions, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 export { ConfigurationSource, type ConfigurationReply, type ConfigurationRequest, type ConfigurationSourceOptions } from './FigquayServingConfigurationSource.js'
 export { ConfigurationSync, type ConfigurationSyncOptions, type VersionAnnouncement } from './FigquayServingConfigurationSync.js'
--- a/packages/figquay/src/index.ts
+++ b/packages/figquay/src/index.ts
@@ -1,3 +1,4 @@
+export { setBounded } from './FigquayBoundedMap.js'
 export { Deadline } from './FigquayDeadline.js'
 export { SystemClock, type Clock } from './FigquayClock.js'
 export { makeFailure, makeSuccess, type Outcome } from './FigquayOutcome.js'
