--- a/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
+++ b/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
@@ -1,4 +1,5 @@
 /** The active configuration. Its version only increases, whichever source a configuration comes from. */
+import { setBounded } from 'figquay'
 import { shareUnchangedParts } from './FigquayFleetConfigurationUpdate.js'
 import type { FleetConfiguration, Route, Service } from './FigquayFleetTypes.js'
 
@@ -57,8 +58,7 @@
     if (configuration.version <= this.version) return false
     const active = this.configuration === undefined ? configuration : shareUnchangedParts(this.configuration, configuration)
     this.configuration = active
-    this.kept.set(active.version, active)
-    if (this.kept.size > KEPT_VERSIONS) this.kept.delete(this.kept.keys().next().value!)
+    setBounded(this.kept, active.version, active, KEPT_VERSIONS)
     this.routeIndex = makeRouteIndex(active.routes)
     for (const listener of [...this.listeners]) listener(active)
     return true
--- a/packages/figquay-serving/src/FigquayServingConfigurationSource.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSource.ts
@@ -6,7 +6,7 @@
  * only a few transfers run at once, and other peers are referred to those that have been served.
  */
 import { gzipSync } from 'node:zlib'
-import type { Clock } from 'figquay'
+import { setBounded, type Clock } from 'figquay'
 import { computeConfigurationUpdate, type ConfigurationHolder } from 'figquay-fleet'
 
 /** Request for a part of the changes since a version. */
@@ -107,9 +107,7 @@
     const { configurations } = this.options
     const key = `${baseVersion} ${version}`
     const encoded = this.encodedUpdates.get(key) ?? gzipSync(JSON.stringify(computeConfigurationUpdate(configurations.findVersion(baseVersion), configurations.current!)))
-    this.encodedUpdates.delete(key)
-    this.encodedUpdates.set(key, encoded)
-    if (this.encodedUpdates.size > MAX_ENCODED_UPDATES) this.encodedUpdates.delete(this.encodedUpdates.keys().next().value!)
+    setBounded(this.encodedUpdates, key, encoded, MAX_ENCODED_UPDATES)
     return encoded
   }
 
--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -63,7 +63,7 @@
   private isFetching = false
 
   private constructor (private readonly options: ConfigurationSyncOptions) {
-    options.configurations.registerListener((configuration) => this.forgetOlderPeers(configuration.version))
+    options.configurations.registerListener((configuration) => this.dropOlderPeers(configuration.version))
   }
 
   /**
@@ -129,10 +129,10 @@
    * Activates a configuration that was read from the store.
    *
    * @example
-   * sync.activateFromStore(configuration)
+   * sync.adoptFromStore(configuration)
    */
-  activateFromStore (configuration: FleetConfiguration): void {
-    this.activate(configuration, 'store', this.options.clock.readMonotonicMs())
+  adoptFromStore (configuration: FleetConfiguration): void {
+    this.adopt(configuration, 'store', this.options.clock.readMonotonicMs())
   }
 
   private noteNewest (peer: string, version: number): void {
@@ -143,7 +143,7 @@
     logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
   }
 
-  private forgetOlderPeers (version: number): void {
+  private dropOlderPeers (version: number): void {
     const nowMs = this.options.clock.readMonotonicMs()
     for (const [peer, peerVersion] of this.peerVersions) if (peerVersion < version) this.peerVersions.delete(peer)
     for (const [peer, retryAtMs] of this.retryAtMs) if (retryAtMs <= nowMs) this.retryAtMs.delete(peer)
@@ -170,7 +170,7 @@
     if (this.isBehind && configurations.version >= 0 && clock.readMonotonicMs() >= this.nextStoreReadAtMs) {
       this.nextStoreReadAtMs = clock.readMonotonicMs() + STORE_FALLBACK_MS
       const configuration = await this.options.readFromStore(signal)
-      if (configuration !== undefined) this.activateFromStore(configuration)
+      if (configuration !== undefined) this.adoptFromStore(configuration)
       return
     }
     if (peer === undefined) await clock.waitFor(RETRY_DELAY_MS, signal)
@@ -208,7 +208,7 @@
       chunks.push(Buffer.from(reply.data, 'base64'))
       receivedBytes += chunks.at(-1)!.length
       if (reply.totalBytes > MAX_ENCODED_BYTES || chunks.at(-1)!.length === 0) return this.noteFailure(peer, 'the transfer has an invalid size', startedAtMs)
-      if (receivedBytes >= reply.totalBytes) return this.activateEncoded(peer, Buffer.concat(chunks), startedAtMs)
+      if (receivedBytes >= reply.totalBytes) return this.adoptEncoded(peer, Buffer.concat(chunks), startedAtMs)
     }
   }
 
@@ -235,20 +235,20 @@
     return 'failed'
   }
 
-  private activateEncoded (peer: string, encoded: Buffer, startedAtMs: number): FetchResult {
+  private adoptEncoded (peer: string, encoded: Buffer, startedAtMs: number): FetchResult {
     const { configurations } = this.options
     try {
       const update = JSON.parse(gunzipSync(encoded, { maxOutputLength: MAX_UPDATE_BYTES }).toString()) as ConfigurationUpdate
       const configuration = applyConfigurationUpdate(configurations.current, update)
       if (configuration === undefined) return this.noteFailure(peer, 'the changes don\'t apply to the active version', startedAtMs)
-      this.activate(configuration, 'peer', startedAtMs, { peer, bytes: encoded.length, isWhole: update.baseVersion === undefined })
+      this.adopt(configuration, 'peer', startedAtMs, { peer, bytes: encoded.length, isWhole: update.baseVersion === undefined })
       return 'activated'
     } catch (error) {
       return this.noteFailure(peer, describeError(error), startedAtMs)
     }
   }
 
-  private activate (configuration: FleetConfiguration, source: 'store' | 'peer', startedAtMs: number, details: Record<string, unknown> = {}): void {
+  private adopt (configuration: FleetConfiguration, source: 'store' | 'peer', startedAtMs: number, details: Record<string, unknown> = {}): void {
     const { configurations, logger, clock } = this.options
     if (!configurations.adoptConfiguration(configuration)) return
     const nowMs = clock.readMonotonicMs()
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -135,7 +135,7 @@
       factStore: this.factStore,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
-      activateConfiguration: (configuration) => configurationSync.activateFromStore(configuration),
+      adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
       announceLeaving
     })
--- a/packages/figquay-serving/src/FigquayServingRequestLimiter.ts
+++ b/packages/figquay-serving/src/FigquayServingRequestLimiter.ts
@@ -67,7 +67,7 @@
 const MIN_REQUESTS_PER_SECOND = 0.01
 /** A limit that no answer has named for this long may be over, in milliseconds: the runner is no longer avoided, and its next answer tells. */
 const AVOIDANCE_MS = 2_000
-/** Runners whose limits or buckets are kept: more than are in need at once. */
+/** Runners whose limits or permits are kept: more than are in need at once. */
 const MAX_LIMITED_RUNNERS = 1_000
 
 /** Limits that runners have named to this daemon, and the permits that it issues while it is the leader. */
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -166,7 +166,7 @@
       const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
-      if (!await this.acquireRequestPermit(choice)) continue
+      if (!await this.acquireRequestPermit(request, choice)) continue
       const isolation = await this.isolateRequest(progress, choice)
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
@@ -183,10 +183,13 @@
   }
 
   /** Without a permit, a runner that limits its requests gets none from this daemon until one may be available. */
-  private async acquireRequestPermit (runner: Runner): Promise<boolean> {
-    const waitMs = await this.options.requestLimiter.acquirePermit(runner)
-    if (waitMs > 0) this.options.table.noteBackoff(runner.id, runner.bornMs, waitMs)
-    return waitMs === 0
+  private async acquireRequestPermit (request: ServedRequest, runner: Runner): Promise<boolean> {
+    const { requestLimiter, table, telemetry } = this.options
+    const waitMs = await requestLimiter.acquirePermit(runner)
+    if (waitMs === 0) return true
+    table.noteBackoff(runner.id, runner.bornMs, waitMs)
+    telemetry.recordDecision('request limit of the runner is used up', request, { runner: runner.id, waitMs: Math.round(waitMs) })
+    return false
   }
 
   /** Checked just before the attempt, as crashes may have been recorded while the request waited for a runner. */
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -77,7 +77,7 @@
   /** Requests what is newer than this daemon's copy from a peer, or from any if none is given; undefined without a response. */
   readonly requestSnapshot: (request: SnapshotRequest, peer: string | undefined) => Promise<FleetSnapshot | undefined>
   /** Activates a configuration that was read from the store. */
-  readonly activateConfiguration: (configuration: FleetConfiguration) => void
+  readonly adoptConfiguration: (configuration: FleetConfiguration) => void
 }
 
 /** Timeout of a long poll for records that rarely change, in milliseconds. */
@@ -243,11 +243,11 @@
   }
 
   private async readConfiguration (signal: AbortSignal): Promise<boolean> {
-    const { store, activateConfiguration } = this.options
+    const { store, adoptConfiguration } = this.options
     const reading = await store.readConfiguration(this.configurationPosition, LONG_POLL_MS, signal)
     if (!reading.ok) return this.logReadFailure('configuration', reading)
     this.configurationPosition = reading.value.position
-    if (reading.value.configuration !== undefined) activateConfiguration(reading.value.configuration)
+    if (reading.value.configuration !== undefined) adoptConfiguration(reading.value.configuration)
     return true
   }
 
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -197,12 +197,12 @@
 /** Makes a configuration with routes of random-looking names, as operators generate them. */
 export function makeConfiguration (version: number, routeCount: number): FleetConfiguration {
   const routes = Array.from({ length: routeCount }, (_, index): Route => ({
-    name: `r-${scramble(index)}`, host: `site-${index % 30}.example`, pathPrefix: `/${scramble(index + 7)}/`, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1_041, objectiveMs: 147, patienceMs: 1_041, priority: 1, targets: [{ service: 'ledger', weight: 1 }], maxAttempts: 2
+    name: `r-${makeName(index)}`, host: `site-${index % 30}.example`, pathPrefix: `/${makeName(index + 7)}/`, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1_041, objectiveMs: 147, patienceMs: 1_041, priority: 1, targets: [{ service: 'ledger', weight: 1 }], maxAttempts: 2
   }))
   return { version, routes, services: new Map([['ledger', { name: 'ledger', healthPath: '/health', maxConnections: 100, engine: undefined }]]), limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 } }
 }
 
 /** Spreads consecutive numbers over unlike names, which compress as little as generated names do. */
-function scramble (index: number): string {
+function makeName (index: number): string {
   return (Math.imul(index + 1, 0x9e3779b1) >>> 0).toString(36).padStart(7, '0')
 }
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -12,7 +12,7 @@
 /** Longest time in which a daemon that knows of a newer version and can get it nowhere reads the store, in milliseconds. */
 const STORE_READ_LIMIT_MS = 2_000
 
-function withEngine (configuration: FleetConfiguration): FleetConfiguration {
+function addEngine (configuration: FleetConfiguration): FleetConfiguration {
   const engine = { slots: 1, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map([['m', MODEL]]) }
   return { ...configuration, services: new Map([['assistant', { name: 'assistant', healthPath: '/health', maxConnections: 1, engine }]]) }
 }
@@ -49,7 +49,7 @@
       const holder = ConfigurationHolder.create()
       holder.adoptConfiguration({ ...empty, routes: before })
       const base = holder.current!
-      holder.adoptConfiguration({ ...hasEngine ? withEngine(empty) : empty, version: 2, routes: after })
+      holder.adoptConfiguration({ ...hasEngine ? addEngine(empty) : empty, version: 2, routes: after })
       const update = JSON.parse(JSON.stringify(computeConfigurationUpdate(base, holder.current!))) as ReturnType<typeof computeConfigurationUpdate>
       const result = ConfigurationHolder.create()
       result.adoptConfiguration(applyConfigurationUpdate(base, update)!)
@@ -60,8 +60,8 @@
 
   it('contain only the routes that differ, and no services if none does', () => {
     const holder = ConfigurationHolder.create()
-    holder.adoptConfiguration(withEngine(makeConfiguration(1, 100)))
-    holder.adoptConfiguration(withEngine(makeConfiguration(2, 101)))
+    holder.adoptConfiguration(addEngine(makeConfiguration(1, 100)))
+    holder.adoptConfiguration(addEngine(makeConfiguration(2, 101)))
     const update = computeConfigurationUpdate(holder.findVersion(1), holder.current!)
     expect([update.changedRoutes.length, update.removedRoutes.length, update.services]).toEqual([1, 0, undefined])
   })
@@ -75,13 +75,13 @@
 describe('configuration sync', () => {
   it('fetches a whole configuration, models included, and later only what differs', async () => {
     const clock = SimulatedClock.create()
-    const { holder, source } = makePeer(clock, withEngine(makeConfiguration(1, 2_000)))
+    const { holder, source } = makePeer(clock, addEngine(makeConfiguration(1, 2_000)))
     const { sync, configurations, calls } = makeReceiver(clock, (_peer, request) => makeSuccess(source.serveRequest(request)))
     sync.start()
     await clock.runFor(100)
     expect([configurations.version, configurations.findService('assistant')?.engine?.models.get('m')]).toEqual([1, MODEL])
     const callsForWhole = calls.length
-    holder.adoptConfiguration(withEngine(makeConfiguration(2, 2_001)))
+    holder.adoptConfiguration(addEngine(makeConfiguration(2, 2_001)))
     sync.noteAnnouncement('a', { version: 2, newestVersion: 2 })
     await clock.runFor(100)
     expect([configurations.current?.routes.length, callsForWhole > 1, calls.length - callsForWhole]).toEqual([2_001, true, 1])
@@ -135,7 +135,7 @@
     const { sync, configurations, calls } = makeReceiver(clock, (_peer, request) => makeSuccess(source.serveRequest(request)))
     configurations.adoptConfiguration(makeConfiguration(2, 1))
     sync.noteAnnouncement('a', { version: 1, newestVersion: 1 })
-    sync.activateFromStore(makeConfiguration(1, 1))
+    sync.adoptFromStore(makeConfiguration(1, 1))
     await clock.runFor(STORE_READ_LIMIT_MS)
     expect([configurations.version, calls.length]).toEqual([2, 0])
   })
--- a/packages/figquay/src/FigquayBoundedMap.ts
+++ b/packages/figquay/src/FigquayBoundedMap.ts
@@ -6,7 +6,7 @@
  * @example
  * setBounded(backoffs, runner.id, untilMs, 10_000)
  */
-export function setBounded<V> (map: Map<string, V>, key: string, value: V, maxSize: number): void {
+export function setBounded<K, V> (map: Map<K, V>, key: K, value: V, maxSize: number): void {
   map.delete(key)
   map.set(key, value)
   if (map.size > maxSize) map.delete(map.keys().next().value!)
