--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -339,7 +339,10 @@
       progress.hasResponseStarted = true
       return undefined
     }
-    if (!openRequest.hasOutput) this.noteFirstByte(progress, openRequest.sentAtMs)
+    if (!openRequest.hasOutput) {
+      this.noteFirstByte(progress, openRequest.sentAtMs)
+      this.noteResumption(progress, event.firstEventId)
+    }
     openRequest.hasOutput = true
     progress.lastEventId = event.lastEventId ?? progress.lastEventId
     await progress.sink.writeBytes(event.bytes)
@@ -354,6 +357,12 @@
     this.options.telemetry.recordDecision('late first byte', request, { waitedMs: Math.round(sentAtMs - request.arrivedAtMs), atRunnerMs: Math.round(nowMs - sentAtMs), tried: [...triedRunners] })
   }
 
+  /** Logs where a runner takes up a stream: after the position of the caller, or of an earlier attempt. */
+  private noteResumption ({ request, lastEventId, triedRunners }: RequestProgress, firstEventId: string | undefined): void {
+    if (request.resumeAfterEventId === undefined && lastEventId === undefined) return
+    this.options.telemetry.recordDecision('stream resumed', request, { callerEventId: request.resumeAfterEventId, resumedAfter: lastEventId, firstEventId, tried: [...triedRunners] })
+  }
+
   private noteAttempt (progress: RequestProgress, runner: Runner, result: AttemptResult): void {
     const { table, telemetry } = this.options
     const hasFailed = result.type !== 'done' && !progress.signal.aborted
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -12,6 +12,8 @@
   readonly adapter: string | undefined
   readonly promptTokens: number
   readonly parts: readonly PromptPart[]
+  /** Id of the last event that the caller has of a stream that it takes up; undefined for a new stream, and for other requests. */
+  readonly resumeAfterEventId: string | undefined
   /** Digest of caller, path and body; a caller's retry of a request has the same one. */
   readonly fingerprint: string
   /** Monotonic time of arrival, in milliseconds. */
@@ -65,8 +67,8 @@
   | { readonly type: 'notice', readonly notice: RunnerNotice }
   /** Start of the response; `head` is codec data. */
   | { readonly type: 'head', readonly status: number, readonly head: unknown, readonly load: ReportedLoad | undefined }
-  /** Bytes of the response; whole events in a stream. */
-  | { readonly type: 'data', readonly bytes: Buffer, readonly lastEventId: string | undefined }
+  /** Bytes of the response; whole events in a stream, with the first and the last id among them. */
+  | { readonly type: 'data', readonly bytes: Buffer, readonly firstEventId: string | undefined, readonly lastEventId: string | undefined }
   /** The response is complete. */
   | { readonly type: 'end' }
   | { readonly type: 'failed', readonly failure: ExchangeFailure }
--- a/packages/figquay-serving/src/__tests__/unit/Dispatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Dispatcher.test.ts
@@ -46,7 +46,7 @@
   })
   const find = (model: string): Promise<Runner | Refusal> => {
     const arrivedAtMs = clock.readMonotonicMs()
-    const request: ServedRequest = { id: 'a', route: ROUTE, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + 5_000, payload: undefined }
+    const request: ServedRequest = { id: 'a', route: ROUTE, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], resumeAfterEventId: undefined, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + 5_000, payload: undefined }
     return dispatcher.findRunner(request, new Set(), new AbortController().signal)
   }
   return { clock, table, dispatcher, find, countAnnouncements: () => announcements }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -67,8 +67,8 @@
 const END: ExchangeEvent = { type: 'end' }
 const LEAVING: ExchangeEvent = { type: 'notice', notice: { isLeaving: true, refusesForMs: undefined, requestsPerSecond: undefined } }
 
-function makeData (text: string, lastEventId?: string): ExchangeEvent {
-  return { type: 'data', bytes: Buffer.from(text), lastEventId }
+function makeData (text: string, eventId?: string): ExchangeEvent {
+  return { type: 'data', bytes: Buffer.from(text), firstEventId: eventId, lastEventId: eventId }
 }
 
 function makeFailure (reason: ExchangeFailure['reason'], execution: ExchangeFailure['execution']): ExchangeEvent {
@@ -148,7 +148,7 @@
   })
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
-    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
+    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], resumeAfterEventId: undefined, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
   const answers: RecordingSink[] = []
   let result = ''
