Send runners one position in a stream: that of the caller, then of what was delivered

What callers saw: an event of a stream twice. Cause: a caller that resumes a broken stream names its position in Last-Event-Id; the daemon forwarded that header like any other, and when the stream broke off again, it added its own position beside it. A runner that goes by the first repeats all that the attempt before had delivered.

Change: the caller's position is decoded into the request, the router's position begins with it, and a stream's header is sent from that alone. The class: a fact with two owners, forwarded beside ours.

--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -50,6 +50,7 @@
   declinedAttempts: number
   hasResponseStarted: boolean
   mayHaveRun: boolean
+  /** Id of the last event that the caller has, from this request or an earlier one of its own. */
   lastEventId: string | undefined
   /** Monotonic time at which the request, being a suspect, first asked for an isolation permit, in milliseconds. */
   isolationStartedAtMs: number | undefined
@@ -113,7 +114,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: undefined, isolationStartedAtMs: undefined }
+    const progress: RequestProgress = { request, sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isolationStartedAtMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -359,7 +360,7 @@
 
   /** Logs where a runner takes up a stream: after the position of the caller, or of an earlier attempt. */
   private noteResumption ({ request, lastEventId, triedRunners }: RequestProgress, firstEventId: string | undefined): void {
-    if (request.resumeAfterEventId === undefined && lastEventId === undefined) return
+    if (lastEventId === undefined) return
     this.options.telemetry.recordDecision('stream resumed', request, { callerEventId: request.resumeAfterEventId, resumedAfter: lastEventId, firstEventId, tried: [...triedRunners] })
   }
 
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -96,6 +96,8 @@
 
 interface ServeOptions {
   readonly burst?: number
+  /** Position of the caller in a stream that it resumes. */
+  readonly resumeAfterEventId?: string
   /** Requested model; it is loaded on no runner. */
   readonly model?: string
   readonly deadlineMs?: number
@@ -107,7 +109,7 @@
   readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
@@ -148,7 +150,7 @@
   })
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
-    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], resumeAfterEventId: undefined, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
+    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
   const answers: RecordingSink[] = []
   let result = ''
@@ -212,6 +214,11 @@
     expect(sent[1]!.endsWith('after 1')).toEqual(true)
   })
 
+  it('resumes a stream after the position of its caller first, then after the events that it has delivered', async () => {
+    const { sink, sent } = await serve([makeScript(HEAD, makeData('fourteen ', '14'), makeFailure('reset', 'unknown')), makeScript(HEAD, makeData('fifteen', '15'), END)], RESUMABLE, { resumeAfterEventId: '13' })
+    expect([sink.text, ...sent.map((attempt) => attempt.split(' after ')[1])]).toEqual(['200 fourteen fifteen', '13', '14'])
+  })
+
   it('never forwards an error response into a started stream', async () => {
     const { sink } = await serve([makeScript(HEAD, makeData('one ', '1'), makeFailure('reset', 'unknown')), makeScript(ERROR_HEAD, makeData('oops'), END)], RESUMABLE)
     expect([sink.text, sink.ending]).toEqual(['200 one ', 'abandoned'])
