Don't resume a stream after an event without an id

Such a stream is broken off, and comments don't count as events. Router.test.ts failed before: the stream was resumed after event 1 though another had been delivered.

--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -52,6 +52,8 @@
   mayHaveRun: boolean
   /** Id of the last event that the caller has, from this request or an earlier one of its own. */
   lastEventId: string | undefined
+  /** Events without an id were delivered after it, so that no runner can go on where the caller is. */
+  isPositionUnknown: boolean
   /** Monotonic time at which the request, being a suspect, first asked for an isolation permit, in milliseconds. */
   isolationStartedAtMs: number | undefined
 }
@@ -114,7 +116,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isolationStartedAtMs: undefined }
+    const progress: RequestProgress = { request, sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, isolationStartedAtMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -346,6 +348,7 @@
     }
     openRequest.hasOutput = true
     progress.lastEventId = event.lastEventId ?? progress.lastEventId
+    if (event.lastEventId !== undefined || event.hasUnnumberedEnd) progress.isPositionUnknown = event.hasUnnumberedEnd
     await progress.sink.writeBytes(event.bytes)
     return undefined
   }
@@ -374,9 +377,9 @@
   }
 
   /** Whether the route allows another attempt after `extraRuns` more than the counted ones. */
-  private canRunAgain ({ request, countedRuns, hasResponseStarted }: RequestProgress, extraRuns: number): boolean {
+  private canRunAgain ({ request, countedRuns, hasResponseStarted, isPositionUnknown }: RequestProgress, extraRuns: number): boolean {
     const { route } = request
-    const canRepeat = route.isStream ? route.isResumable : route.repeat === 'idempotent' && !hasResponseStarted
+    const canRepeat = route.isStream ? route.isResumable && !isPositionUnknown : route.repeat === 'idempotent' && !hasResponseStarted
     return canRepeat && countedRuns + extraRuns < route.maxAttempts
   }
 
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -67,8 +67,8 @@
   | { readonly type: 'notice', readonly notice: RunnerNotice }
   /** Start of the response; `head` is codec data. */
   | { readonly type: 'head', readonly status: number, readonly head: unknown, readonly load: ReportedLoad | undefined }
-  /** Bytes of the response; whole events in a stream, with the first and the last id among them. */
-  | { readonly type: 'data', readonly bytes: Buffer, readonly firstEventId: string | undefined, readonly lastEventId: string | undefined }
+  /** Bytes of the response; whole events in a stream, with the first and the last id among them, and whether events without an id follow the last one. */
+  | { readonly type: 'data', readonly bytes: Buffer, readonly firstEventId: string | undefined, readonly lastEventId: string | undefined, readonly hasUnnumberedEnd: boolean }
   /** The response is complete. */
   | { readonly type: 'end' }
   | { readonly type: 'failed', readonly failure: ExchangeFailure }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -67,8 +67,8 @@
 const END: ExchangeEvent = { type: 'end' }
 const LEAVING: ExchangeEvent = { type: 'notice', notice: { isLeaving: true, refusesForMs: undefined, requestsPerSecond: undefined } }
 
-function makeData (text: string, eventId?: string): ExchangeEvent {
-  return { type: 'data', bytes: Buffer.from(text), firstEventId: eventId, lastEventId: eventId }
+function makeData (text: string, eventId?: string, hasUnnumberedEnd = false): ExchangeEvent {
+  return { type: 'data', bytes: Buffer.from(text), firstEventId: eventId, lastEventId: eventId, hasUnnumberedEnd }
 }
 
 function makeFailure (reason: ExchangeFailure['reason'], execution: ExchangeFailure['execution']): ExchangeEvent {
@@ -219,6 +219,13 @@
     expect([sink.text, ...sent.map((attempt) => attempt.split(' after ')[1])]).toEqual(['200 fourteen fifteen', '13', '14'])
   })
 
+  it('does not resume a stream after an event without an id, as no position would be right', async () => {
+    const afterNumbered = await serve([makeScript(HEAD, makeData('one ', '1'), makeData('two ', undefined, true), makeFailure('reset', 'unknown'))], RESUMABLE)
+    expect([afterNumbered.sink.text, afterNumbered.sink.ending, afterNumbered.sent.length]).toEqual(['200 one two ', 'abandoned', 1])
+    const numberedAgain = await serve([makeScript(HEAD, makeData('one ', undefined, true), makeData('two ', '2'), makeFailure('reset', 'unknown')), makeScript(HEAD, makeData('three', '3'), END)], RESUMABLE)
+    expect([numberedAgain.sink.text, numberedAgain.sink.ending]).toEqual(['200 one two three', 'finished'])
+  })
+
   it('never forwards an error response into a started stream', async () => {
     const { sink } = await serve([makeScript(HEAD, makeData('one ', '1'), makeFailure('reset', 'unknown')), makeScript(ERROR_HEAD, makeData('oops'), END)], RESUMABLE)
     expect([sink.text, sink.ending]).toEqual(['200 one ', 'abandoned'])
