Forward nothing from a runner that resumes a stream before the requested position

The first event of a resumed stream is compared with the position; a runner that goes back counts as failed, and another is tried if the route allows. Ids that aren't numbers can't be compared and pass.

--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -91,6 +91,11 @@
 /** Priority of the least urgent requests at a runner. */
 const LOWEST_PRIORITY = 9
 
+/** A runner that goes back behind the position that it was given would repeat events. */
+const MISPLACED_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'crossed', message: 'the runner resumed the stream before the requested position' }
+/** Event ids that can be compared: decimal numbers that a double represents exactly. */
+const COMPARABLE_ID = /^\d{1,15}$/
+
 /** Routes requests to runners. */
 export class ServingRouter {
   private readonly openDeadlines = new Set<Deadline>()
@@ -345,6 +350,7 @@
     if (!openRequest.hasOutput) {
       this.noteFirstByte(progress, openRequest.sentAtMs)
       this.noteResumption(progress, event.firstEventId)
+      if (!isAfterPosition(event.firstEventId, progress.lastEventId)) return { type: 'failed', failure: MISPLACED_RESUMPTION }
     }
     openRequest.hasOutput = true
     progress.lastEventId = event.lastEventId ?? progress.lastEventId
@@ -418,6 +424,12 @@
   }
 }
 
+/** Whether an event follows a position in its stream; ids that can't be compared count as following. */
+function isAfterPosition (eventId: string | undefined, position: string | undefined): boolean {
+  if (eventId === undefined || position === undefined || !COMPARABLE_ID.test(eventId) || !COMPARABLE_ID.test(position)) return true
+  return Number(eventId) > Number(position)
+}
+
 /**
  * Shortens a fingerprint for log lines to a prefix that still tells requests apart.
  *
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -219,6 +219,14 @@
     expect([sink.text, ...sent.map((attempt) => attempt.split(' after ')[1])]).toEqual(['200 fourteen fifteen', '13', '14'])
   })
 
+  it('forwards nothing from a runner that goes back behind the position that it was given', async () => {
+    const first = makeScript(HEAD, makeData('nine ', '9'), makeData('ten ', '10'), makeFailure('reset', 'unknown'))
+    const repeating = await serve([first, makeScript(HEAD, makeData('ten again ', '10'), END)], RESUMABLE)
+    expect([repeating.sink.text, repeating.sink.ending]).toEqual(['200 nine ten ', 'abandoned'])
+    const fromStart = await serve([makeScript(HEAD, makeData('one ', '1'), END), makeScript(HEAD, makeData('fourteen', '14'), END)], RESUMABLE, { resumeAfterEventId: '13' })
+    expect([fromStart.sink.text, fromStart.sink.ending]).toEqual(['200 fourteen', 'finished'])
+  })
+
   it('does not resume a stream after an event without an id, as no position would be right', async () => {
     const afterNumbered = await serve([makeScript(HEAD, makeData('one ', '1'), makeData('two ', undefined, true), makeFailure('reset', 'unknown'))], RESUMABLE)
     expect([afterNumbered.sink.text, afterNumbered.sink.ending, afterNumbered.sent.length]).toEqual(['200 one two ', 'abandoned', 1])
