Charge crashes to prompt parts, and quarantine a part that crashes runners

What callers saw: requests with one deadly prompt part, no two alike, crashed one runner after the other, and sound requests beside them found no runner.

Change: each crash names the prompt parts of its suspects too, except the last, which is a request's own, and except parts that are answered all the time. A request with a charged part runs alone on its runner and alone among those that share the part; any answer with it clears it, naming the crashes, not the time, as the clocks of VMs differ. Three crashes, one of them in isolation, or four quarantine the part: its requests are refused before a runner is asked, as not run. One is tried again after 10 s, then ever later, so that a blameless part comes back.

--- a/packages/figquay-fleet/src/FigquayFleetFacts.ts
+++ b/packages/figquay-fleet/src/FigquayFleetFacts.ts
@@ -18,7 +18,7 @@
   readonly runner: string
   /** Start time of the process, which identifies it. */
   readonly bornMs: number
-  /** Fingerprints of requests that had no output yet, or only for a short time. */
+  /** Fingerprints of requests that had no output yet, or only for a short time, and keys of their prompt parts. */
   readonly suspects: readonly string[]
   /** Those of the suspects that had been suspected before and ran isolated from all other suspects. */
   readonly isolated: readonly string[]
@@ -28,11 +28,16 @@
   readonly atMs: number
 }
 
-/** A request that was suspected of crashing runners has been answered completely. */
+/** A request that was suspected of crashing runners, or one with a suspected prompt part, has been answered completely. */
 export interface AcquittalFact {
   readonly type: 'acquittal'
   readonly id: string
   readonly fingerprint: string
+  /**
+   * Processes whose crashes no longer count against the fingerprint, as `runner/bornMs`; undefined if `atMs` decides. They
+   * are named where the clocks of the VMs would tell falsely which came first.
+   */
+  readonly incarnations?: readonly string[]
   /** Wall-clock time, in milliseconds; crashes before it no longer count against the request. */
   readonly atMs: number
 }
@@ -188,9 +193,9 @@
  */
 export function isFact (value: unknown): value is Fact {
   if (typeof value !== 'object' || value === null) return false
-  const { type, id, runner, bornMs, suspects, isolated, bystanders, fingerprint, atMs } = value as Record<string, unknown>
+  const { type, id, runner, bornMs, suspects, isolated, bystanders, fingerprint, incarnations, atMs } = value as Record<string, unknown>
   if (typeof id !== 'string' || typeof atMs !== 'number') return false
-  if (type === 'acquittal') return typeof fingerprint === 'string'
+  if (type === 'acquittal') return typeof fingerprint === 'string' && (incarnations === undefined || isStringArray(incarnations))
   if (typeof runner !== 'string' || typeof bornMs !== 'number') return false
   return type === 'leaving' || ((type === 'crash' || type === 'doubt') && [suspects, isolated, bystanders].every(isStringArray))
 }
--- a/packages/figquay-serving/src/FigquayServingAttemptTracker.ts
+++ b/packages/figquay-serving/src/FigquayServingAttemptTracker.ts
@@ -16,6 +16,8 @@
   readonly reportCrash: (runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>) => void
   /** Called once for each attempt whose runner does not respond to probes but is still registered: it may have crashed. */
   readonly reportPossibleCrash: (runner: Runner, crash: Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'>) => void
+  /** Whether a request with a prompt part has been answered since a time (monotonic, in milliseconds), so that the part is not to blame. */
+  readonly hasPartSucceeded: (partKey: string, sinceMs: number) => boolean
   /** Called for each liveness probe with its result. */
   readonly recordProbe: (message: string, fields: Readonly<Record<string, unknown>>) => void
 }
@@ -23,6 +25,8 @@
 /** A tracked attempt. */
 export interface TrackedAttempt {
   readonly fingerprint: string
+  /** Keys of its prompt parts, to which a crash may be charged as well. */
+  readonly partKeys: readonly string[]
   /** It runs isolated from all other suspects. */
   readonly isIsolated: boolean
   readonly sentAtMs: number
@@ -55,6 +59,23 @@
 /** Time after which a runner that is still registered counts as alive, in milliseconds: its entry would have expired or shown a restart by then. */
 const UNRESOLVED_EXPIRY_MS = 8_000
 
+/** A prompt part with an answer within this time before a crash is not charged with it, in milliseconds. */
+export const PART_SUCCESS_WINDOW_MS = 2_000
+
+/**
+ * Selects the prompt parts of an attempt that are charged with the crash of its runner: those with which no request was
+ * ever answered here or, if there are none, those with no recent answer. So parts that many requests share are rarely
+ * charged, and few charges remain that peers have to clear.
+ *
+ * @param sentAtMs Monotonic time at which the attempt was sent, in milliseconds.
+ * @example
+ * selectChargedParts(['part/known', 'part/new'], 5_000, (key) => key === 'part/known') // ['part/new']
+ */
+export function selectChargedParts (partKeys: readonly string[], sentAtMs: number, hasSucceededSince: (key: string, sinceMs: number) => boolean): string[] {
+  const untried = partKeys.filter((key) => !hasSucceededSince(key, Number.NEGATIVE_INFINITY))
+  return untried.length > 0 ? untried : partKeys.filter((key) => !hasSucceededSince(key, sentAtMs - PART_SUCCESS_WINDOW_MS))
+}
+
 /** Tracks attempts by runner incarnation. */
 export class AttemptTracker {
   private readonly incarnations = new Map<string, Incarnation>()
@@ -78,10 +99,10 @@
    * Starts tracking an attempt that is being sent.
    *
    * @example
-   * const attempt = tracker.trackAttempt(runner, request.fingerprint, false)
+   * const attempt = tracker.trackAttempt(runner, listChargeKeys(request), false)
    */
-  trackAttempt (runner: Runner, fingerprint: string, isIsolated: boolean): TrackedAttempt {
-    const attempt: TrackedAttempt = { fingerprint, isIsolated, sentAtMs: this.options.clock.readMonotonicMs(), isPossibleCrashReported: false, firstOutputAtMs: undefined, lastOutputAtMs: undefined, endedAtMs: undefined, hasLostConnection: false }
+  trackAttempt (runner: Runner, [fingerprint, ...partKeys]: readonly [string, ...string[]], isIsolated: boolean): TrackedAttempt {
+    const attempt: TrackedAttempt = { fingerprint, partKeys, isIsolated, sentAtMs: this.options.clock.readMonotonicMs(), isPossibleCrashReported: false, firstOutputAtMs: undefined, lastOutputAtMs: undefined, endedAtMs: undefined, hasLostConnection: false }
     const key = makeIncarnationKey(runner)
     const incarnation = this.incarnations.get(key) ?? { runner, attempts: new Set(), probe: undefined, probedAtMs: Number.NEGATIVE_INFINITY }
     this.incarnations.set(key, incarnation)
@@ -220,14 +241,19 @@
 
   private classifyAttempts (attempts: readonly TrackedAttempt[]): Pick<CrashFact, 'suspects' | 'isolated' | 'bystanders'> {
     const isSuspect = (attempt: TrackedAttempt): boolean => !this.hasStableOutput(attempt)
-    const listFingerprints = (isWanted: (attempt: TrackedAttempt) => boolean): string[] => [...new Set(attempts.filter(isWanted).map(({ fingerprint }) => fingerprint))]
+    const suspects = attempts.filter(isSuspect)
+    const listKeys = (charged: readonly TrackedAttempt[]): string[] => [...new Set(charged.flatMap((attempt) => [attempt.fingerprint, ...this.listChargedParts(attempt)]))]
     return {
-      suspects: listFingerprints(isSuspect),
-      isolated: listFingerprints((attempt) => isSuspect(attempt) && attempt.isIsolated),
-      bystanders: listFingerprints((attempt) => !isSuspect(attempt))
+      suspects: listKeys(suspects),
+      isolated: listKeys(suspects.filter((attempt) => attempt.isIsolated)),
+      bystanders: [...new Set(attempts.filter((attempt) => !isSuspect(attempt)).map(({ fingerprint }) => fingerprint))]
     }
   }
 
+  private listChargedParts ({ partKeys, sentAtMs }: TrackedAttempt): string[] {
+    return selectChargedParts(partKeys, sentAtMs, (key, sinceMs) => this.options.hasPartSucceeded(key, sinceMs))
+  }
+
   private dropEmpty (incarnation: Incarnation | undefined): void {
     if (incarnation?.attempts.size === 0) this.incarnations.delete(makeIncarnationKey(incarnation.runner))
   }
--- a/packages/figquay-serving/src/FigquayServingCrashHistory.ts
+++ b/packages/figquay-serving/src/FigquayServingCrashHistory.ts
@@ -2,9 +2,11 @@
  * Detects poison requests, which crash the runners that execute them, from the facts that the daemons share. No clock, no I/O.
  *
  * Covers these patterns: runners crash under a request that its caller sends to any daemon again and again, while other
- * requests run beside it; and runners crash for other reasons, several times during one long stream that is not the cause.
+ * requests run beside it; requests that differ in everything but one prompt part, which crashes their runners; and runners
+ * crash for other reasons, several times during one long stream that is not the cause.
  */
 import type { AcquittalFact, CrashFact, Fact } from 'figquay-fleet'
+import type { ServedRequest } from './FigquayServingTypes.js'
 
 /** Quarantine state of a request. */
 export type QuarantineState =
@@ -32,6 +34,41 @@
 /** Crashes of any kind after which a request is quarantined: one more, as a request with stable output is rarely the cause. */
 const QUARANTINE_CRASHES_IN_ALL = 4
 
+/** Crashes after which a prompt part is quarantined if one was in isolation: one more than for a request, as many requests share it. */
+const PART_QUARANTINE_CRASHES_WITH_ISOLATION = 3
+/** Crashes after which a prompt part is quarantined, whatever ran beside it: the users' rules allow five. */
+const PART_QUARANTINE_CRASHES = 4
+/** Crashes after which a request with a suspected prompt part is refused rather than sent without isolation. */
+const STRONG_SUSPICION_CRASHES = 2
+/** Time after the last crash at which one request with a quarantined prompt part is tried again, in milliseconds: the part may be blameless. */
+const PART_RETRIAL_DELAY_MS = 10_000
+/** Factor by which that time grows with each further crash. */
+const PART_RETRIAL_BACKOFF = 6
+const PART_KEY_PREFIX = 'part/'
+
+/**
+ * Lists the keys under which crashes are charged to a request: its fingerprint, and its prompt parts but the last, which
+ * belongs to the request or its session alone.
+ *
+ * @example
+ * listChargeKeys({ fingerprint: 'f', parts: [{ id: 'a', tokens: 9 }, { id: 'own', tokens: 9 }] }) // ['f', 'part/a']
+ */
+export function listChargeKeys ({ fingerprint, parts }: Pick<ServedRequest, 'fingerprint' | 'parts'>): [string, ...string[]] {
+  return [fingerprint, ...new Set(parts.slice(0, -1).map(({ id }) => `${PART_KEY_PREFIX}${id}`))]
+}
+
+/** Whether a key stands for a prompt part rather than a whole request. */
+export function isPartKey (key: string): boolean {
+  return key.startsWith(PART_KEY_PREFIX)
+}
+
+function classifyPartCrashes ({ asSuspect, inIsolation }: CrashCount, sinceLastCrashMs: number): QuarantineState {
+  const maxCrashes = inIsolation > 0 ? PART_QUARANTINE_CRASHES_WITH_ISOLATION : PART_QUARANTINE_CRASHES
+  const retrialDelayMs = PART_RETRIAL_DELAY_MS * PART_RETRIAL_BACKOFF ** Math.max(0, asSuspect - maxCrashes)
+  if (asSuspect >= maxCrashes && sinceLastCrashMs < retrialDelayMs) return 'quarantined'
+  return asSuspect > 0 ? 'suspect' : 'clear'
+}
+
 /**
  * Determines the quarantine state of a request from its crashes.
  *
@@ -49,22 +86,28 @@
 /** Crashes and acquittals by request fingerprint; an acquittal cancels the crashes before it, as the request has completed since. */
 export class CrashHistory {
   private readonly crashes = new Map<string, Set<CrashFact>>()
+  /** Newest acquittal by time, by fingerprint. */
   private readonly acquittals = new Map<string, AcquittalFact>()
+  /** Processes whose crashes don't count, by fingerprint. */
+  private readonly acquittedIncarnations = new Map<string, Set<string>>()
   private sweepThreshold = SWEEP_THRESHOLD_FINGERPRINTS
 
-  private constructor (private readonly isUnexpired: (fact: Fact) => boolean, private readonly hasIncarnationEnded: (fact: CrashFact) => boolean) {}
+  private constructor (private readonly isUnexpired: (fact: Fact) => boolean, private readonly hasIncarnationEnded: (fact: CrashFact) => boolean, private readonly measureAgeMs: (fact: CrashFact) => number) {}
 
   /**
+   * @param measureAgeMs Time since a crash, in milliseconds.
    * @example
    * const history = CrashHistory.create((fact) => facts.isUnexpired(fact), ({ runner, bornMs }) => table.findRunner(runner)?.bornMs !== bornMs)
    */
-  static create (isUnexpired: (fact: Fact) => boolean, hasIncarnationEnded: (fact: CrashFact) => boolean): CrashHistory {
-    return new CrashHistory(isUnexpired, hasIncarnationEnded)
+  static create (isUnexpired: (fact: Fact) => boolean, hasIncarnationEnded: (fact: CrashFact) => boolean, measureAgeMs: (fact: CrashFact) => number = () => 0): CrashHistory {
+    return new CrashHistory(isUnexpired, hasIncarnationEnded, measureAgeMs)
   }
 
   /** Adds a fact; types that concern no request are ignored. */
   addFact (fact: Fact): void {
-    if (fact.type === 'acquittal') {
+    if (fact.type === 'acquittal' && fact.incarnations !== undefined) {
+      this.acquittedIncarnations.set(fact.fingerprint, new Set([...this.acquittedIncarnations.get(fact.fingerprint) ?? [], ...fact.incarnations]))
+    } else if (fact.type === 'acquittal') {
       const known = this.acquittals.get(fact.fingerprint)
       if (known === undefined || known.atMs < fact.atMs) this.acquittals.set(fact.fingerprint, fact)
     }
@@ -87,9 +130,32 @@
     this.sweepThreshold = Math.max(SWEEP_THRESHOLD_FINGERPRINTS, 2 * this.crashes.size)
   }
 
-  /** Determines the quarantine state of a request. */
-  classifyRequest (fingerprint: string): QuarantineState {
-    return classifyCrashes(this.countCrashes(fingerprint))
+  /** Determines the quarantine state of a request, or of a prompt part, by its key. */
+  classifyRequest (key: string): QuarantineState {
+    const count = this.countCrashes(key)
+    return isPartKey(key) ? classifyPartCrashes(count, Math.min(...this.listCountedFacts(key).map(this.measureAgeMs))) : classifyCrashes(count)
+  }
+
+  /** Determines the quarantine state of a request by all its keys: the worst of them counts. */
+  classifyKeys (keys: readonly string[]): QuarantineState {
+    const states = new Set(keys.map((key) => this.classifyRequest(key)))
+    if (states.has('quarantined')) return 'quarantined'
+    return states.has('suspect') ? 'suspect' : 'clear'
+  }
+
+  /** Prompt parts among the keys that are under suspicion. */
+  listSuspectParts (keys: readonly string[]): string[] {
+    return keys.filter((key) => isPartKey(key) && this.classifyRequest(key) !== 'clear')
+  }
+
+  /** Whether crashes point so strongly to a prompt part that no request with it is sent without isolation. */
+  isStronglySuspected (partKey: string): boolean {
+    return this.countCrashes(partKey).asSuspect >= STRONG_SUSPICION_CRASHES
+  }
+
+  /** Processes whose crashes count against a key, as `runner/bornMs`. */
+  listIncarnations (key: string): string[] {
+    return [...new Set(this.listCountedFacts(key).map(makeIncarnationName))]
   }
 
   /**
@@ -100,20 +166,30 @@
    * history.countCrashes(request.fingerprint).inAll
    */
   countCrashes (fingerprint: string): CrashCount {
+    const counted = this.listCountedFacts(fingerprint)
+    const countIncarnations = (isCounted: (fact: CrashFact) => boolean): number => new Set(counted.filter(isCounted).map(makeIncarnationName)).size
+    return {
+      asSuspect: countIncarnations(({ suspects }) => suspects.includes(fingerprint)),
+      inIsolation: countIncarnations(({ isolated }) => isolated.includes(fingerprint)),
+      inAll: countIncarnations(() => true)
+    }
+  }
+
+  private listCountedFacts (fingerprint: string): CrashFact[] {
     const facts = this.crashes.get(fingerprint)
-    if (facts === undefined) return { asSuspect: 0, inIsolation: 0, inAll: 0 }
+    if (facts === undefined) return []
     for (const fact of facts) if (!this.isUnexpired(fact)) facts.delete(fact)
     if (facts.size === 0) {
       this.crashes.delete(fingerprint)
       this.acquittals.delete(fingerprint)
+      this.acquittedIncarnations.delete(fingerprint)
     }
+    const acquittedIncarnations = this.acquittedIncarnations.get(fingerprint)
     const acquittedAtMs = this.acquittals.get(fingerprint)?.atMs ?? Number.NEGATIVE_INFINITY
-    const counted = [...facts].filter((fact) => fact.atMs > acquittedAtMs && (fact.type === 'crash' || this.hasIncarnationEnded(fact)))
-    const countIncarnations = (isCounted: (fact: CrashFact) => boolean): number => new Set(counted.filter(isCounted).map(({ runner, bornMs }) => `${runner}/${bornMs}`)).size
-    return {
-      asSuspect: countIncarnations(({ suspects }) => suspects.includes(fingerprint)),
-      inIsolation: countIncarnations(({ isolated }) => isolated.includes(fingerprint)),
-      inAll: countIncarnations(() => true)
-    }
+    return [...facts].filter((fact) => fact.atMs > acquittedAtMs && acquittedIncarnations?.has(makeIncarnationName(fact)) !== true && (fact.type === 'crash' || this.hasIncarnationEnded(fact)))
   }
 }
+
+function makeIncarnationName ({ runner, bornMs }: CrashFact): string {
+  return `${runner}/${bornMs}`
+}
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -2,10 +2,11 @@
 import { makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
 import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Route, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
-import { AttemptTracker } from './FigquayServingAttemptTracker.js'
+import { AttemptTracker, PART_SUCCESS_WINDOW_MS } from './FigquayServingAttemptTracker.js'
 import { ConfigurationSource } from './FigquayServingConfigurationSource.js'
 import { ConfigurationSync } from './FigquayServingConfigurationSync.js'
-import { CrashHistory } from './FigquayServingCrashHistory.js'
+import { CrashHistory, isPartKey } from './FigquayServingCrashHistory.js'
+import { PartSuccesses } from './FigquayServingPartSuccesses.js'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
@@ -41,6 +42,9 @@
 /** Smallest number of daemons that the retry budget of a service is divided by, used while fewer are known. */
 const MIN_RETRY_SHARES = 8
 
+/** Longest delay before a prompt part is cleared of crashes, in milliseconds: time for the acquittal of another daemon to arrive. */
+const MAX_ACQUITTAL_DELAY_MS = 200
+
 /** A serving daemon: routes requests, exchanges state with its peers and, as the leader, places models on runners. */
 export class ServingDaemon {
   readonly configurations = ConfigurationHolder.create()
@@ -56,8 +60,11 @@
   private readonly dispatcher: ServingDispatcher
   private readonly facts: FleetFacts
   private readonly crashHistory: CrashHistory
+  private readonly partSuccesses: PartSuccesses
   private readonly factStore: FactStoreSync
   private readonly attemptWatch: AttemptTracker
+  /** Prompt parts that are about to be cleared of crashes. */
+  private readonly scheduledAcquittals = new Set<string>()
   private readonly retryBudgets = new Map<string, RetryBudget>()
   private nextPlanAtMs = Number.NEGATIVE_INFINITY
   private isPlanScheduled = false
@@ -71,7 +78,9 @@
     this.table = FleetRunnerTable.create(clock)
     const facts = FleetFacts.create(clock)
     this.facts = facts
-    this.crashHistory = CrashHistory.create((fact) => facts.isUnexpired(fact), (fact) => this.hasRunnerEnded(fact))
+    this.crashHistory = CrashHistory.create((fact) => facts.isUnexpired(fact), (fact) => this.hasRunnerEnded(fact), ({ atMs }) => clock.now().getTime() - atMs)
+    this.partSuccesses = PartSuccesses.create(clock)
+    const { partSuccesses } = this
     facts.registerListener((fact) => this.applyFact(fact))
     const demand = FleetDemand.create(clock)
     const memory = PromptCacheIndex.create(clock)
@@ -79,7 +88,7 @@
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, isEligible: () => this.storeWatcher.canWrite })
     const { leadership } = this
     this.factStore = FactStoreSync.create({ clock, logger, store, facts, isLeader: () => leadership.isLeader })
-    this.attemptWatch = AttemptTracker.create({ clock, table, exchanges, reportCrash: (runner, crash) => this.reportCrash('crash', runner, crash), reportPossibleCrash: (runner, crash) => this.reportCrash('doubt', runner, crash), recordProbe: (message, fields) => this.traces.recordProbe(message, fields) })
+    this.attemptWatch = AttemptTracker.create({ clock, table, exchanges, hasPartSucceeded: (key, sinceMs) => partSuccesses.hasSucceededSince(key, sinceMs), reportCrash: (runner, crash) => this.reportCrash('crash', runner, crash), reportPossibleCrash: (runner, crash) => this.reportCrash('doubt', runner, crash), recordProbe: (message, fields) => this.traces.recordProbe(message, fields) })
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => this.peers.hints.sumOpenRequests() })
@@ -152,6 +161,7 @@
       telemetry: this.traces,
       findRetryBudget: (service) => this.findBudget(service),
       publishAcquittal: (fingerprint) => this.publishDurableFact({ type: 'acquittal', id: makeId('acquittal'), fingerprint, atMs: clock.now().getTime() }),
+      noteSuccessfulParts: (keys) => this.noteSuccessfulParts(keys),
       acquirePermit: (request) => this.peers.suspects.acquirePermit(request),
       releasePermit: (request) => this.peers.suspects.releasePermit(request),
       requestLimiter: this.peers.requestLimiter,
@@ -268,6 +278,7 @@
     this.crashHistory.addFact(fact)
     if (fact.type === 'leaving') this.table.markLeaving(fact.runner, fact.bornMs)
     if (fact.type !== 'crash' && fact.type !== 'doubt') return
+    this.clearSuccessfulParts(fact)
     const fingerprints = [...fact.suspects, ...fact.bystanders]
     const quarantined = fingerprints.filter((fingerprint) => this.crashHistory.classifyRequest(fingerprint) === 'quarantined')
     this.options.logger.info(fact.type === 'crash' ? 'runner ended under requests' : 'runner may have ended under requests', {
@@ -275,6 +286,38 @@
     })
   }
 
+  private noteSuccessfulParts (partKeys: readonly string[]): void {
+    for (const key of partKeys) {
+      this.partSuccesses.noteSuccess(key)
+      if (this.crashHistory.listIncarnations(key).length > 0) this.scheduleAcquittal(key)
+    }
+  }
+
+  /** Parts that a daemon charges because it knows of no success are cleared by the daemons that have had one lately. */
+  private clearSuccessfulParts ({ suspects }: CrashFact): void {
+    const sinceMs = this.options.clock.readMonotonicMs() - PART_SUCCESS_WINDOW_MS
+    for (const key of suspects.filter(isPartKey)) if (this.partSuccesses.hasSucceededSince(key, sinceMs)) this.scheduleAcquittal(key)
+  }
+
+  /** Clears a prompt part of the crashes known now. Many daemons see it succeed at once, so each waits whether another is first. */
+  private scheduleAcquittal (partKey: string): void {
+    if (this.scheduledAcquittals.has(partKey)) return
+    this.scheduledAcquittals.add(partKey)
+    const { clock } = this.options
+    const cleared = this.crashHistory.listIncarnations(partKey)
+    clock.waitFor(Math.random() * MAX_ACQUITTAL_DELAY_MS, this.tasks.signal).then(() => {
+      this.scheduledAcquittals.delete(partKey)
+      const counted = new Set(this.crashHistory.listIncarnations(partKey))
+      const incarnations = cleared.filter((incarnation) => counted.has(incarnation))
+      if (incarnations.length === 0) return
+      this.options.logger.info('prompt part cleared of crashes', { part: partKey, incarnations })
+      for (const incarnation of incarnations) {
+        // The same id at every daemon: what several find out at once is kept as one fact.
+        this.publishDurableFact({ type: 'acquittal', id: `acquittal/${partKey}/${incarnation}`, fingerprint: partKey, incarnations: [incarnation], atMs: clock.now().getTime() })
+      }
+    })
+  }
+
   /** Whether a runner's process has ended according to the list of runners, without having announced that it was leaving. */
   private hasRunnerEnded ({ runner, bornMs }: CrashFact): boolean {
     return this.storeWatcher.isSynced && this.table.findRunner(runner)?.bornMs !== bornMs && !this.table.isMarkedLeaving(runner, bornMs)
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -3,7 +3,7 @@
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
 import type { RetryBudget } from 'figquay-routing'
 import type { AttemptTracker, TrackedAttempt } from './FigquayServingAttemptTracker.js'
-import type { CrashHistory } from './FigquayServingCrashHistory.js'
+import { isPartKey, listChargeKeys, type CrashHistory, type QuarantineState } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
@@ -26,7 +26,9 @@
   readonly crashHistory: CrashHistory
   /** Tells all daemons that a request with recorded crashes has completed, which clears them. */
   readonly publishAcquittal: (fingerprint: string) => void
-  /** Acquires the permit that lets at most one suspect request run on a runner. */
+  /** Records that a request with these prompt parts has been answered, which clears them. */
+  readonly noteSuccessfulParts: (partKeys: readonly string[]) => void
+  /** Acquires the permit that lets at most one suspect request run on a runner, or with a suspected prompt part. */
   readonly acquirePermit: (request: PermitRequest) => Promise<PermitReply>
   readonly releasePermit: (request: PermitRequest) => void
   readonly requestLimiter: RequestLimiter
@@ -39,6 +41,8 @@
 /** State of a request across its attempts. */
 interface RequestProgress {
   readonly request: ServedRequest
+  /** Keys to which crashes under the request are charged. */
+  readonly chargeKeys: readonly [string, ...string[]]
   readonly sink: ResponseSink
   readonly signal: AbortSignal
   readonly triedRunners: Set<string>
@@ -46,6 +50,8 @@
   countedRuns: number
   /** The runner process ended during the last attempt. */
   hasLastRunnerEnded: boolean
+  /** Status of the answer that was forwarded; undefined before. */
+  forwardedStatus: number | undefined
   /** Attempts that ended without being executed. */
   declinedAttempts: number
   hasResponseStarted: boolean
@@ -54,6 +60,8 @@
   lastEventId: string | undefined
   /** Events without an id were delivered after it, so that no runner can go on where the caller is. */
   isPositionUnknown: boolean
+  /** Permits that the request holds as a suspect. */
+  readonly permits: PermitRequest[]
   /** Monotonic time at which the request, being a suspect, first asked for an isolation permit, in milliseconds. */
   isolationStartedAtMs: number | undefined
 }
@@ -121,7 +129,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, isolationStartedAtMs: undefined }
+    const progress: RequestProgress = { request, chargeKeys: listChargeKeys(request), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, permits: [], isolationStartedAtMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -167,15 +175,13 @@
     const { request, signal } = progress
     let occupiedRunners: ReadonlySet<string> = new Set()
     while (!signal.aborted) {
-      if (this.options.crashHistory.classifyRequest(request.fingerprint) === 'quarantined') {
-        this.options.telemetry.noteQuarantined(request)
-        return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
-      }
+      if (this.classifyRequest(progress) === 'quarantined') return this.refuseQuarantined(progress)
       const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
       if (!await this.acquireRequestPermit(request, choice)) continue
       const isolation = await this.isolateRequest(progress, choice)
+      if (isolation === 'given-up' && this.isStronglySuspected(progress)) return this.adjustExecution(progress, Refusal.create('overloaded', 'a request with the same prompt part is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
         await this.options.clock.waitFor(ISOLATION_RETRY_DELAY_MS, signal)
@@ -190,6 +196,24 @@
     return this.makeTimeoutRefusal(progress)
   }
 
+  private classifyRequest ({ chargeKeys }: RequestProgress): QuarantineState {
+    return this.options.crashHistory.classifyKeys(chargeKeys)
+  }
+
+  private isStronglySuspected ({ chargeKeys }: RequestProgress): boolean {
+    const { crashHistory } = this.options
+    return crashHistory.listSuspectParts(chargeKeys).some((key) => crashHistory.isStronglySuspected(key))
+  }
+
+  private refuseQuarantined (progress: RequestProgress): Refusal {
+    const { crashHistory, telemetry } = this.options
+    const { request, chargeKeys } = progress
+    telemetry.noteQuarantined(request)
+    const partKey = chargeKeys.find((key) => isPartKey(key) && crashHistory.classifyRequest(key) === 'quarantined')
+    if (partKey === undefined) return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
+    return this.adjustExecution(progress, Refusal.create('upstream_failed', `requests with the prompt ${partKey} have crashed runners`, { execution: 'not-run' }))
+  }
+
   /** Without a permit, a runner that limits its requests gets none from this daemon until one may be available. */
   private async acquireRequestPermit (request: ServedRequest, runner: Runner): Promise<boolean> {
     const { requestLimiter, table, telemetry } = this.options
@@ -202,22 +226,42 @@
 
   /** Checked just before the attempt, as crashes may have been recorded while the request waited for a runner. */
   private async isolateRequest (progress: RequestProgress, runner: Runner): Promise<IsolationResult> {
-    const { crashHistory, acquirePermit, releasePermit, clock, telemetry } = this.options
+    const { crashHistory, clock, telemetry } = this.options
     const { request, signal } = progress
-    if (crashHistory.classifyRequest(request.fingerprint) === 'clear') return 'unneeded'
+    if (this.classifyRequest(progress) === 'clear') return 'unneeded'
     progress.isolationStartedAtMs ??= clock.readMonotonicMs()
-    const permit = { runner: runner.id, requestId: request.id }
-    const reply = await acquirePermit(permit)
-    if (reply !== 'refused' && (signal.aborted || crashHistory.classifyRequest(request.fingerprint) === 'quarantined')) {
-      releasePermit(permit)
+    const reply = await this.acquirePermits(progress, runner)
+    if (reply !== 'refused' && (signal.aborted || this.classifyRequest(progress) === 'quarantined')) {
+      this.releasePermits(progress)
       return 'refused'
     }
     const waitedMs = clock.readMonotonicMs() - progress.isolationStartedAtMs
     const isolation = reply === 'refused' && waitedMs >= ISOLATION_TIMEOUT_MS ? 'given-up' : reply
-    if (isolation !== 'refused') telemetry.recordDecision('sent suspect request', request, { runner: runner.id, fingerprint: shortenFingerprint(request.fingerprint), isolation, ...crashHistory.countCrashes(request.fingerprint) })
+    if (isolation !== 'refused') telemetry.recordDecision('sent suspect request', request, { runner: runner.id, fingerprint: shortenFingerprint(request.fingerprint), isolation, suspectParts: crashHistory.listSuspectParts(progress.chargeKeys), ...crashHistory.countCrashes(request.fingerprint) })
     return isolation
   }
 
+  /** A suspect runs alone on its runner, and alone among all requests that share a suspected prompt part. */
+  private async acquirePermits (progress: RequestProgress, runner: Runner): Promise<PermitReply> {
+    const { crashHistory, acquirePermit } = this.options
+    const replies = new Set<PermitReply>()
+    for (const subject of [...crashHistory.listSuspectParts(progress.chargeKeys), runner.id]) {
+      const permit = { runner: subject, requestId: progress.request.id }
+      const reply = await acquirePermit(permit)
+      if (reply === 'refused') {
+        this.releasePermits(progress)
+        return 'refused'
+      }
+      progress.permits.push(permit)
+      replies.add(reply)
+    }
+    return replies.has('unconfirmed') ? 'unconfirmed' : 'granted'
+  }
+
+  private releasePermits (progress: RequestProgress): void {
+    for (const permit of progress.permits.splice(0)) this.options.releasePermit(permit)
+  }
+
   private makeTimeoutRefusal (progress: RequestProgress): Refusal {
     if (progress.mayHaveRun) return Refusal.create('outcome_unknown', this.isStopping ? 'the daemon is shutting down' : 'no response in time', { execution: 'unknown' })
     if (this.isStopping) return Refusal.create('draining', 'the daemon is shutting down', { retryAfterMs: 0 })
@@ -246,7 +290,7 @@
     const release = table.trackRequest(runner.id, openRequest)
     memory.noteParts(runner.id, weightsKey, request.parts)
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
-    const attempt = attemptTracker.trackAttempt(runner, request.fingerprint, isolation === 'granted')
+    const attempt = attemptTracker.trackAttempt(runner, progress.chargeKeys, isolation === 'granted')
     const silenceDeadline = Deadline.create(this.chooseSilenceLimit(progress), progress.signal)
     const couldHaveRunBefore = progress.mayHaveRun
     // Bytes may be sent from here on; reset below if the attempt turns out not to have run.
@@ -262,7 +306,7 @@
       release()
       // After an error in this daemon, the state of the runner is unknown.
       if (!attemptTracker.hasEnded(attempt)) attemptTracker.noteUnanswered(attempt)
-      if (isolation === 'granted' || isolation === 'unconfirmed') this.options.releasePermit({ runner: runner.id, requestId: request.id })
+      this.releasePermits(progress)
     }
   }
 
@@ -278,6 +322,7 @@
       progress.hasLastRunnerEnded = liveness === 'ended' || liveness === 'left'
     } else if (reason === 'silent') attemptTracker.noteUnanswered(attempt)
     else attemptTracker.untrackAttempt(runner, attempt)
+    if (result.type === 'done' && progress.forwardedStatus === OK) this.options.noteSuccessfulParts(progress.chargeKeys.filter(isPartKey))
     if (result.type === 'done' && crashHistory.countCrashes(request.fingerprint).inAll > 0) publishAcquittal(request.fingerprint)
   }
 
@@ -344,6 +389,7 @@
       const isErrorWithinStream = progress.hasResponseStarted && event.status !== OK
       if (isErrorWithinStream || (event.status >= SERVER_ERROR && this.canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
       if (!progress.hasResponseStarted) progress.sink.startResponse(event.status, event.head)
+      progress.forwardedStatus = event.status
       progress.hasResponseStarted = true
       return undefined
     }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -96,6 +96,8 @@
 
 interface ServeOptions {
   readonly burst?: number
+  /** Prompt part that has crashed runners; the request has it, too. */
+  readonly deadlyPart?: string
   /** Position of the caller in a stream that it resumes. */
   readonly resumeAfterEventId?: string
   /** Requested model; it is loaded on no runner. */
@@ -109,7 +111,7 @@
   readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlyPart, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
@@ -124,8 +126,9 @@
   const dispatcher = ServingDispatcher.create({ clock, zone: 'z', configurations, table, memory, exchanges, isAvoided: (runner) => requestLimiter.isAvoided(runner), announceNeeds: () => {} })
   const crashHistory = CrashHistory.create(() => true, () => false)
   const addFact = (fact: Fact): void => crashHistory.addFact(fact)
+  if (deadlyPart !== undefined) for (let crash = 0; crash < 4; crash += 1) addFact({ type: 'crash', id: `${crash}`, runner: `x${crash}`, bornMs: 1, suspects: [`part/${deadlyPart}`], isolated: [], bystanders: [], atMs: crash })
   const attemptTracker = AttemptTracker.create({
-    clock, table, exchanges, recordProbe: () => {}, reportPossibleCrash: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
+    clock, table, exchanges, hasPartSucceeded: () => false, recordProbe: () => {}, reportPossibleCrash: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
   })
   noteTracker(attemptTracker)
   const budget = RetryBudget.create({ perRequest: 0, maxBalance: burst, initialBalance: burst })
@@ -141,6 +144,7 @@
     attemptTracker,
     crashHistory,
     publishAcquittal: (fingerprint) => addFact({ type: 'acquittal', id: `acquittal-${fingerprint}`, fingerprint, atMs: clock.now().getTime() }),
+    noteSuccessfulParts: () => {},
     acquirePermit: async () => 'granted',
     releasePermit: () => {},
     requestLimiter,
@@ -150,7 +154,7 @@
   })
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
-    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
+    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: deadlyPart === undefined ? [] : [{ id: deadlyPart, tokens: 1 }, { id: 'own', tokens: 1 }], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
   const answers: RecordingSink[] = []
   let result = ''
@@ -203,6 +207,11 @@
     expect([twice.sink.text, twice.sent.length]).toEqual(['500 no', 2])
   })
 
+  it('refuses a request with a prompt part that has crashed runners, before a runner gets it', async () => {
+    const { sink, sent } = await serve([], {}, { deadlyPart: 'dead' })
+    expect([sink.ending, sent.length]).toEqual(['refused 502 not-run', 0])
+  })
+
   it('does not retry a call without retry budget', async () => {
     const { sent } = await serve([makeScript(makeFailure('reset', 'unknown'))], IDEMPOTENT, { burst: 0 })
     expect(sent.length).toEqual(1)
