Tell a daemon of a loaded model or adapter if its requests wait for just that, and once

Part of the cause: the leader sent each loaded adapter to all daemons that waited for anything of its model, and answered each report of theirs with the holdings of every runner that has the model. With one model that has 184 adapters, messages grow with needs times orders, and needs grow as the leader falls behind.

Ruled out: too few runners (0.4 to 1% of refusals are for capacity).

--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -1,5 +1,6 @@
 /** Fleet-wide demand: the arrival rate of each model, weighted towards recent seconds, and what queued requests wait for. */
 import type { Clock } from 'figquay'
+import type { Holdings } from './FigquayFleetTypes.js'
 
 /** Time constant of the exponential decay of arrival rates, in milliseconds: demand shifts within seconds. */
 const RATE_DECAY_MS = 4_000
@@ -35,6 +36,16 @@
   readonly waiting: number
 }
 
+/**
+ * Whether a runner holds the model that requests wait for, and the adapter if they wait for one.
+ *
+ * @example
+ * meetsNeed(holdings, { service: 'assistant', model: 'manual', adapter: 'a3', waiting: 1 })
+ */
+export function meetsNeed ({ models }: Pick<Holdings, 'models'>, { model, adapter }: ModelNeed): boolean {
+  return models.some((held) => held.name === model && (adapter === undefined || held.adapters.includes(adapter)))
+}
+
 /** Tracks arrival rates and unmet needs over all daemons. */
 export class FleetDemand {
   private readonly rates = new Map<string, DecayedRate>()
@@ -140,14 +151,14 @@
   }
 
   /**
-   * Daemons whose queued requests wait for a model or one of its adapters.
+   * Daemons whose queued requests wait for something that a runner holds.
    *
    * @example
-   * demand.listWaitingDaemons('manual')
+   * demand.listWaitingDaemons(holdings)
    */
-  listWaitingDaemons (model: string): string[] {
+  listWaitingDaemons (holdings: Pick<Holdings, 'models'>): string[] {
     const oldestMs = this.clock.readMonotonicMs() - NEED_TTL_MS
-    const daemons = [...this.needs].filter(([, { need, receivedAtMs }]) => need.model === model && receivedAtMs >= oldestMs).map(([key]) => key.slice(0, key.indexOf('\n')))
+    const daemons = [...this.needs].filter(([, { need, receivedAtMs }]) => receivedAtMs >= oldestMs && meetsNeed(holdings, need)).map(([key]) => key.slice(0, key.indexOf('\n')))
     return [...new Set(daemons)]
   }
 
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,6 +1,6 @@
 /** Exchanges state with the other daemons: over a full mesh in a small fleet, along a tree in a large one. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
+import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, meetsNeed, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress, type PeerMeshOptions } from 'figquay-peers'
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
@@ -64,6 +64,8 @@
   private readonly mesh: ServingMesh
   private readonly relay: FleetRelay
   private readonly news: RunnerUpdateBuffer
+  /** Updates that were sent to a daemon directly and have arrived, or may still arrive, by daemon. */
+  private readonly directlySent = new Map<string, WeakSet<RunnerUpdate>>()
   private zoneByDaemon: ReadonlyMap<string, string> = new Map()
   private treeNeighbours: readonly string[] = []
   private lastLeader: string | undefined
@@ -212,8 +214,7 @@
       return
     }
     this.news.addUpdate(item)
-    const waitingDaemons = new Set(holdings.models.flatMap((held) => this.options.demand.listWaitingDaemons(held.name)))
-    for (const daemon of waitingDaemons) this.sendUpdatesTo(daemon, [item])
+    for (const daemon of this.options.demand.listWaitingDaemons(holdings)) this.sendUpdatesTo(daemon, [item])
   }
 
   /** Announces that a runner is leaving; the list of runners may show it later, or never to a peer that can't read the list. */
@@ -277,15 +278,19 @@
     this.hints.applyReport(hints)
     if (hints.needs.length === 0) return
     // A model that the daemon waits for may be loaded already, if the runner update hasn't reached it yet.
-    const models = new Set(hints.needs.map((need) => need.model))
-    const items = this.news.listAfter(0).filter((item) => item.type === 'holdings' && item.holdings.models.some((held) => models.has(held.name)))
+    const items = this.news.listAfter(0).filter((item) => item.type === 'holdings' && hints.needs.some((need) => meetsNeed(item.holdings, need)) && this.directlySent.get(hints.from)?.has(item) !== true)
     if (items.length > 0) this.sendUpdatesTo(hints.from, items)
     this.options.schedulePlanning()
   }
 
   private sendUpdatesTo (daemon: string, items: readonly RunnerUpdate[]): void {
+    const sent = this.directlySent.get(daemon) ?? new WeakSet()
+    this.directlySent.set(daemon, sent)
+    for (const item of items) sent.add(item)
     this.mesh.callPeer(daemon, 'fleet.news', items).then((outcome) => {
-      if (!outcome.ok) this.options.logger.debug('could not send news directly; it is still sent along the tree', { daemon, error: outcome.error })
+      if (outcome.ok) return
+      for (const item of items) sent.delete(item)
+      this.options.logger.debug('could not send news directly; it is still sent along the tree', { daemon, error: outcome.error })
     })
   }
 
