Bound the orders that the leader has under way, longest awaited adapters first

The second order of a step (the load after an unload) isn't held back.

As not all needs are met in one plan any more, the adapters that have been asked for in vain for longest go first, and loads of models go before adapters.

--- a/packages/figquay-fleet/src/FigquayFleetOrderDispatcher.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderDispatcher.ts
@@ -47,6 +47,11 @@
 const MAX_RETRY_PAUSE_MS = 5_000
 /** An order may take this many times as long as expected while many are in progress. */
 const MAX_DURATION_FACTOR = 4
+/**
+ * Orders that are checked and sent at once. With more, a small VM handles the responses later than their timeout, and has to
+ * read the state of all these runners again.
+ */
+const MAX_CONCURRENT_ORDERS = 16
 /** An adapter is loaded within this time, in milliseconds, unless many are loaded at once. */
 const ADAPTER_LOAD_MS = 20
 
@@ -70,6 +75,8 @@
 /** Sends the orders of the leader. */
 export class OrderDispatcher {
   private readonly records = new Map<string, RunnerRecord>()
+  /** Orders that are being checked and sent. */
+  private sendingCount = 0
 
   private constructor (private readonly options: OrderDispatcherOptions) {}
 
@@ -81,8 +88,17 @@
     return new OrderDispatcher(options)
   }
 
-  /** Whether an order may be sent to a runner now. */
+  /** Whether another order may be sent now; those that are under way have to end first. */
+  get hasCapacity (): boolean {
+    return this.sendingCount < MAX_CONCURRENT_ORDERS
+  }
+
+  /** Whether a step of a plan may be started on a runner now. */
   isReady (runnerId: string): boolean {
+    return this.hasCapacity && this.canTakeOrder(runnerId)
+  }
+
+  private canTakeOrder (runnerId: string): boolean {
     const record = this.records.get(runnerId)
     return record === undefined || (!record.isSending && this.options.clock.readMonotonicMs() >= record.nextOrderAtMs)
   }
@@ -105,8 +121,10 @@
    */
   async sendOrder (request: OrderRequest): Promise<OrderResult> {
     const record = this.findOrCreateRecord(request.runner)
-    if (!this.isReady(request.runner)) return 'failed'
+    // The second order of a step that has begun is sent even without capacity for new steps.
+    if (!this.canTakeOrder(request.runner)) return 'failed'
     record.isSending = true
+    this.sendingCount += 1
     try {
       return await this.deliverOrder(record, request)
     } catch (error) {
@@ -114,6 +132,7 @@
       return 'failed'
     } finally {
       record.isSending = false
+      this.sendingCount -= 1
     }
   }
 
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -65,7 +65,7 @@
   /** Time of the last use of an adapter, by runner and adapter key. */
   private readonly adapterUsedAtMs = new Map<string, number>()
   private readonly loadingAdapters = new Set<string>()
-  /** Models that requests wait for and no runner has loaded. */
+  /** Models, and adapters by key, that requests wait for and no runner has loaded. */
   private readonly unavailableModels = new Map<string, { readonly sinceMs: number, lastRequestedAtMs: number, loggedAtMs: number }>()
   /** Fencing token of the last plan; a different one means that leadership was taken over since. */
   private lastPlanFencingToken: number | undefined
@@ -120,11 +120,12 @@
 
   private planService (service: Service, pool: EnginePool, orders: OrderDispatcher): void {
     const views = this.options.table.listViews(service.name)
-    this.planAdapters(service, pool, views)
     const input = this.makePlanInput(service, pool, views, orders)
     for (const step of planModels(input, (model, reason, runner) => this.logUnplaced(model, reason, runner))) {
       this.runStep(step, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
     }
+    // Loads of models are few, and requests for a model wait for longer than those for an adapter.
+    this.planAdapters(service, pool, views)
   }
 
   /** Logs periodically why a model is not loaded, which explains why its requests are refused. */
@@ -136,7 +137,7 @@
     this.options.logger.info('model is still unavailable', { model, reason, runner, missingMs: Math.round(nowMs - unavailable.sinceMs) })
   }
 
-  /** Returns for how long requests have found no replica of a model, in milliseconds; gaps up to the grace period count as well. */
+  /** Returns for how long requests have found no replica of a model, or no runner with an adapter, in milliseconds; gaps up to the grace period count as well. */
   private trackUnavailability (model: string, isUnavailable: boolean, nowMs: number): number {
     const previous = this.unavailableModels.get(model)
     if (previous !== undefined && nowMs - previous.lastRequestedAtMs > UNAVAILABLE_GRACE_MS) this.unavailableModels.delete(model)
@@ -265,7 +266,11 @@
   private planAdapters (service: Service, pool: EnginePool, views: readonly RunnerView[]): void {
     const index = indexLoadedModels(views)
     const adapterNeeds = this.options.demand.listNeeds().filter((need) => need.service === service.name && need.adapter !== undefined)
-    for (const need of adapterNeeds) this.startAdapterLoad(need.model, need.adapter!, pool, index, 'requests are waiting for it', true)
+    const nowMs = this.options.clock.readMonotonicMs()
+    // What has been asked for in vain for longest goes first, so that no adapter starves while others are in higher demand.
+    const byUnavailability = adapterNeeds.map((need) => ({ need, unavailableMs: this.trackUnavailability(makeAdapterKey(need.model, need.adapter!), true, nowMs) }))
+      .sort((a, b) => b.unavailableMs - a.unavailableMs)
+    for (const { need } of byUnavailability) this.startAdapterLoad(need.model, need.adapter!, pool, index, 'requests are waiting for it', true)
     this.preloadAdapters(pool, index)
   }
 
@@ -273,6 +278,7 @@
   private preloadAdapters (pool: EnginePool, index: LoadedModelIndex): void {
     let startedCount = 0
     for (const [model, runners] of index.runnersByModel) {
+      if (!this.options.orders.hasCapacity) return
       const hasFreeSlot = runners.some(({ runner }) => countUsedAdapterSlots(runner.holdings!) < pool.adapterSlots)
       const adapterCount = hasFreeSlot ? pool.models.get(model)?.adapterCount ?? 0 : 0
       for (let number = 1; number <= adapterCount; number += 1) {
@@ -284,7 +290,7 @@
 
   private startAdapterLoad (model: string, adapter: string, pool: EnginePool, { runnersByModel, loadedAdapters }: LoadedModelIndex, reason: string, mayEvict: boolean): boolean {
     const key = makeAdapterKey(model, adapter)
-    if (this.loadingAdapters.has(key) || loadedAdapters.has(key)) return false
+    if (!this.options.orders.hasCapacity || this.loadingAdapters.has(key) || loadedAdapters.has(key)) return false
     const candidates = runnersByModel.get(model)
     if (candidates === undefined) return false
     const step = planAdapter(candidates.map((view) => this.makeAdapterCandidate(view)), pool.adapterSlots)
