Continue a stream with events only, and end it with the answer that has some

Report of other operators: a stream broke off, and the error of the next runner came into the middle of it, or the stream ended as if it were complete. An error with another status was kept out before. An error with status 200 was not: its text was forwarded if it holds a blank line, and one without a body ended the stream as complete. The content type has to be that of the first answer, and a resumed answer without any event counts as broken off; a caller that had everything learns so when it resumes itself.

--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -50,6 +50,10 @@
   countedRuns: number
   /** The runner process ended during the last attempt. */
   hasLastRunnerEnded: boolean
+  /** Whether events of a stream were forwarded. */
+  hasDeliveredEvents: boolean
+  /** Whether the answer that was forwarded is declared to be a stream of events. */
+  isEventStream: boolean
   /** Status of the answer that was forwarded; undefined before. */
   forwardedStatus: number | undefined
   /** Attempts that ended without being executed. */
@@ -101,6 +105,8 @@
 
 /** A runner that goes back behind the position that it was given would repeat events. */
 const MISPLACED_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'crossed', message: 'the runner resumed the stream before the requested position' }
+/** A runner that takes up a stream sends events of it. */
+const EMPTY_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'truncated', message: 'the runner resumed the stream without an event' }
 /** Event ids that can be compared: decimal numbers that a double represents exactly. */
 const COMPARABLE_ID = /^\d{1,15}$/
 
@@ -129,7 +135,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, chargeKeys: listChargeKeys(request), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, permits: [], isolationStartedAtMs: undefined }
+    const progress: RequestProgress = { request, chargeKeys: listChargeKeys(request), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, hasDeliveredEvents: false, isEventStream: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, permits: [], isolationStartedAtMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -380,19 +386,26 @@
   /** Forwards an event to the caller; returns the result once the attempt is over. */
   private async forwardEvent (progress: RequestProgress, event: Exclude<ExchangeEvent, { type: 'notice' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
-    if (event.type === 'end') {
-      progress.sink.finishResponse()
-      return { type: 'done' }
-    }
-    if (event.type === 'head') {
-      // A stream that has started may only be continued with events, never with another runner's error response.
-      const isErrorWithinStream = progress.hasResponseStarted && event.status !== OK
-      if (isErrorWithinStream || (event.status >= SERVER_ERROR && this.canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
-      if (!progress.hasResponseStarted) progress.sink.startResponse(event.status, event.head)
-      progress.forwardedStatus = event.status
-      progress.hasResponseStarted = true
-      return undefined
-    }
+    if (event.type === 'head') return this.forwardHead(progress, event)
+    if (event.type === 'data') return await this.forwardData(progress, event, openRequest)
+    // An error without a body ends like a stream that has nothing left; the caller can resume if the stream was complete.
+    if (!openRequest.hasOutput && progress.hasDeliveredEvents) return { type: 'failed', failure: EMPTY_RESUMPTION }
+    progress.sink.finishResponse()
+    return { type: 'done' }
+  }
+
+  private forwardHead (progress: RequestProgress, event: Extract<ExchangeEvent, { type: 'head' }>): AttemptResult | undefined {
+    // A stream that has started may only be continued with events, never with another runner's error response, whatever its status.
+    const isErrorWithinStream = progress.hasResponseStarted && (event.status !== OK || event.isEventStream !== progress.isEventStream)
+    if (isErrorWithinStream || (event.status >= SERVER_ERROR && this.canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
+    if (!progress.hasResponseStarted) progress.sink.startResponse(event.status, event.head)
+    progress.isEventStream = event.isEventStream
+    progress.forwardedStatus = event.status
+    progress.hasResponseStarted = true
+    return undefined
+  }
+
+  private async forwardData (progress: RequestProgress, event: Extract<ExchangeEvent, { type: 'data' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (!openRequest.hasOutput) {
       this.noteFirstByte(progress, openRequest.sentAtMs)
       this.noteResumption(progress, event.firstEventId)
@@ -401,6 +414,7 @@
     openRequest.hasOutput = true
     progress.lastEventId = event.lastEventId ?? progress.lastEventId
     if (event.lastEventId !== undefined || event.hasUnnumberedEnd) progress.isPositionUnknown = event.hasUnnumberedEnd
+    progress.hasDeliveredEvents ||= progress.request.route.isStream
     await progress.sink.writeBytes(event.bytes)
     return undefined
   }
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -66,7 +66,7 @@
   /** Precedes the head or failure of the response that carried it. */
   | { readonly type: 'notice', readonly notice: RunnerNotice }
   /** Start of the response; `head` is codec data. */
-  | { readonly type: 'head', readonly status: number, readonly head: unknown, readonly load: ReportedLoad | undefined }
+  | { readonly type: 'head', readonly status: number, readonly isEventStream: boolean, readonly head: unknown, readonly load: ReportedLoad | undefined }
   /** Bytes of the response; whole events in a stream, with the first and the last id among them, and whether events without an id follow the last one. */
   | { readonly type: 'data', readonly bytes: Buffer, readonly firstEventId: string | undefined, readonly lastEventId: string | undefined, readonly hasUnnumberedEnd: boolean }
   /** The response is complete. */
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -62,8 +62,9 @@
   }
 }
 
-const HEAD: ExchangeEvent = { type: 'head', status: 200, head: [], load: undefined }
-const ERROR_HEAD: ExchangeEvent = { type: 'head', status: 500, head: [], load: undefined }
+const HEAD: ExchangeEvent = { type: 'head', status: 200, isEventStream: true, head: [], load: undefined }
+const JSON_HEAD: ExchangeEvent = { type: 'head', status: 200, isEventStream: false, head: [], load: undefined }
+const ERROR_HEAD: ExchangeEvent = { type: 'head', status: 500, isEventStream: false, head: [], load: undefined }
 const END: ExchangeEvent = { type: 'end' }
 const LEAVING: ExchangeEvent = { type: 'notice', notice: { isLeaving: true, refusesForMs: undefined, requestsPerSecond: undefined } }
 
@@ -248,6 +249,16 @@
     expect([sink.text, sink.ending]).toEqual(['200 one ', 'abandoned'])
   })
 
+  it('never forwards an error with status 200 into a started stream, nor takes an empty one for its end', async () => {
+    const first = makeScript(HEAD, makeData('one ', '1'), makeFailure('reset', 'unknown'))
+    for (const second of [makeScript(JSON_HEAD, makeData('oops\n\n'), END), makeScript(JSON_HEAD, END), makeScript(HEAD, END), makeScript(HEAD, makeFailure('truncated', 'unknown'))]) {
+      const { sink } = await serve([first, second], RESUMABLE)
+      expect([sink.text, sink.ending]).toEqual(['200 one ', 'abandoned'])
+    }
+    const resumedByCaller = await serve([makeScript(HEAD, END)], RESUMABLE, { resumeAfterEventId: '13' })
+    expect([resumedByCaller.sink.text, resumedByCaller.sink.ending]).toEqual(['200 ', 'finished'])
+  })
+
   it('aborts a failed stream that may not be resumed, so that it does not look complete', async () => {
     const { sink, result } = await serve([makeScript(HEAD, makeData('one'), makeFailure('truncated', 'unknown'))], { isStream: true })
     expect([sink.ending, result]).toEqual(['abandoned', 'broken'])
