Continue a stream within an answer only at the software version that began it

A stream that broke off was resumed at any runner that holds its model.

Streams that callers resume at any daemon (header Resumes) can still go on at another version: open.

--- a/packages/figquay-fleet/src/FigquayFleetTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetTypes.ts
@@ -114,6 +114,8 @@
   /** `ip:port`. */
   readonly address: string
   readonly zone: string
+  /** Version of its software, not of its weights: a stream goes on only at the version that began it. Undefined if the platform has none. */
+  readonly softwareVersion?: string
   readonly slots: number
   /** Draining: takes no new requests and shuts down soon. */
   readonly isLeaving: boolean
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -90,12 +90,15 @@
    * Selects a runner for a request; waits for one if it can be ready in time, and otherwise returns a refusal at once.
    *
    * @param triedRunners Runners to which the request has been sent, or which cannot take it now.
+   * @param softwareVersion Only version that may go on with the request, which has begun a stream; undefined if any may.
    * @example
    * const choice = await dispatcher.findRunner(request, new Set(), signal)
    */
-  async findRunner (request: ServedRequest, triedRunners: ReadonlySet<string>, signal: AbortSignal): Promise<Runner | Refusal> {
+  async findRunner (request: ServedRequest, triedRunners: ReadonlySet<string>, signal: AbortSignal, softwareVersion?: string): Promise<Runner | Refusal> {
     while (true) {
-      const candidates = this.listCandidates(request)
+      const candidates = this.listCandidates(request).filter(({ runner }) => softwareVersion === undefined || runner.softwareVersion === softwareVersion)
+      // The caller resumes or begins anew; a load on a runner of this version isn't planned for one stream.
+      if (candidates.length === 0 && softwareVersion !== undefined) return Refusal.create('no_upstream', 'no runner of the software version that began the stream can go on with it')
       const candidatesWithCapacity = candidates.filter(hasCapacity)
       const chosen = this.chooseCandidate(candidatesWithCapacity, request, triedRunners)
       if (chosen !== undefined) return chosen.runner
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -50,6 +50,8 @@
   countedRuns: number
   /** The runner process ended during the last attempt. */
   hasLastRunnerEnded: boolean
+  /** Version of the runner software whose events of a stream were forwarded. */
+  softwareVersion: string | undefined
   /** Whether events of a stream were forwarded. */
   hasDeliveredEvents: boolean
   /** Whether the answer that was forwarded is declared to be a stream of events. */
@@ -135,7 +137,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, chargeKeys: listChargeKeys(request), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, hasDeliveredEvents: false, isEventStream: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, permits: [], isolationStartedAtMs: undefined }
+    const progress: RequestProgress = { request, chargeKeys: listChargeKeys(request), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, softwareVersion: undefined, hasDeliveredEvents: false, isEventStream: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, permits: [], isolationStartedAtMs: undefined }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -182,7 +184,7 @@
     let occupiedRunners: ReadonlySet<string> = new Set()
     while (!signal.aborted) {
       if (this.classifyRequest(progress) === 'quarantined') return this.refuseQuarantined(progress)
-      const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal)
+      const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal, progress.softwareVersion)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
       if (!await this.acquireRequestPermit(request, choice)) continue
@@ -359,7 +361,7 @@
       if (event.type === 'data') this.options.attemptTracker.noteOutput(attempt)
       // Whole events restart the timer, partial ones don't: a stall is detected while the caller still waits and another runner can resume.
       if (request.route.isResumable && event.type !== 'failed') silenceDeadline.restartTimer(request.route.patienceMs * STALL_PATIENCE_FRACTION)
-      const result = await this.forwardEvent(progress, event, openRequest)
+      const result = await this.forwardEvent(progress, runner, event, openRequest)
       if (result !== undefined) return result
     }
     return { type: 'failed', failure: { execution: 'unknown', reason: 'silent', message: silenceDeadline.hasExpired ? 'no response in time' : 'the caller disconnected' } }
@@ -384,10 +386,10 @@
   }
 
   /** Forwards an event to the caller; returns the result once the attempt is over. */
-  private async forwardEvent (progress: RequestProgress, event: Exclude<ExchangeEvent, { type: 'notice' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
+  private async forwardEvent (progress: RequestProgress, runner: Runner, event: Exclude<ExchangeEvent, { type: 'notice' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
     if (event.type === 'head') return this.forwardHead(progress, event)
-    if (event.type === 'data') return await this.forwardData(progress, event, openRequest)
+    if (event.type === 'data') return await this.forwardData(progress, runner, event, openRequest)
     // An error without a body ends like a stream that has nothing left; the caller can resume if the stream was complete.
     if (!openRequest.hasOutput && progress.hasDeliveredEvents) return { type: 'failed', failure: EMPTY_RESUMPTION }
     progress.sink.finishResponse()
@@ -405,7 +407,7 @@
     return undefined
   }
 
-  private async forwardData (progress: RequestProgress, event: Extract<ExchangeEvent, { type: 'data' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
+  private async forwardData (progress: RequestProgress, runner: Runner, event: Extract<ExchangeEvent, { type: 'data' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (!openRequest.hasOutput) {
       this.noteFirstByte(progress, openRequest.sentAtMs)
       this.noteResumption(progress, event.firstEventId)
@@ -414,7 +416,10 @@
     openRequest.hasOutput = true
     progress.lastEventId = event.lastEventId ?? progress.lastEventId
     if (event.lastEventId !== undefined || event.hasUnnumberedEnd) progress.isPositionUnknown = event.hasUnnumberedEnd
-    progress.hasDeliveredEvents ||= progress.request.route.isStream
+    if (progress.request.route.isStream) {
+      progress.hasDeliveredEvents = true
+      progress.softwareVersion = runner.softwareVersion
+    }
     await progress.sink.writeBytes(event.bytes)
     return undefined
   }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -97,6 +97,8 @@
 
 interface ServeOptions {
   readonly burst?: number
+  /** Software versions of the three runners. */
+  readonly versions?: readonly string[]
   /** Prompt part that has crashed runners; the request has it, too. */
   readonly deadlyPart?: string
   /** Position of the caller in a stream that it resumes. */
@@ -112,12 +114,12 @@
   readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, deadlyPart, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
-  for (const id of ['r1', 'r2', 'r3']) {
-    table.putRunner({ id, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
+  for (const [index, id] of ['r1', 'r2', 'r3'].entries()) {
+    table.putRunner({ id, service: 's', softwareVersion: versions[index], address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
   }
   const configurations = ConfigurationHolder.create()
   if (model !== undefined) configurations.adoptConfiguration(CONFIGURATION)
@@ -249,6 +251,15 @@
     expect([sink.text, sink.ending]).toEqual(['200 one ', 'abandoned'])
   })
 
+  it('continues a stream at the software version that began it only', async () => {
+    const versions = new Map([['r1', 'v1'], ['r2', 'v2'], ['r3', 'v1']])
+    for (let round = 0; round < 20; round += 1) {
+      const { sink, sent } = await serve([makeScript(HEAD, makeData('one ', '1'), makeFailure('reset', 'unknown')), makeScript(HEAD, makeData('two', '2'), END)], RESUMABLE, { versions: [...versions.values()] })
+      expect([sink.text, ...new Set(sent.map((attempt) => versions.get(attempt.split(' ')[0]!)))].length).toEqual(2)
+      expect([sink.text, sink.ending]).toEqual(['200 one two', 'finished'])
+    }
+  })
+
   it('never forwards an error with status 200 into a started stream, nor takes an empty one for its end', async () => {
     const first = makeScript(HEAD, makeData('one ', '1'), makeFailure('reset', 'unknown'))
     for (const second of [makeScript(JSON_HEAD, makeData('oops\n\n'), END), makeScript(JSON_HEAD, END), makeScript(HEAD, END), makeScript(HEAD, makeFailure('truncated', 'unknown'))]) {
