--- a/packages/figquay-serving/src/FigquayServingCrashHistory.ts
+++ b/packages/figquay-serving/src/FigquayServingCrashHistory.ts
@@ -127,6 +127,7 @@
     for (const [fingerprint, acquittal] of this.acquittals) if (!this.isUnexpired(acquittal)) this.acquittals.delete(fingerprint)
     // Counting drops expired facts as a side effect.
     for (const fingerprint of [...this.crashes.keys()]) this.countCrashes(fingerprint)
+    for (const fingerprint of this.acquittedIncarnations.keys()) if (!this.crashes.has(fingerprint)) this.acquittedIncarnations.delete(fingerprint)
     this.sweepThreshold = Math.max(SWEEP_THRESHOLD_FINGERPRINTS, 2 * this.crashes.size)
   }
 
--- a/packages/figquay-serving/src/FigquayServingSuspectIsolator.ts
+++ b/packages/figquay-serving/src/FigquayServingSuspectIsolator.ts
@@ -1,4 +1,4 @@
-/** Isolates suspect requests: across all daemons, at most one runs on each runner at a time, with a permit issued by the leader. */
+/** Isolates suspect requests: across all daemons, at most one runs at a time on each runner and with each suspected prompt part, with a permit issued by the leader. */
 import type { Clock, Outcome } from 'figquay'
 import { SuspectPermits } from 'figquay-routing'
 
@@ -21,8 +21,9 @@
   | 'unconfirmed'
   | 'refused'
 
-/** A suspect request and the runner for which it requests or holds a permit. */
+/** A suspect request and what it requests or holds a permit for. */
 export interface PermitRequest {
+  /** Id of a runner, or key of a prompt part. */
   readonly runner: string
   readonly requestId: string
 }
