--- a/packages/figquay-fleet/src/__tests__/unit/Placement.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/Placement.test.ts
@@ -77,7 +77,7 @@
     const { client, demand, placement } = makePlacement()
     const rare = [101, 102, 103]
     demand.putNeeds('d1', makeNeeds(rare, 1))
-    // All runners are busy with other adapters when the rare ones are asked for first.
+    // More adapters are awaited than the first plan can order; those that come later have more requests waiting.
     demand.putNeeds('d2', makeNeeds(Array.from({ length: 60 }, (_, index) => index + 1), 9))
     placement.runPlans()
     await SystemClock.create().waitFor(5)
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -255,8 +255,8 @@
     const versions = new Map([['r1', 'v1'], ['r2', 'v2'], ['r3', 'v1']])
     for (let round = 0; round < 20; round += 1) {
       const { sink, sent } = await serve([makeScript(HEAD, makeData('one ', '1'), makeFailure('reset', 'unknown')), makeScript(HEAD, makeData('two', '2'), END)], RESUMABLE, { versions: [...versions.values()] })
-      expect([sink.text, ...new Set(sent.map((attempt) => versions.get(attempt.split(' ')[0]!)))].length).toEqual(2)
-      expect([sink.text, sink.ending]).toEqual(['200 one two', 'finished'])
+      const versionsSent = new Set(sent.map((attempt) => versions.get(attempt.split(' ')[0]!)))
+      expect([versionsSent.size, sink.text, sink.ending]).toEqual([1, '200 one two', 'finished'])
     }
   })
 
