--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -3,11 +3,12 @@
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
 import type { RetryBudget } from 'figquay-routing'
 import type { AttemptTracker, TrackedAttempt } from './FigquayServingAttemptTracker.js'
-import { isPartKey, listChargeKeys, type CrashHistory, type QuarantineState } from './FigquayServingCrashHistory.js'
+import { isPartKey, type CrashHistory } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
-import type { PermitReply, PermitRequest } from './FigquayServingSuspectIsolator.js'
+import { StreamProgress } from './FigquayServingStreamProgress.js'
+import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
 import type { ServingTelemetry } from './FigquayServingTelemetry.js'
 import type { ResponseSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, RunnerNotice, ServedRequest, ServedResult } from './FigquayServingTypes.js'
 
@@ -28,9 +29,8 @@
   readonly publishAcquittal: (fingerprint: string) => void
   /** Records that a request with these prompt parts has been answered, which clears them. */
   readonly noteSuccessfulParts: (partKeys: readonly string[]) => void
-  /** Acquires the permit that lets at most one suspect request run on a runner, or with a suspected prompt part. */
-  readonly acquirePermit: (request: PermitRequest) => Promise<PermitReply>
-  readonly releasePermit: (request: PermitRequest) => void
+  readonly acquirePermit: SuspectGateOptions['acquirePermit']
+  readonly releasePermit: SuspectGateOptions['releasePermit']
   readonly requestLimiter: RequestLimiter
   readonly noteAdapterUse: (runner: string, key: string) => void
   /** Tells the peers that a runner is draining. */
@@ -41,8 +41,9 @@
 /** State of a request across its attempts. */
 interface RequestProgress {
   readonly request: ServedRequest
-  /** Keys to which crashes under the request are charged. */
-  readonly chargeKeys: readonly [string, ...string[]]
+  /** What the gate for suspects knows of the request. */
+  readonly gated: GatedRequest
+  readonly stream: StreamProgress
   readonly sink: ResponseSink
   readonly signal: AbortSignal
   readonly triedRunners: Set<string>
@@ -50,31 +51,14 @@
   countedRuns: number
   /** The runner process ended during the last attempt. */
   hasLastRunnerEnded: boolean
-  /** Version of the runner software whose events of a stream were forwarded. */
-  softwareVersion: string | undefined
-  /** Whether events of a stream were forwarded. */
-  hasDeliveredEvents: boolean
-  /** Whether the answer that was forwarded is declared to be a stream of events. */
-  isEventStream: boolean
   /** Status of the answer that was forwarded; undefined before. */
   forwardedStatus: number | undefined
   /** Attempts that ended without being executed. */
   declinedAttempts: number
   hasResponseStarted: boolean
   mayHaveRun: boolean
-  /** Id of the last event that the caller has, from this request or an earlier one of its own. */
-  lastEventId: string | undefined
-  /** Events without an id were delivered after it, so that no runner can go on where the caller is. */
-  isPositionUnknown: boolean
-  /** Permits that the request holds as a suspect. */
-  readonly permits: PermitRequest[]
-  /** Monotonic time at which the request, being a suspect, first asked for an isolation permit, in milliseconds. */
-  isolationStartedAtMs: number | undefined
 }
 
-/** Whether a request runs isolated from other suspects on its runner. */
-type IsolationResult = 'unneeded' | PermitReply | 'given-up'
-
 /** Outcome of an attempt; `runner-error` is an error response that is worth retrying on another runner. */
 type AttemptResult =
   | { readonly type: 'done' }
@@ -96,12 +80,8 @@
 const FAILED_RETRY_AFTER_MS = 500
 /** Longest wait for a runner's liveness before a broken attempt is retried, in milliseconds: a reachable address responds sooner. */
 const LIVENESS_WAIT_MS = 200
-/** Longest wait of a suspect for an isolation permit, in milliseconds; it then runs without one, as its caller is waiting. */
-const ISOLATION_TIMEOUT_MS = 1_000
 /** Delay before a suspect asks for a permit again, in milliseconds. */
 const ISOLATION_RETRY_DELAY_MS = 50
-/** Characters of a fingerprint in a log line. */
-const LOGGED_FINGERPRINT_LENGTH = 12
 /** Priority of the least urgent requests at a runner. */
 const LOWEST_PRIORITY = 9
 
@@ -109,15 +89,15 @@
 const MISPLACED_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'crossed', message: 'the runner resumed the stream before the requested position' }
 /** A runner that takes up a stream sends events of it. */
 const EMPTY_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'truncated', message: 'the runner resumed the stream without an event' }
-/** Event ids that can be compared: decimal numbers that a double represents exactly. */
-const COMPARABLE_ID = /^\d{1,15}$/
-
 /** Routes requests to runners. */
 export class ServingRouter {
   private readonly openDeadlines = new Set<Deadline>()
+  private readonly suspectGate: SuspectGate
   private isStopping = false
 
-  private constructor (private readonly options: ServingRouterOptions) {}
+  private constructor (private readonly options: ServingRouterOptions) {
+    this.suspectGate = SuspectGate.create(options)
+  }
 
   /**
    * @example
@@ -137,7 +117,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, chargeKeys: listChargeKeys(request), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, softwareVersion: undefined, hasDeliveredEvents: false, isEventStream: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false, lastEventId: request.resumeAfterEventId, isPositionUnknown: false, permits: [], isolationStartedAtMs: undefined }
+    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.runAttempts(progress)
@@ -165,7 +145,7 @@
     const { request, sink } = progress
     if (refusal === undefined) return 'answered'
     if (hasCallerLeft) {
-      this.options.telemetry.recordDecision('caller left', request, { fingerprint: shortenFingerprint(request.fingerprint), hasStarted: progress.hasResponseStarted, lastEventId: progress.lastEventId, tried: [...progress.triedRunners] })
+      this.options.telemetry.recordDecision('caller left', request, { fingerprint: shortenFingerprint(request.fingerprint), hasStarted: progress.hasResponseStarted, lastEventId: progress.stream.lastEventId, tried: [...progress.triedRunners] })
       sink.abortResponse()
       return 'caller-left'
     }
@@ -183,13 +163,13 @@
     const { request, signal } = progress
     let occupiedRunners: ReadonlySet<string> = new Set()
     while (!signal.aborted) {
-      if (this.classifyRequest(progress) === 'quarantined') return this.refuseQuarantined(progress)
-      const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal, progress.softwareVersion)
+      if (this.suspectGate.classifyRequest(progress.gated) === 'quarantined') return this.refuseQuarantined(progress)
+      const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal, progress.stream.softwareVersion)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
       if (!await this.acquireRequestPermit(request, choice)) continue
-      const isolation = await this.isolateRequest(progress, choice)
-      if (isolation === 'given-up' && this.isStronglySuspected(progress)) return this.adjustExecution(progress, Refusal.create('overloaded', 'a request with the same prompt part is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
+      const isolation = await this.suspectGate.isolateRequest(progress.gated, choice, signal)
+      if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request with the same prompt part is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
         await this.options.clock.waitFor(ISOLATION_RETRY_DELAY_MS, signal)
@@ -204,20 +184,9 @@
     return this.makeTimeoutRefusal(progress)
   }
 
-  private classifyRequest ({ chargeKeys }: RequestProgress): QuarantineState {
-    return this.options.crashHistory.classifyKeys(chargeKeys)
-  }
-
-  private isStronglySuspected ({ chargeKeys }: RequestProgress): boolean {
-    const { crashHistory } = this.options
-    return crashHistory.listSuspectParts(chargeKeys).some((key) => crashHistory.isStronglySuspected(key))
-  }
-
   private refuseQuarantined (progress: RequestProgress): Refusal {
-    const { crashHistory, telemetry } = this.options
-    const { request, chargeKeys } = progress
-    telemetry.noteQuarantined(request)
-    const partKey = chargeKeys.find((key) => isPartKey(key) && crashHistory.classifyRequest(key) === 'quarantined')
+    this.options.telemetry.noteQuarantined(progress.request)
+    const partKey = this.suspectGate.findQuarantinedPart(progress.gated)
     if (partKey === undefined) return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
     return this.adjustExecution(progress, Refusal.create('upstream_failed', `requests with the prompt ${partKey} have crashed runners`, { execution: 'not-run' }))
   }
@@ -232,44 +201,6 @@
     return false
   }
 
-  /** Checked just before the attempt, as crashes may have been recorded while the request waited for a runner. */
-  private async isolateRequest (progress: RequestProgress, runner: Runner): Promise<IsolationResult> {
-    const { crashHistory, clock, telemetry } = this.options
-    const { request, signal } = progress
-    if (this.classifyRequest(progress) === 'clear') return 'unneeded'
-    progress.isolationStartedAtMs ??= clock.readMonotonicMs()
-    const reply = await this.acquirePermits(progress, runner)
-    if (reply !== 'refused' && (signal.aborted || this.classifyRequest(progress) === 'quarantined')) {
-      this.releasePermits(progress)
-      return 'refused'
-    }
-    const waitedMs = clock.readMonotonicMs() - progress.isolationStartedAtMs
-    const isolation = reply === 'refused' && waitedMs >= ISOLATION_TIMEOUT_MS ? 'given-up' : reply
-    if (isolation !== 'refused') telemetry.recordDecision('sent suspect request', request, { runner: runner.id, fingerprint: shortenFingerprint(request.fingerprint), isolation, suspectParts: crashHistory.listSuspectParts(progress.chargeKeys), ...crashHistory.countCrashes(request.fingerprint) })
-    return isolation
-  }
-
-  /** A suspect runs alone on its runner, and alone among all requests that share a suspected prompt part. */
-  private async acquirePermits (progress: RequestProgress, runner: Runner): Promise<PermitReply> {
-    const { crashHistory, acquirePermit } = this.options
-    const replies = new Set<PermitReply>()
-    for (const subject of [...crashHistory.listSuspectParts(progress.chargeKeys), runner.id]) {
-      const permit = { runner: subject, requestId: progress.request.id }
-      const reply = await acquirePermit(permit)
-      if (reply === 'refused') {
-        this.releasePermits(progress)
-        return 'refused'
-      }
-      progress.permits.push(permit)
-      replies.add(reply)
-    }
-    return replies.has('unconfirmed') ? 'unconfirmed' : 'granted'
-  }
-
-  private releasePermits (progress: RequestProgress): void {
-    for (const permit of progress.permits.splice(0)) this.options.releasePermit(permit)
-  }
-
   private makeTimeoutRefusal (progress: RequestProgress): Refusal {
     if (progress.mayHaveRun) return Refusal.create('outcome_unknown', this.isStopping ? 'the daemon is shutting down' : 'no response in time', { execution: 'unknown' })
     if (this.isStopping) return Refusal.create('draining', 'the daemon is shutting down', { retryAfterMs: 0 })
@@ -298,7 +229,7 @@
     const release = table.trackRequest(runner.id, openRequest)
     memory.noteParts(runner.id, weightsKey, request.parts)
     if (request.adapter !== undefined) this.options.noteAdapterUse(runner.id, makeAdapterKey(request.model!, request.adapter))
-    const attempt = attemptTracker.trackAttempt(runner, progress.chargeKeys, isolation === 'granted')
+    const attempt = attemptTracker.trackAttempt(runner, progress.gated.chargeKeys, isolation === 'granted')
     const silenceDeadline = Deadline.create(this.chooseSilenceLimit(progress), progress.signal)
     const couldHaveRunBefore = progress.mayHaveRun
     // Bytes may be sent from here on; reset below if the attempt turns out not to have run.
@@ -314,7 +245,7 @@
       release()
       // After an error in this daemon, the state of the runner is unknown.
       if (!attemptTracker.hasEnded(attempt)) attemptTracker.noteUnanswered(attempt)
-      this.releasePermits(progress)
+      this.suspectGate.releasePermits(progress.gated)
     }
   }
 
@@ -330,7 +261,7 @@
       progress.hasLastRunnerEnded = liveness === 'ended' || liveness === 'left'
     } else if (reason === 'silent') attemptTracker.noteUnanswered(attempt)
     else attemptTracker.untrackAttempt(runner, attempt)
-    if (result.type === 'done' && progress.forwardedStatus === OK) this.options.noteSuccessfulParts(progress.chargeKeys.filter(isPartKey))
+    if (result.type === 'done' && progress.forwardedStatus === OK) this.options.noteSuccessfulParts(progress.gated.chargeKeys.filter(isPartKey))
     if (result.type === 'done' && crashHistory.countCrashes(request.fingerprint).inAll > 0) publishAcquittal(request.fingerprint)
   }
 
@@ -345,7 +276,7 @@
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const priority = Math.min(LOWEST_PRIORITY, request.route.priority)
-    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.lastEventId, priority, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
+    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
     let namesLimit = false
     for await (const event of events) {
       this.options.table.noteActivity(runner.id)
@@ -391,17 +322,16 @@
     if (event.type === 'head') return this.forwardHead(progress, event)
     if (event.type === 'data') return await this.forwardData(progress, runner, event, openRequest)
     // An error without a body ends like a stream that has nothing left; the caller can resume if the stream was complete.
-    if (!openRequest.hasOutput && progress.hasDeliveredEvents) return { type: 'failed', failure: EMPTY_RESUMPTION }
+    if (!openRequest.hasOutput && progress.stream.hasEvents) return { type: 'failed', failure: EMPTY_RESUMPTION }
     progress.sink.finishResponse()
     return { type: 'done' }
   }
 
   private forwardHead (progress: RequestProgress, event: Extract<ExchangeEvent, { type: 'head' }>): AttemptResult | undefined {
-    // A stream that has started may only be continued with events, never with another runner's error response, whatever its status.
-    const isErrorWithinStream = progress.hasResponseStarted && (event.status !== OK || event.isEventStream !== progress.isEventStream)
+    const isErrorWithinStream = progress.hasResponseStarted && !progress.stream.canContinueWith(event)
     if (isErrorWithinStream || (event.status >= SERVER_ERROR && this.canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
     if (!progress.hasResponseStarted) progress.sink.startResponse(event.status, event.head)
-    progress.isEventStream = event.isEventStream
+    progress.stream.noteHead(event)
     progress.forwardedStatus = event.status
     progress.hasResponseStarted = true
     return undefined
@@ -411,15 +341,10 @@
     if (!openRequest.hasOutput) {
       this.noteFirstByte(progress, openRequest.sentAtMs)
       this.noteResumption(progress, event.firstEventId)
-      if (!isAfterPosition(event.firstEventId, progress.lastEventId)) return { type: 'failed', failure: MISPLACED_RESUMPTION }
+      if (!progress.stream.isNext(event)) return { type: 'failed', failure: MISPLACED_RESUMPTION }
     }
     openRequest.hasOutput = true
-    progress.lastEventId = event.lastEventId ?? progress.lastEventId
-    if (event.lastEventId !== undefined || event.hasUnnumberedEnd) progress.isPositionUnknown = event.hasUnnumberedEnd
-    if (progress.request.route.isStream) {
-      progress.hasDeliveredEvents = true
-      progress.softwareVersion = runner.softwareVersion
-    }
+    if (progress.request.route.isStream) progress.stream.noteEvents(event, runner)
     await progress.sink.writeBytes(event.bytes)
     return undefined
   }
@@ -433,7 +358,7 @@
   }
 
   /** Logs where a runner takes up a stream: after the position of the caller, or of an earlier attempt. */
-  private noteResumption ({ request, lastEventId, triedRunners }: RequestProgress, firstEventId: string | undefined): void {
+  private noteResumption ({ request, stream: { lastEventId }, triedRunners }: RequestProgress, firstEventId: string | undefined): void {
     if (lastEventId === undefined) return
     this.options.telemetry.recordDecision('stream resumed', request, { callerEventId: request.resumeAfterEventId, resumedAfter: lastEventId, firstEventId, tried: [...triedRunners] })
   }
@@ -448,9 +373,9 @@
   }
 
   /** Whether the route allows another attempt after `extraRuns` more than the counted ones. */
-  private canRunAgain ({ request, countedRuns, hasResponseStarted, isPositionUnknown }: RequestProgress, extraRuns: number): boolean {
+  private canRunAgain ({ request, countedRuns, hasResponseStarted, stream }: RequestProgress, extraRuns: number): boolean {
     const { route } = request
-    const canRepeat = route.isStream ? route.isResumable && !isPositionUnknown : route.repeat === 'idempotent' && !hasResponseStarted
+    const canRepeat = route.isStream ? route.isResumable && stream.canResume : route.repeat === 'idempotent' && !hasResponseStarted
     return canRepeat && countedRuns + extraRuns < route.maxAttempts
   }
 
@@ -488,19 +413,3 @@
     if (reason === 'other-runner' || reason === 'unreachable') table.startCooldown(runner.id)
   }
 }
-
-/** Whether an event follows a position in its stream; ids that can't be compared count as following. */
-function isAfterPosition (eventId: string | undefined, position: string | undefined): boolean {
-  if (eventId === undefined || position === undefined || !COMPARABLE_ID.test(eventId) || !COMPARABLE_ID.test(position)) return true
-  return Number(eventId) > Number(position)
-}
-
-/**
- * Shortens a fingerprint for log lines to a prefix that still tells requests apart.
- *
- * @example
- * shortenFingerprint(request.fingerprint).length // 12
- */
-export function shortenFingerprint (fingerprint: string): string {
-  return fingerprint.slice(0, LOGGED_FINGERPRINT_LENGTH)
-}
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingStreamProgress.ts
@@ -0,0 +1,78 @@
+/** Where the caller of a stream is, and which answer may go on from there. No clock, no I/O. */
+import type { Runner } from 'figquay-fleet'
+import type { ExchangeEvent } from './FigquayServingTypes.js'
+
+const OK = 200
+/** Event ids that can be compared: decimal numbers that a double represents exactly. */
+const COMPARABLE_ID = /^\d{1,15}$/
+
+type HeadEvent = Extract<ExchangeEvent, { type: 'head' }>
+type DataEvent = Extract<ExchangeEvent, { type: 'data' }>
+
+/** Progress of the answer to one request over its attempts. */
+export class StreamProgress {
+  /** Whether the answer that was forwarded is declared to be a stream of events. */
+  private isEventStream = false
+  /** Events without an id were delivered after the last one with an id, so that no runner can go on where the caller is. */
+  private isPositionUnknown = false
+  private eventId: string | undefined
+  private version: string | undefined
+  private isBegun = false
+
+  private constructor (callerEventId: string | undefined) {
+    this.eventId = callerEventId
+  }
+
+  /**
+   * @param callerEventId Id of the last event that the caller has from an earlier request of its own.
+   * @example
+   * const stream = StreamProgress.create(request.resumeAfterEventId)
+   */
+  static create (callerEventId: string | undefined): StreamProgress {
+    return new StreamProgress(callerEventId)
+  }
+
+  /** Id of the last event that the caller has, from this request or an earlier one of its own. */
+  get lastEventId (): string | undefined {
+    return this.eventId
+  }
+
+  /** Whether events were forwarded. */
+  get hasEvents (): boolean {
+    return this.isBegun
+  }
+
+  /** Version of the runner software whose events were forwarded. */
+  get softwareVersion (): string | undefined {
+    return this.version
+  }
+
+  /** Whether a runner can be told where to go on. */
+  get canResume (): boolean {
+    return !this.isPositionUnknown
+  }
+
+  /** Whether an answer continues the one that has begun: with events, never with another runner's error, whatever its status. */
+  canContinueWith (head: HeadEvent): boolean {
+    return head.status === OK && head.isEventStream === this.isEventStream
+  }
+
+  noteHead (head: HeadEvent): void {
+    this.isEventStream = head.isEventStream
+  }
+
+  /** Whether a batch of events follows the position of the caller; ids that can't be compared count as following. */
+  isNext ({ firstEventId }: DataEvent): boolean {
+    const { eventId } = this
+    if (firstEventId === undefined || eventId === undefined || !COMPARABLE_ID.test(firstEventId) || !COMPARABLE_ID.test(eventId)) return true
+    return Number(firstEventId) > Number(eventId)
+  }
+
+  /** Records that events of a runner are being forwarded. */
+  noteEvents ({ lastEventId, hasUnnumberedEnd }: DataEvent, runner: Runner): void {
+    this.eventId = lastEventId ?? this.eventId
+    if (lastEventId !== undefined || hasUnnumberedEnd) this.isPositionUnknown = hasUnnumberedEnd
+    this.isBegun = true
+    this.version = runner.softwareVersion
+  }
+}
