Clear the prompt parts of a stream once its output is stable

A sound stream with a charged part held the part's permit to its end, up to 15 s; others with the part waited a second and, after two crashes, were refused. A deadly part crashes its runner as the answer begins, so half a second of output clears a part. Router.test.ts failed before: the parts were cleared at the end only.

--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -261,10 +261,15 @@
       progress.hasLastRunnerEnded = liveness === 'ended' || liveness === 'left'
     } else if (reason === 'silent') attemptTracker.noteUnanswered(attempt)
     else attemptTracker.untrackAttempt(runner, attempt)
-    if (result.type === 'done' && progress.forwardedStatus === OK) this.options.noteSuccessfulParts(progress.gated.chargeKeys.filter(isPartKey))
+    if (result.type === 'done') this.noteAnsweredParts(progress)
     if (result.type === 'done' && crashHistory.countCrashes(request.fingerprint).inAll > 0) publishAcquittal(request.fingerprint)
   }
 
+  /** Parts that crash their runners do so as the answer begins: one that has lasted for a while clears them, too. */
+  private noteAnsweredParts ({ gated, forwardedStatus }: RequestProgress): void {
+    if (forwardedStatus === OK) this.options.noteSuccessfulParts(gated.chargeKeys.filter(isPartKey))
+  }
+
   /** Longest time to first byte of an attempt, in milliseconds: a call that may run twice is not left waiting for a silent runner. */
   private chooseSilenceLimit ({ request, countedRuns }: RequestProgress): number {
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
@@ -278,6 +283,7 @@
     const priority = Math.min(LOWEST_PRIORITY, request.route.priority)
     const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
     let namesLimit = false
+    let areAnsweredPartsNoted = false
     for await (const event of events) {
       this.options.table.noteActivity(runner.id)
       if (event.type === 'notice') {
@@ -292,6 +298,10 @@
       if (event.type === 'data') this.options.attemptTracker.noteOutput(attempt)
       // Whole events restart the timer, partial ones don't: a stall is detected while the caller still waits and another runner can resume.
       if (request.route.isResumable && event.type !== 'failed') silenceDeadline.restartTimer(request.route.patienceMs * STALL_PATIENCE_FRACTION)
+      if (!areAnsweredPartsNoted && event.type === 'data' && this.options.attemptTracker.hasStableOutput(attempt)) {
+        areAnsweredPartsNoted = true
+        this.noteAnsweredParts(progress)
+      }
       const result = await this.forwardEvent(progress, runner, event, openRequest)
       if (result !== undefined) return result
     }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -108,14 +108,19 @@
   readonly deadlineMs?: number
   /** Number of times that the request is served, one after the other. */
   readonly calls?: number
+  /** Called when prompt parts are known to have been answered. */
+  readonly noteSuccessfulParts?: () => void
   /** Receives the attempt tracker, which outlives the request. */
   readonly noteTracker?: (tracker: AttemptTracker) => void
   /** Called while the request is being served. */
   readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, noteTracker = () => {} }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
+const NO_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {} }
+
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
+  const { noteTracker, noteSuccessfulParts } = { ...NO_CALLBACKS, ...callbacks }
   const leaving: string[] = []
   const table = FleetRunnerTable.create(clock)
   for (const [index, id] of ['r1', 'r2', 'r3'].entries()) {
@@ -147,7 +152,7 @@
     attemptTracker,
     crashHistory,
     publishAcquittal: (fingerprint) => addFact({ type: 'acquittal', id: `acquittal-${fingerprint}`, fingerprint, atMs: clock.now().getTime() }),
-    noteSuccessfulParts: () => {},
+    noteSuccessfulParts,
     acquirePermit: async () => 'granted',
     releasePermit: () => {},
     requestLimiter,
@@ -215,6 +220,22 @@
     expect([sink.ending, sent.length]).toEqual(['refused 502 not-run', 0])
   })
 
+  it('clears the prompt parts of a stream once its output is stable, long before it ends', async () => {
+    const clearedAtMs: number[] = []
+    const startedAtMs = performance.now()
+    const stream: Script = async function * () {
+      yield HEAD
+      for (let event = 1; event <= 12; event += 1) {
+        yield makeData(`${event} `, `${event}`)
+        await SystemClock.create().waitFor(100)
+      }
+      yield END
+    }
+    const { sink } = await serve([stream], { ...RESUMABLE, patienceMs: 2_000 }, { deadlineMs: 5_000, noteSuccessfulParts: () => clearedAtMs.push(performance.now() - startedAtMs) })
+    // Once when the output has lasted for half a second, once at the end.
+    expect([sink.ending, clearedAtMs.length, clearedAtMs[0]! >= 450 && clearedAtMs[0]! < 1_000]).toEqual(['finished', 2, true])
+  })
+
   it('does not retry a call without retry budget', async () => {
     const { sent } = await serve([makeScript(makeFailure('reset', 'unknown'))], IDEMPOTENT, { burst: 0 })
     expect(sent.length).toEqual(1)
