--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -40,9 +40,9 @@
  * Whether a runner holds the model that requests wait for, and the adapter if they wait for one.
  *
  * @example
- * meetsNeed(holdings, { service: 'assistant', model: 'manual', adapter: 'a3', waiting: 1 })
+ * isNeedMet(holdings, { service: 'assistant', model: 'manual', adapter: 'a3', waiting: 1 })
  */
-export function meetsNeed ({ models }: Pick<Holdings, 'models'>, { model, adapter }: ModelNeed): boolean {
+export function isNeedMet ({ models }: Pick<Holdings, 'models'>, { model, adapter }: ModelNeed): boolean {
   return models.some((held) => held.name === model && (adapter === undefined || held.adapters.includes(adapter)))
 }
 
@@ -158,7 +158,7 @@
    */
   listWaitingDaemons (holdings: Pick<Holdings, 'models'>): string[] {
     const oldestMs = this.clock.readMonotonicMs() - NEED_TTL_MS
-    const daemons = [...this.needs].filter(([, { need, receivedAtMs }]) => receivedAtMs >= oldestMs && meetsNeed(holdings, need)).map(([key]) => key.slice(0, key.indexOf('\n')))
+    const daemons = [...this.needs].filter(([, { need, receivedAtMs }]) => receivedAtMs >= oldestMs && isNeedMet(holdings, need)).map(([key]) => key.slice(0, key.indexOf('\n')))
     return [...new Set(daemons)]
   }
 
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -9,7 +9,7 @@
 export { chooseRunner, selectByRendezvousHash, PREFILL_TOKENS_PER_MS, type ChoiceRequest, type ReusableState } from './FigquayFleetRunnerChoice.js'
 export { PromptCacheIndex } from './FigquayFleetPromptCacheIndex.js'
 export { StoreLoadLimiter } from './FigquayFleetStoreLoadLimiter.js'
-export { FleetDemand, meetsNeed, type Arrivals, type ModelNeed } from './FigquayFleetDemand.js'
+export { FleetDemand, isNeedMet, type Arrivals, type ModelNeed } from './FigquayFleetDemand.js'
 export { planModels, type ModelPlanStep, type ModelPlanInput, type PlannerReplica, type PlannerModel, type PlannerRunner, type UnplacedReason } from './FigquayFleetModelPlan.js'
 export { computePlanDelayMs } from './FigquayFleetPlanPace.js'
 export { planAdapter, type AdapterCandidate, type AdapterPlanStep } from './FigquayFleetAdapterPlan.js'
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,6 +1,6 @@
 /** Exchanges state with the other daemons: over a full mesh in a small fleet, along a tree in a large one. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, meetsNeed, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
+import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, isNeedMet, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress, type PeerMeshOptions } from 'figquay-peers'
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
@@ -278,7 +278,7 @@
     this.hints.applyReport(hints)
     if (hints.needs.length === 0) return
     // A model that the daemon waits for may be loaded already, if the runner update hasn't reached it yet.
-    const items = this.news.listAfter(0).filter((item) => item.type === 'holdings' && hints.needs.some((need) => meetsNeed(item.holdings, need)) && this.directlySent.get(hints.from)?.has(item) !== true)
+    const items = this.news.listAfter(0).filter((item) => item.type === 'holdings' && hints.needs.some((need) => isNeedMet(item.holdings, need)) && this.directlySent.get(hints.from)?.has(item) !== true)
     if (items.length > 0) this.sendUpdatesTo(hints.from, items)
     this.options.schedulePlanning()
   }
