Identify records of the store by era and offset

Cause: an offset was held as a number that only rises, though a restored store gives offsets out again. A daemon waited at its old position while the log grew below it, entries with lower offsets counted as older ones, and peers advanced each other to positions of the lost records.

A read whose position is of another era begins anew, an answer of an older era is dropped, the first read after a failure doesn't wait (its answer names the era), and daemons tell each other eras beside offsets; a release without eras never moves a daemon ahead. A runner's own count of announcements tells a restored entry from a newer one, so a runner that left doesn't come back.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -4,6 +4,7 @@
 import type { Arrivals, FleetDemand, ModelNeed } from './FigquayFleetDemand.js'
 import type { FactsState } from './FigquayFleetFacts.js'
 import type { FleetLeadership, Leader } from './FigquayFleetLeadership.js'
+import { encodePosition, readOffset } from './FigquayFleetLogPosition.js'
 import { HINT_TTL_MS, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 import type { FleetRunnerTable } from './FigquayFleetRunnerTable.js'
 
@@ -16,9 +17,11 @@
   readonly version: number
   /** Newest version of the configuration that the sender knows to exist. */
   readonly newestVersion: number
-  /** Position up to which the list of runners has been read. */
+  /** Era of the offsets below; missing from a daemon that knows no eras. */
+  readonly era?: number
+  /** Offset up to which the list of runners has been read. */
   readonly position: number
-  /** Position of the last change in that list, heartbeats excluded. */
+  /** Offset of the last change in that list, heartbeats excluded. */
   readonly changedAt: number
   /** Number of daemons that the sender knows of. */
   readonly daemonCount: number
@@ -139,8 +142,8 @@
       holder: leadership.leader,
       version: configurations.version,
       newestVersion: findNewestVersion(),
-      position: table.position,
-      changedAt: table.lastChangePosition,
+      ...encodePosition(table.position),
+      changedAt: readOffset(table.lastChangePosition),
       daemonCount: countDaemons(),
       facts: readFactsState(),
       storeAgeMs: Math.round(measureStoreAge()),
--- a/packages/figquay-fleet/src/FigquayFleetPlatform.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlatform.ts
@@ -1,11 +1,12 @@
 /** Interfaces to a platform's store and to its runners; each platform has its own implementation. */
 import type { CallFailure, Outcome } from 'figquay'
+import type { LogPosition } from './FigquayFleetLogPosition.js'
 import type { FleetConfiguration, Holdings, Runner } from './FigquayFleetTypes.js'
 
 /** A change in the runner registry. */
 export type RunnerChange =
-  | { readonly type: 'announced', readonly runner: Runner, readonly position: number }
-  | { readonly type: 'removed', readonly id: string, readonly position: number }
+  | { readonly type: 'announced', readonly runner: Runner, readonly position: LogPosition }
+  | { readonly type: 'removed', readonly id: string, readonly position: LogPosition }
 
 /** Result of a read of the runner registry. */
 export interface RunnerRegistryUpdate {
@@ -13,7 +14,7 @@
   /** The changes are a full snapshot: runners that they don't name were removed. */
   readonly isComplete: boolean
   /** Position up to which the registry was read. */
-  readonly position: number
+  readonly position: LogPosition
 }
 
 /** A keyed record that the daemons share. */
@@ -21,14 +22,16 @@
   readonly key: string
   /** Undefined when the key was deleted. */
   readonly value: string | undefined
-  readonly position: number
+  readonly position: LogPosition
 }
 
 /** Result of a read of the shared records. */
 export interface SharedRecordBatch {
   readonly records: readonly SharedRecord[]
+  /** The records are the latest of every key: other keys were deleted, or lost with a restore of the store. */
+  readonly isComplete: boolean
   /** Position after the last record. */
-  readonly end: number
+  readonly end: LogPosition
 }
 
 /** A shared record to write or delete. */
@@ -39,18 +42,21 @@
 }
 
 /** Result of a conditional write: `overtaken` when another record was written first. */
-export type WriteResult = { readonly type: 'written', readonly position: number } | { readonly type: 'overtaken' }
+export type WriteResult = { readonly type: 'written', readonly position: LogPosition } | { readonly type: 'overtaken' }
 
-/** The platform's store. Reads return what follows the position `after`; -1 reads everything. */
+/**
+ * The platform's store. Reads return what follows the position `after`; `BEFORE_LOG` reads everything, and so does a
+ * position of an older era than the store's.
+ */
 export abstract class FleetStore {
   /** Waits up to `waitMs` for a configuration written after a position; undefined when there is none. */
-  abstract readConfiguration (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<{ readonly configuration: FleetConfiguration | undefined, readonly position: number }, CallFailure>>
+  abstract readConfiguration (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<{ readonly configuration: FleetConfiguration | undefined, readonly position: LogPosition }, CallFailure>>
   /** Waits up to `waitMs` for changes in the runner registry. */
-  abstract readRunners (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>>
+  abstract readRunners (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>>
   /** Waits up to `waitMs` for changes of the shared records. */
-  abstract readShared (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>>
+  abstract readShared (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>>
   /** Writes a record; if `expectedEnd` is given, only while the records still end there. */
-  abstract writeShared (key: string, value: string, expectedEnd: number | undefined): Promise<Outcome<WriteResult, CallFailure>>
+  abstract writeShared (key: string, value: string, expectedEnd: LogPosition | undefined): Promise<Outcome<WriteResult, CallFailure>>
   /** Writes or deletes records in one call, without a condition. */
   abstract writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>>
   /** Closes connections. */
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -1,5 +1,6 @@
 /** State of each runner: its announcement, its holdings, and the load that daemons put on it. */
 import { setBounded, type Clock } from 'figquay'
+import { BEFORE_LOG, readEra, type LogPosition } from './FigquayFleetLogPosition.js'
 import { PeerLoads, RECENT_TOKENS_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 import type { LoadedModel, Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
 
@@ -33,14 +34,22 @@
   readonly runner: Runner | undefined
 }
 
+/** A removed runner: earlier announcements don't add it again. */
+interface Tombstone {
+  /** Position of the removal. */
+  readonly position: LogPosition
+  /** Last announcement before it. */
+  readonly runner: Runner
+}
+
 interface RunnerEntry {
   /** Replaced only by `replaceRunner`, which keeps the indexes up to date. */
   runner: Runner
   /** Position in the registry's log; a later announcement replaces an earlier one. */
-  position: number
+  position: LogPosition
   /** Last announcement that differed from the one before, and its position: heartbeats since then need not be passed on. */
   distinctAnnouncement: Runner
-  distinctPosition: number
+  distinctPosition: LogPosition
   readonly inFlight: Map<string, InFlightRequest>
   failureRate: number
   recentTokens: number
@@ -71,18 +80,18 @@
   /** The same by service, and by service and model, so that a request examines only runners that may serve it. */
   private readonly byService = new Map<string, Set<RunnerEntry>>()
   private readonly byModel = new Map<string, Set<RunnerEntry>>()
-  /** Registry positions at which runners were removed: earlier announcements don't add them again. */
-  private readonly tombstones = new Map<string, number>()
+  private readonly tombstones = new Map<string, Tombstone>()
   /** Removals within their grace period, in which the runner may announce itself again. */
-  private readonly pendingRemovals = new Map<string, { readonly position: number, readonly dueAtMs: number }>()
+  private readonly pendingRemovals = new Map<string, { readonly position: LogPosition, readonly dueAtMs: number }>()
   /** Start times of draining runners, by id: once a runner drains, it does so until it restarts. */
   private readonly leavingBornMs = new Map<string, number>()
   /** Backoffs that runners requested from this daemon, by id; they outlast the removal of a runner's entry. */
   private readonly backoffs = new Map<string, { readonly bornMs: number, readonly untilMs: number }>()
   private readonly peerLoads: PeerLoads
   private readonly listeners = new Set<(change: RunnerTableChange) => void>()
-  private highestPosition = -1
-  private newestChangePosition = -1
+  private highestPosition = BEFORE_LOG
+  private newestChangePosition = BEFORE_LOG
+  private previousEraPosition = BEFORE_LOG
 
   private constructor (private readonly clock: Clock) {
     this.peerLoads = PeerLoads.create(clock)
@@ -97,17 +106,27 @@
   }
 
   /** Highest position of the registry's log that was applied to this table. */
-  get position (): number {
+  get position (): LogPosition {
     return this.highestPosition
   }
 
   /** Position of the last change other than a heartbeat. */
-  get lastChangePosition (): number {
+  get lastChangePosition (): LogPosition {
     return this.newestChangePosition
   }
 
+  /** Position that was reached in the previous era of the registry's log; `BEFORE_LOG` if there was none. */
+  get lastEraPosition (): LogPosition {
+    return this.previousEraPosition
+  }
+
   /** Advances the position up to which the registry's log was read. */
-  advancePosition (position: number): void {
+  advancePosition (position: LogPosition): void {
+    if (readEra(position) > readEra(this.highestPosition)) {
+      this.previousEraPosition = this.highestPosition
+      // Positions of two eras can't tell peers what they lack, so the era itself counts as a change.
+      this.noteChange(position)
+    }
     this.highestPosition = Math.max(this.highestPosition, position)
   }
 
@@ -131,10 +150,11 @@
    * @example
    * table.putRunner(runner, 812)
    */
-  putRunner (runner: Runner, position: number): void {
+  putRunner (runner: Runner, position: LogPosition): void {
     this.advancePosition(position)
     const known = this.entries.get(runner.id)
-    if ((known?.position ?? this.tombstones.get(runner.id) ?? -1) >= position) return
+    const lastPosition = known?.position ?? this.tombstones.get(runner.id)?.position ?? BEFORE_LOG
+    if (lastPosition >= position || this.isRestoredCopy(runner, position)) return
     this.tombstones.delete(runner.id)
     const isReannounced = this.pendingRemovals.delete(runner.id)
     if (runner.isLeaving) this.recordLeaving(runner.id, runner.bornMs)
@@ -155,7 +175,20 @@
     }
   }
 
-  private noteChange (position: number): void {
+  /** Whether an announcement that follows a restore of the registry is no newer than what was known before. */
+  private isRestoredCopy (runner: Runner, position: LogPosition): boolean {
+    const entry = this.entries.get(runner.id)
+    const last = entry ?? this.tombstones.get(runner.id)
+    if (last === undefined || readEra(position) <= readEra(last.position) || runner.bornMs !== last.runner.bornMs) return false
+    const count = runner.announcementCount
+    const lastCount = last.runner.announcementCount
+    if (count === undefined || lastCount === undefined) return false
+    // A removal followed the last announcement, so only a later one brings the runner back.
+    const isRemoved = entry === undefined || this.pendingRemovals.has(runner.id)
+    return isRemoved ? count <= lastCount : count < lastCount
+  }
+
+  private noteChange (position: LogPosition): void {
     this.newestChangePosition = Math.max(this.newestChangePosition, position)
   }
 
@@ -208,7 +241,7 @@
     return bornMs <= (this.leavingBornMs.get(id) ?? Number.NEGATIVE_INFINITY)
   }
 
-  private makeEntry (runner: Runner, position: number): RunnerEntry {
+  private makeEntry (runner: Runner, position: LogPosition): RunnerEntry {
     return { runner, position, distinctAnnouncement: runner, distinctPosition: position, inFlight: new Map(), failureRate: 0, recentTokens: 0, recentTokensAtMs: 0, cooldownUntilMs: 0, lastActivityMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
   }
 
@@ -225,7 +258,7 @@
    * @example
    * table.removeRunner('runner-7', 813)
    */
-  removeRunner (id: string, position: number, graceMs = 0): void {
+  removeRunner (id: string, position: LogPosition, graceMs = 0): void {
     this.advancePosition(position)
     const known = this.entries.get(id)
     if (known === undefined || known.position > position) return
@@ -235,7 +268,7 @@
       return
     }
     this.pendingRemovals.delete(id)
-    this.tombstones.set(id, position)
+    this.tombstones.set(id, { position, runner: known.runner })
     this.removeEntry(known)
     this.notifyListeners({ service: known.runner.service, runner: undefined })
   }
@@ -254,7 +287,7 @@
    * @example
    * table.removeUnlisted(new Set(['runner-1']), 900)
    */
-  removeUnlisted (ids: ReadonlySet<string>, position: number, graceMs = 0): void {
+  removeUnlisted (ids: ReadonlySet<string>, position: LogPosition, graceMs = 0): void {
     for (const id of [...this.entries.keys()]) {
       if (!ids.has(id)) this.removeRunner(id, position, graceMs)
     }
@@ -324,15 +357,15 @@
   }
 
   /** Runners whose announcement changed after a position, with the positions of their latest announcements. */
-  listAnnouncements (after: number): Array<{ readonly runner: Runner, readonly position: number }> {
+  listAnnouncements (after: LogPosition): Array<{ readonly runner: Runner, readonly position: LogPosition }> {
     return [...this.entries.values()].filter((entry) => entry.distinctPosition > after).map(({ runner, position }) => ({ runner, position }))
   }
 
   /** Removals after a position, including pending ones with the rest of their grace period. */
-  listRemovals (after: number): Array<{ readonly id: string, readonly position: number, readonly graceMs: number }> {
+  listRemovals (after: LogPosition): Array<{ readonly id: string, readonly position: LogPosition, readonly graceMs: number }> {
     this.applyDueRemovals()
     const nowMs = this.clock.readMonotonicMs()
-    const removed = [...this.tombstones].map(([id, position]) => ({ id, position, graceMs: 0 }))
+    const removed = [...this.tombstones].map(([id, { position }]) => ({ id, position, graceMs: 0 }))
     const pending = [...this.pendingRemovals].map(([id, { position, dueAtMs }]) => ({ id, position, graceMs: dueAtMs - nowMs }))
     return [...removed, ...pending].filter(({ position }) => position > after)
   }
--- a/packages/figquay-fleet/src/FigquayFleetTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetTypes.ts
@@ -121,6 +121,8 @@
   readonly isLeaving: boolean
   /** Wall-clock start time, in milliseconds; distinguishes restarts under one id. */
   readonly bornMs: number
+  /** Counts this process's announcements: unlike their positions, it tells a restored announcement from a newer one. Undefined if the announcement names none. */
+  readonly announcementCount?: number
   /** Undefined for a runner of a plain service. */
   readonly holdings: Holdings | undefined
 }
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -14,6 +14,7 @@
 export { computePlanDelayMs } from './FigquayFleetPlanPace.js'
 export { planAdapter, type AdapterCandidate, type AdapterPlanStep } from './FigquayFleetAdapterPlan.js'
 export { FleetStore, RunnerOrderClient, type FleetOrder, type FleetOrderReply, type RunnerChange, type RunnerRegistryUpdate, type RunnerState, type SharedRecordBatch, type SharedRecord, type SharedWrite, type WriteResult } from './FigquayFleetPlatform.js'
+export { BEFORE_LOG, decodePosition, encodePosition, makeLogPosition, readEra, readOffset, type EncodedPosition, type LogPosition } from './FigquayFleetLogPosition.js'
 export { FleetLeadership, LEADER_KEY, type Leader, type LeadershipOptions } from './FigquayFleetLeadership.js'
 export { checkOrder, countUsedAdapterSlots, measureUsedMb, type CheckedOrder } from './FigquayFleetOrderCheck.js'
 export { OrderDispatcher, type OrderDispatcherOptions, type OrderRequest, type OrderResult } from './FigquayFleetOrderDispatcher.js'
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -1,6 +1,6 @@
 /** Exchanges state with the other daemons: over a full mesh in a small fleet, along a tree in a large one. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { RunnerUpdateBuffer, HintExchange, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, isNeedMet, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
+import { encodePosition, readOffset, RunnerUpdateBuffer, HintExchange, type EncodedPosition, type FleetFacts, isRunnerUpdate, type ConfigurationHolder, type Fact, type FleetDemand, type FleetHints, type FleetLeadership, type FleetRunnerTable, type Holdings, type HoldingsUpdate, isNeedMet, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
 import { PeerMesh, type PeerAddress, type PeerMeshOptions } from 'figquay-peers'
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
@@ -8,7 +8,10 @@
 import { RequestLimiter, type LimitEnd, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
-import { chooseStoreRole, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreRole } from './FigquayServingStoreWatcher.js'
+import { chooseStoreRole, decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreRole } from './FigquayServingStoreWatcher.js'
+
+/** How far a daemon has read the store, as it tells a peer. */
+type EncodedProgress = EncodedPosition & PeerProgress & VersionAnnouncement
 
 /** Connections to the other daemons, as the exchange with peers needs them. */
 export type ServingMesh = Pick<PeerMesh, 'connectedPeers' | 'isConnected' | 'callPeer' | 'notifyPeer' | 'notifyNeighbours' | 'setDaemons' | 'listen' | 'close'>
@@ -238,12 +241,12 @@
       'fleet.hints': (hints: FleetHints) => {
         this.hints.applyHints(hints)
         this.correctDaemonCount(hints)
-        this.relay.recordStoreAge(hints.storeAgeMs)
-        this.options.comparePeerProgress(hints.from, hints)
+        this.relay.recordStoreAge(hints)
+        this.options.comparePeerProgress(hints.from, { ...hints, ...decodeProgress(hints) })
         this.factExchange.reconcilePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.schedulePlanning()
       },
-      'fleet.reading': ({ from, reading }: { readonly from: string, readonly reading: PeerProgress & VersionAnnouncement }) => this.options.comparePeerProgress(from, reading),
+      'fleet.reading': ({ from, reading }: { readonly from: string, readonly reading: EncodedProgress }) => this.options.comparePeerProgress(from, { ...reading, ...decodeProgress(reading) }),
       'fleet.report': (hints: FleetHints) => this.handleReport(hints),
       'fleet.exchange': (message: RelayMessage) => this.relay.handleExchange(message),
       'fleet.news': (items: readonly unknown[]) => {
@@ -263,7 +266,7 @@
   private correctDaemonCount ({ from, daemonCount }: FleetHints): void {
     const { self, configurations, table, countDaemons, findNewestVersion, logger } = this.options
     if (!this.isLargeFleet || daemonCount >= countDaemons()) return
-    const progress: PeerProgress & VersionAnnouncement = { version: configurations.version, newestVersion: findNewestVersion(), position: table.position, changedAt: table.lastChangePosition, daemonCount: countDaemons() }
+    const progress: EncodedProgress = { version: configurations.version, newestVersion: findNewestVersion(), ...encodePosition(table.position), changedAt: readOffset(table.lastChangePosition), daemonCount: countDaemons() }
     this.mesh.callPeer(from, 'fleet.reading', { from: self.id, reading: progress }).then((outcome) => {
       if (!outcome.ok) logger.debug('could not send the daemon count to a peer; retrying at its next hints', { peer: from, error: outcome.error })
     })
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,8 +1,8 @@
 /** Exchanges fleet state along the tree: up to the root of each data centre, between the roots, and down again. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { formatLoads, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
+import { decodePosition, encodePosition, formatLoads, readEra, readOffset, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
-import type { PeerProgress, StoreRole } from './FigquayServingStoreWatcher.js'
+import { decodeProgress, type PeerProgress, type StoreRole } from './FigquayServingStoreWatcher.js'
 import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
 /** Request and response of one exchange between two daemons. */
@@ -17,9 +17,11 @@
   readonly version: number
   /** Newest version of the configuration that the sender knows to exist. */
   readonly newestVersion: number
-  /** Position up to which the sender has read the list of runners. */
+  /** Era of the offsets below; missing from a daemon that knows no eras. */
+  readonly era?: number
+  /** Offset up to which the sender has read the list of runners. */
   readonly position: number
-  /** Position of the last change in that list, heartbeats excluded. */
+  /** Offset of the last change in that list, heartbeats excluded. */
   readonly changedAt: number
   /** Number of daemons that the sender knows. */
   readonly daemonCount: number
@@ -134,8 +136,9 @@
     return this.storeAgeMs > MAX_STORE_AGE_MS
   }
 
-  /** Records the store age that a peer has reported. */
-  recordStoreAge (ageMs: number): void {
+  /** Records the store age that a peer has reported; what it read of an older era than this daemon has read is outdated. */
+  recordStoreAge ({ storeAgeMs: ageMs, ...encoded }: Pick<RelayMessage, 'storeAgeMs' | 'era' | 'position'>): void {
+    if (readEra(decodePosition(encoded)) < readEra(this.options.table.position)) return
     if (Number.isFinite(ageMs)) this.reportedStoreReadAtMs = Math.max(this.reportedStoreReadAtMs, this.options.clock.readMonotonicMs() - ageMs)
   }
 
@@ -247,13 +250,13 @@
 
   private applyMessage (message: RelayMessage): void {
     const { news, applyUpdate: applyNews, leadership, comparePeerProgress } = this.options
-    this.recordStoreAge(message.storeAgeMs)
+    this.recordStoreAge(message)
     for (const item of message.news.filter(isRunnerUpdate)) {
       if (news.addUpdate(item)) applyNews(item)
     }
     this.receivedRevisions.set(message.from, { bootId: message.bootId, revision: message.revision })
     if (message.holder !== undefined) leadership.applyPeerLeader(message.holder)
-    comparePeerProgress(message.from, message)
+    comparePeerProgress(message.from, { ...message, ...decodeProgress(message) })
   }
 
   /** Loads of this daemon and its descendants. */
@@ -270,8 +273,8 @@
       holder: leadership.leader,
       version: configurations.version,
       newestVersion: findNewestVersion(),
-      position: table.position,
-      changedAt: table.lastChangePosition,
+      ...encodePosition(table.position),
+      changedAt: readOffset(table.lastChangePosition),
       daemonCount: countDaemons(),
       facts: readFacts(),
       storeAgeMs: Math.round(this.storeAgeMs),
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -1,13 +1,18 @@
 /** Keeps a daemon's copy of the platform's store up to date, from peers while the store is unreachable. */
 import { describeError, hashText, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { LEADER_KEY, isFact, type ConfigurationHolder, type Fact, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate, type SharedRecordBatch } from 'figquay-fleet'
+import { BEFORE_LOG, decodePosition, encodePosition, LEADER_KEY, isFact, readEra, type EncodedPosition, type LogPosition, type ConfigurationHolder, type Fact, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate, type SharedRecordBatch } from 'figquay-fleet'
 
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
 
 /** State that a daemon sends to one that can't read the store or lags behind; the configuration is sent by `ConfigurationSource`. */
 export interface FleetSnapshot {
-  readonly runners: ReadonlyArray<{ readonly runner: Runner, readonly position: number }>
-  readonly removals: ReadonlyArray<{ readonly id: string, readonly position: number, readonly graceMs: number }>
+  readonly runners: ReadonlyArray<EncodedPosition & { readonly runner: Runner }>
+  readonly removals: ReadonlyArray<EncodedPosition & { readonly id: string, readonly graceMs: number }>
+  /** The runners are all that the sender knows: others were lost with a restore of the store. */
+  readonly isComplete?: boolean
+  /** Era of the offset below; missing from a daemon that knows no eras. */
+  readonly era?: number
+  /** Offset up to which the sender has read the list of runners. */
   readonly position: number
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
   /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
@@ -18,7 +23,9 @@
 
 /** Request for a snapshot. */
 export interface SnapshotRequest {
-  /** Position up to which the requester has read the list of runners. */
+  /** Era of the offset below; missing from a daemon that knows no eras. */
+  readonly era?: number
+  /** Offset up to which the requester has read the list of runners. */
   readonly position: number
   /** Whether it has no facts yet; later it reconciles them by their digest. */
   readonly needsFacts: boolean
@@ -27,13 +34,23 @@
 /** How far a peer has read the store. */
 export interface PeerProgress {
   /** Position up to which the peer has read the list of runners. */
-  readonly position: number
+  readonly position: LogPosition
   /** Position of the last change in that list, heartbeats excluded. */
-  readonly changedAt: number
+  readonly changedAt: LogPosition
   /** Number of daemons that the peer knows. */
   readonly daemonCount: number
 }
 
+/**
+ * Decodes how far a peer has read the store from one of its messages.
+ *
+ * @example
+ * decodeProgress({ era: 2, position: 7, changedAt: 5, daemonCount: 8 })
+ */
+export function decodeProgress ({ era, position, changedAt, daemonCount }: EncodedPosition & Pick<PeerProgress, 'changedAt' | 'daemonCount'>): PeerProgress {
+  return { position: decodePosition({ era, position }), changedAt: decodePosition({ era, position: changedAt }), daemonCount }
+}
+
 /**
  * How a daemon follows the store. A `reader` long-polls everything and passes it on to its peers. A `looker` long-polls
  * everything except the list of runners, which it gets from the reader and polls rarely. A `listener` gets everything from
@@ -125,8 +142,10 @@
 /** Watches the store, or syncs from peers that do. */
 export class StoreWatcher {
   private readonly daemons = new Map<string, string>()
-  private configurationPosition = -1
-  private sharedPosition = -1
+  private configurationPosition = BEFORE_LOG
+  private sharedPosition = BEFORE_LOG
+  /** Newest era of the store that this daemon has read of, or a peer has. */
+  private newestEra = 0
   private hasReadShared = false
   private hasReadRunners = false
   private hasFacts = false
@@ -177,8 +196,8 @@
   startTasks (tasks: TaskGroup): void {
     tasks.startTask('start', async (signal) => {
       if (!this.options.isSeed) await this.bootstrapFromPeers(signal)
-      tasks.startTask('shared records', (inner) => this.runLongPolls(inner, (read) => this.readSharedRecords(read)))
-      tasks.startTask('configuration', (inner) => this.runLongPolls(inner, (read) => this.readConfiguration(read)))
+      tasks.startTask('shared records', (inner) => this.runLongPolls(inner, (waitMs, read) => this.readSharedRecords(waitMs, read)))
+      tasks.startTask('configuration', (inner) => this.runLongPolls(inner, (waitMs, read) => this.readConfiguration(waitMs, read)))
       tasks.startTask('runners', (inner) => this.watchRunners(inner))
     })
   }
@@ -210,20 +229,32 @@
   }
 
   /** Makes a snapshot of what is newer than the given position, with the facts if they are needed. */
-  makeSnapshot ({ position, needsFacts }: SnapshotRequest): FleetSnapshot {
+  makeSnapshot ({ needsFacts, ...requested }: SnapshotRequest): FleetSnapshot {
     const { table } = this.options
+    const position = decodePosition(requested)
+    const isComplete = !this.isCovered(position)
+    const after = isComplete ? BEFORE_LOG : position
     return {
-      runners: table.listAnnouncements(position),
-      removals: table.listRemovals(position),
-      position: table.position,
+      runners: table.listAnnouncements(after).map(({ runner, position }) => ({ runner, ...encodePosition(position) })),
+      removals: table.listRemovals(after).map(({ position, ...removal }) => ({ ...removal, ...encodePosition(position) })),
+      isComplete,
+      ...encodePosition(table.position),
       daemons: [...this.daemons],
       facts: needsFacts && this.hasFacts ? this.options.facts.listAfter(0) : undefined,
       storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
     }
   }
 
+  /** Whether a daemon that has read up to a position knows nothing that this one has neither read nor seen replaced by a restore. */
+  private isCovered (position: LogPosition): boolean {
+    const { position: own, lastEraPosition } = this.options.table
+    return readEra(position) === readEra(own) || (readEra(position) === readEra(lastEraPosition) && position <= lastEraPosition)
+  }
+
   /** Repeats a long poll; `updateReachability` aborts it when the store becomes unreachable or reachable again. */
-  private async runLongPolls (signal: AbortSignal, read: (signal: AbortSignal) => Promise<boolean>): Promise<void> {
+  private async runLongPolls (signal: AbortSignal, read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
+    // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
+    let waitMs = 0
     while (!signal.aborted) {
       if (this.isListener) {
         await this.options.clock.waitFor(LISTENER_CHECK_MS, signal)
@@ -232,7 +263,8 @@
       const longPollAbort = this.longPollAbort
       const abort = (): void => longPollAbort.abort()
       signal.addEventListener('abort', abort, { once: true })
-      const succeeded = await read(longPollAbort.signal)
+      const succeeded = await read(waitMs, longPollAbort.signal)
+      waitMs = succeeded ? LONG_POLL_MS : 0
       signal.removeEventListener('abort', abort)
       await this.options.clock.waitFor(succeeded ? 0 : RETRY_DELAY_MS, signal)
     }
@@ -242,28 +274,30 @@
     return this.isSynced && this.options.findStoreRole() === 'listener'
   }
 
-  private async readConfiguration (signal: AbortSignal): Promise<boolean> {
+  private async readConfiguration (waitMs: number, signal: AbortSignal): Promise<boolean> {
     const { store, adoptConfiguration } = this.options
-    const reading = await store.readConfiguration(this.configurationPosition, LONG_POLL_MS, signal)
+    const reading = await store.readConfiguration(this.configurationPosition, waitMs, signal)
     if (!reading.ok) return this.logReadFailure('configuration', reading)
     this.configurationPosition = reading.value.position
+    this.noteEra(readEra(reading.value.position), 'store')
     if (reading.value.configuration !== undefined) adoptConfiguration(reading.value.configuration)
     return true
   }
 
   /** Reads the newest configuration from the store without waiting for a newer one; undefined if it can't be read. */
   async readNewestConfiguration (signal: AbortSignal): Promise<FleetConfiguration | undefined> {
-    const reading = await this.options.store.readConfiguration(-1, 0, signal)
+    const reading = await this.options.store.readConfiguration(BEFORE_LOG, 0, signal)
     if (reading.ok) return reading.value.configuration
     this.logReadFailure('newest configuration', reading)
     return undefined
   }
 
-  private async readSharedRecords (signal: AbortSignal): Promise<boolean> {
+  private async readSharedRecords (waitMs: number, signal: AbortSignal): Promise<boolean> {
     const { store, clock, leadership } = this.options
-    const reading = await store.readShared(this.sharedPosition, LONG_POLL_MS, signal)
+    const reading = await store.readShared(this.sharedPosition, waitMs, signal)
     if (!reading.ok) return this.logReadFailure('shared records', reading)
     this.applySharedRecords(reading.value)
+    this.noteEra(readEra(reading.value.end), 'store')
     this.hasReadShared = true
     this.hasFacts = true
     leadership.updateRecordsEnd(reading.value.end)
@@ -301,6 +335,7 @@
       if (reading.ok) {
         const nowMs = this.options.clock.readMonotonicMs()
         if (!this.isReachable || nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS) this.storeRecoveredAtMs = nowMs
+        this.noteEra(readEra(reading.value.position), 'store')
         this.applyRunnerChanges(reading.value)
         this.runnersReadAtMs = this.options.clock.readMonotonicMs()
         this.updateReachability(true)
@@ -338,6 +373,7 @@
 
   private applyRunnerChanges (reading: RunnerRegistryUpdate): void {
     const { table, clock, logger } = this.options
+    if (this.hasReadRunners && readEra(reading.position) > readEra(table.position)) this.storeRecoveredAtMs = clock.readMonotonicMs()
     const graceMs = Math.max(0, this.storeRecoveredAtMs + EXPIRY_GRACE_MS - clock.readMonotonicMs())
     for (const change of reading.changes) {
       if (change.type === 'announced') this.applyAnnouncement(change.runner, change.position)
@@ -359,12 +395,25 @@
     announceLeaving(runner.id, runner.bornMs)
   }
 
+  /** After a restore, pending long polls may wait at offsets that are given out again; they are repeated from the new era's records. */
+  private noteEra (era: number, source: string): void {
+    if (era <= this.newestEra) return
+    const isRestored = this.hasReadRunners || this.hasReadShared
+    if (isRestored) this.options.logger.warn('store was restored from an older copy', { era, previous: this.newestEra, source, version: this.options.configurations.version })
+    this.newestEra = era
+    if (isRestored) this.abortLongPolls()
+  }
+
   private updateReachability (isReachable: boolean): void {
     if (isReachable === this.isReachable) return
     this.isReachable = isReachable
     if (isReachable) this.options.logger.info('store is reachable again')
     else this.options.logger.warn('store is unreachable; syncing from peers')
     // In both cases, pending long polls may hang on a dead connection.
+    this.abortLongPolls()
+  }
+
+  private abortLongPolls (): void {
     this.longPollAbort.abort()
     this.longPollAbort = new AbortController()
   }
@@ -378,6 +427,7 @@
    */
   comparePeerProgress (peer: string, { position, changedAt, daemonCount }: PeerProgress): void {
     const { table, clock } = this.options
+    this.noteEra(readEra(position), peer)
     const nowMs = clock.readMonotonicMs()
     if (changedAt <= table.position && daemonCount <= this.daemons.size) {
       // The peer has read nothing but heartbeats beyond this daemon's position.
@@ -399,7 +449,7 @@
     const { table, logger } = this.options
     this.isFetching = true
     try {
-      const snapshot = await this.options.requestSnapshot({ position: table.position, needsFacts: !this.hasFacts }, peer)
+      const snapshot = await this.options.requestSnapshot({ ...encodePosition(table.position), needsFacts: !this.hasFacts }, peer)
       if (snapshot === undefined) return
       this.applySnapshot(snapshot)
       logger.debug('snapshot received from a peer', { position: table.position })
@@ -410,12 +460,11 @@
 
   /** Applies the snapshot of a peer. */
   applySnapshot (snapshot: FleetSnapshot): void {
-    const { table, clock } = this.options
-    for (const { runner, position } of snapshot.runners) table.putRunner(runner, position)
-    for (const { id, position, graceMs } of snapshot.removals) table.removeRunner(id, position, graceMs)
-    table.advancePosition(snapshot.position)
-    if (snapshot.position >= 0) this.hasReadRunners = true
-    this.runnersReadAtMs = Math.max(this.runnersReadAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
+    const { table } = this.options
+    const position = decodePosition(snapshot)
+    // A peer that has not heard of a restore may list runners that are gone.
+    if (readEra(position) >= readEra(table.position)) this.applyRunnerSnapshot(snapshot, position)
+    if (position !== BEFORE_LOG) this.hasReadRunners = true
     if (Array.isArray(snapshot.facts)) {
       for (const fact of snapshot.facts.filter(isFact)) this.options.facts.addFact(fact)
       this.hasFacts = true
@@ -429,6 +478,16 @@
     if (hasNewDaemon) this.options.setDaemons(this.daemons)
   }
 
+  private applyRunnerSnapshot (snapshot: FleetSnapshot, position: LogPosition): void {
+    const { table, clock } = this.options
+    const isNewEra = this.hasReadRunners && readEra(position) > readEra(table.position)
+    for (const { runner, ...encoded } of snapshot.runners) table.putRunner(runner, decodePosition(encoded))
+    for (const { id, graceMs, ...encoded } of snapshot.removals) table.removeRunner(id, decodePosition(encoded), graceMs)
+    if (isNewEra && snapshot.isComplete === true) table.removeUnlisted(new Set(snapshot.runners.map(({ runner }) => runner.id)), position, EXPIRY_GRACE_MS)
+    table.advancePosition(position)
+    this.runnersReadAtMs = Math.max(this.runnersReadAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
+  }
+
   private logReadFailure (what: string, outcome: Outcome<unknown, CallFailure>): false {
     if (!outcome.ok && outcome.error.reason !== 'cancelled') {
       this.options.logger.debug('store read failed', { what, error: describeError(outcome.error.message) })
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -1,6 +1,6 @@
 /** Daemons of one fleet in one process, on virtual time, with a store and links between them that take time for each byte. */
 import { JsonLogger, makeFailure, makeSuccess, type CallFailure, type Logger, type Outcome } from 'figquay'
-import { FleetStore, type FleetConfiguration, type Route, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
+import { FleetStore, makeLogPosition, readEra, readOffset, type FleetConfiguration, type LogPosition, type Route, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
 import { rankDaemons, ServingDaemon, type RunnerExchangeClient } from '../../index.js'
 import { SimulatedClock } from './SimulatedClock.js'
 import { SimulatedNetwork } from './SimulatedNetwork.js'
@@ -10,13 +10,31 @@
 const STORE_CALL_TIMEOUT_MS = 1_000
 const STORE_LATENCY_MS = 4
 
+/** Number of records of each topic at some moment: what a backup of the store holds. */
+interface StoreCopy {
+  readonly configurations: number
+  readonly shared: number
+}
+
 /** Records of the store, and how fast it responds. */
 class StoreState {
-  configuration: FleetConfiguration | undefined
-  configurationPosition = -1
+  readonly configurations: FleetConfiguration[] = []
   readonly shared: Array<{ readonly key: string, readonly value: string | undefined }> = []
   readonly waiters = new Set<() => void>()
   latencyMs = STORE_LATENCY_MS
+  /** Positions of an older era are invalid: their offsets may have been given out again. */
+  era = 1
+  isDown = false
+  calls = 0
+
+  /** Offset from which a read continues after a position. */
+  findNextOffset (after: LogPosition): number {
+    return readEra(after) === this.era ? readOffset(after) + 1 : 0
+  }
+
+  makeEnd (recordCount: number): LogPosition {
+    return makeLogPosition(this.era, recordCount)
+  }
 
   wakeReaders (): void {
     for (const wake of [...this.waiters]) wake()
@@ -29,25 +47,33 @@
     super()
   }
 
-  override async readConfiguration (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<{ readonly configuration: FleetConfiguration | undefined, readonly position: number }, CallFailure>> {
+  override async readConfiguration (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<{ readonly configuration: FleetConfiguration | undefined, readonly position: LogPosition }, CallFailure>> {
     const { state } = this
-    const readNewest = () => ({ configuration: state.configurationPosition > after ? state.configuration : undefined, position: Math.max(after, state.configurationPosition) })
-    return await this.read(waitMs, signal, () => state.configurationPosition > after, readNewest, ({ configuration }) => configuration === undefined ? 0 : JSON.stringify(configuration).length)
+    const hasNew = (): boolean => state.configurations.length > state.findNextOffset(after)
+    const readNewest = () => ({ configuration: hasNew() ? state.configurations.at(-1) : undefined, position: state.makeEnd(state.configurations.length) - 1 })
+    return await this.read(waitMs, signal, hasNew, readNewest, ({ configuration }) => configuration === undefined ? 0 : JSON.stringify(configuration).length)
   }
 
-  override async readRunners (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
-    return await this.read(waitMs, signal, () => after < 0, () => ({ changes: [], isComplete: after < 0, position: Math.max(0, after) }), () => 0)
+  override async readRunners (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
+    const { state } = this
+    const hasNew = (): boolean => readEra(after) !== state.era
+    return await this.read(waitMs, signal, hasNew, () => ({ changes: [], isComplete: hasNew(), position: state.makeEnd(0) }), () => 0)
   }
 
-  override async readShared (after: number, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>> {
-    const { shared } = this.state
-    const readNew = () => ({ records: shared.slice(after + 1).map((record, index) => ({ ...record, position: after + 1 + index })), end: shared.length })
-    return await this.read(waitMs, signal, () => shared.length > after + 1, readNew, ({ records }) => JSON.stringify(records).length)
+  override async readShared (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>> {
+    const { state } = this
+    const readNew = (): SharedRecordBatch => {
+      const from = state.findNextOffset(after)
+      return { records: state.shared.slice(from).map((record, index) => ({ ...record, position: makeLogPosition(state.era, from + index) })), isComplete: from === 0, end: state.makeEnd(state.shared.length) }
+    }
+    return await this.read(waitMs, signal, () => state.shared.length > state.findNextOffset(after), readNew, ({ records }) => JSON.stringify(records).length)
   }
 
-  override async writeShared (key: string, value: string, expectedEnd: number | undefined): Promise<Outcome<WriteResult, CallFailure>> {
+  override async writeShared (key: string, value: string, expectedEnd: LogPosition | undefined): Promise<Outcome<WriteResult, CallFailure>> {
+    this.state.calls += 1
     await this.clock.waitFor(this.state.latencyMs)
-    const position = this.state.shared.length
+    if (this.state.isDown) return makeFailure(UNAVAILABLE)
+    const position = this.state.makeEnd(this.state.shared.length)
     if (expectedEnd !== undefined && expectedEnd !== position) return makeSuccess({ type: 'overtaken' })
     this.state.shared.push({ key, value })
     this.state.wakeReaders()
@@ -55,7 +81,9 @@
   }
 
   override async writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>> {
+    this.state.calls += 1
     await this.clock.waitFor(this.state.latencyMs)
+    if (this.state.isDown) return makeFailure(UNAVAILABLE)
     this.state.shared.push(...records)
     this.state.wakeReaders()
     return makeSuccess(undefined)
@@ -66,9 +94,15 @@
   /** Waits until there is something to read, then for the time that the response takes. */
   private async read<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number): Promise<Outcome<T, CallFailure>> {
     const { state, clock } = this
+    state.calls += 1
+    if (state.isDown) {
+      await clock.waitFor(state.latencyMs, signal)
+      return makeFailure(UNAVAILABLE)
+    }
+    const { era } = state
     const startedAtMs = clock.readMonotonicMs()
     const untilMs = startedAtMs + waitMs
-    while (!hasNew() && clock.readMonotonicMs() < untilMs && !signal.aborted) {
+    while (!hasNew() && state.era === era && !state.isDown && clock.readMonotonicMs() < untilMs && !signal.aborted) {
       const end = new AbortController()
       const wake = (): void => end.abort()
       state.waiters.add(wake)
@@ -77,6 +111,7 @@
       signal.removeEventListener('abort', wake)
       state.waiters.delete(wake)
     }
+    if (state.isDown) return makeFailure(UNAVAILABLE)
     const result = take()
     const responseMs = state.latencyMs + countBytes(result) / this.bytesPerMs
     const leftMs = startedAtMs + waitMs + STORE_CALL_TIMEOUT_MS - clock.readMonotonicMs()
@@ -126,11 +161,39 @@
 
   /** Writes a configuration to the store, which acknowledges it at once. */
   publish (configuration: FleetConfiguration): void {
-    this.store.configuration = configuration
-    this.store.configurationPosition += 1
+    this.store.configurations.push(configuration)
     this.store.wakeReaders()
   }
 
+  /** Number of calls to the store by all daemons. */
+  get storeCallCount (): number {
+    return this.store.calls
+  }
+
+  /** Keys of the records that the daemons share, as the store holds them. */
+  listSharedKeys (): ReadonlySet<string> {
+    return new Set(this.store.shared.map(({ key }) => key))
+  }
+
+  /** Notes what a backup of the store would hold now. */
+  takeStoreCopy (): StoreCopy {
+    return { configurations: this.store.configurations.length, shared: this.store.shared.length }
+  }
+
+  /** Starts an outage of the store, in which pending calls fail. */
+  stopStore (): void {
+    this.store.isDown = true
+    this.store.wakeReaders()
+  }
+
+  /** Ends the outage with an older copy, which begins the next era. */
+  restoreStore (copy: StoreCopy): void {
+    this.store.configurations.length = copy.configurations
+    this.store.shared.length = copy.shared
+    this.store.era += 1
+    this.store.isDown = false
+  }
+
   /** Sets the time that the store takes for a response, in milliseconds. */
   setStoreLatency (latencyMs: number = STORE_LATENCY_MS): void {
     this.store.latencyMs = latencyMs
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -14,7 +14,7 @@
 export { ServingTelemetry } from './FigquayServingTelemetry.js'
 export { ServingDispatcher, addRetryJitter, type ServingDispatcherOptions } from './FigquayServingDispatcher.js'
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
-export { chooseStoreRole, StoreWatcher, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreWatcherOptions, type StoreRole } from './FigquayServingStoreWatcher.js'
+export { chooseStoreRole, decodeProgress, StoreWatcher, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreWatcherOptions, type StoreRole } from './FigquayServingStoreWatcher.js'
 export { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 export { ServingPeers, type ServingMesh, type ServingPeersOptions } from './FigquayServingPeers.js'
 export { FleetRelay, type FleetRelayOptions, type RelayMesh, type RelayMessage } from './FigquayServingRelay.js'
