Pause between reads of a topic, whatever the store answers

Reads of a topic begin 100 ms apart at least.

The test (StoreWatcher, 'pauses between reads') failed before: the stand-in was read some fifty times a second.

--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -121,6 +121,8 @@
 const READER_SILENCE_CHECK_MS = 100
 /** Delay before a failed read or write is retried, in milliseconds. */
 const RETRY_DELAY_MS = 250
+/** Shortest interval between two reads of a topic, in milliseconds, whatever the store answers: a small part of the time in which a change must apply. */
+const MIN_READ_INTERVAL_MS = 100
 /** Delay between two reads of the shared records, in milliseconds, so that changes are read in batches. */
 const SHARED_RECORDS_INTERVAL_MS = 300
 /** Interval at which a listener checks whether it must read the store, in milliseconds. */
@@ -260,13 +262,15 @@
         await this.options.clock.waitFor(LISTENER_CHECK_MS, signal)
         continue
       }
+      const { clock } = this.options
+      const startedAtMs = clock.readMonotonicMs()
       const longPollAbort = this.longPollAbort
       const abort = (): void => longPollAbort.abort()
       signal.addEventListener('abort', abort, { once: true })
       const succeeded = await read(waitMs, longPollAbort.signal)
       waitMs = succeeded ? LONG_POLL_MS : 0
       signal.removeEventListener('abort', abort)
-      await this.options.clock.waitFor(succeeded ? 0 : RETRY_DELAY_MS, signal)
+      await clock.waitFor(succeeded ? Math.max(0, startedAtMs + MIN_READ_INTERVAL_MS - clock.readMonotonicMs()) : RETRY_DELAY_MS, signal)
     }
   }
 
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -16,13 +16,16 @@
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
 /** A store whose reads always fail, or always return the same after the queued readings. */
-function makeStore (isUp: boolean, readings: Array<Outcome<RunnerRegistryUpdate, CallFailure>>): FleetStore {
+function makeStore (isUp: boolean, readings: Array<Outcome<RunnerRegistryUpdate, CallFailure>>, configurationReads: number[]): FleetStore {
   const reply = async <T>(value: T) => {
     await SystemClock.create().waitFor(20)
     return isUp ? makeSuccess(value) : makeFailure(FAILURE)
   }
   return {
-    readConfiguration: () => reply({ configuration: CONFIGURATION, position: 1 }),
+    readConfiguration: (after: number) => {
+      configurationReads.push(after)
+      return reply({ configuration: CONFIGURATION, position: 1 })
+    },
     readRunners: async () => readings.shift() ?? await reply({ changes: [{ type: 'announced', runner: RUNNER, position: 4 }], isComplete: true, position: 4 }),
     readShared: () => reply({ records: [{ key: 'daemon/10.0.0.2:80', value: 'z', position: 0 }], end: 1 }),
     writeShared: () => reply({ type: 'written', position: 0 })
@@ -33,7 +36,8 @@
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
   const readings: Array<Outcome<RunnerRegistryUpdate, CallFailure>> = []
-  const store = makeStore(isUp, readings)
+  const configurationReads: number[] = []
+  const store = makeStore(isUp, readings, configurationReads)
   const configurations = ConfigurationHolder.create()
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: 'a', bootId: 'b', store, clock, logger, listConnected: () => [], isEligible: () => true })
@@ -47,7 +51,7 @@
   const watcher = StoreWatcher.create({
     isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
-  return { watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
+  return { configurationReads, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
 
 describe('store watcher', () => {
@@ -127,6 +131,17 @@
     expect(clock.readMonotonicMs() - firstAtMs < 1_800).toEqual(true)
   })
 
+  it('pauses between reads that the store answers at once without anything new', async () => {
+    const { watcher, tasks, configurationReads } = makeWatcher(true, async () => undefined)
+    watcher.startTasks(tasks)
+    const clock = SystemClock.create()
+    const measureMs = 1_000
+    await clock.waitFor(measureMs)
+    await tasks.stop()
+    // The stand-in answers within 20 ms, so without a pause there would be some fifty.
+    expect(configurationReads.length <= measureMs / 100 + 1).toEqual(true)
+  })
+
   it('requests a snapshot for changes but not for heartbeats', async () => {
     let asked = 0
     const { watcher, table } = makeWatcher(false, async () => {
