Keep the leader and its fencing token over restores of the store

By reading, a restored record of an older leader, at a higher position, also took the place of a newer one.

Cause: the fencing token was derived from where a record lies now, which a restore changes, and nobody compared what the store lost.

Change: the record holds its token, made of era and offset, so tokens never fall nor are given twice. The leader writes its record again in each new era; a write whose condition is of another era counts as overtaken; a record from before the restore doesn't make its daemon the leader again. A leader that only listens to its peers reads the shared records after a restore.

The property test with restores, suspended and partitioned daemons failed before (alternating leaders, counterexample of one sleep and two restores) and passes on 300 draws.

--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -1,9 +1,10 @@
 /**
  * Elects the leader: the daemon that sends orders to the runners. A daemon becomes the leader by a conditional write to
- * the platform's store, and the position of its record yields its fencing token. It remains the leader as long as its
- * peers hear from it.
+ * the platform's store; the position of its record yields its fencing token, which the record holds, too, as a restore of
+ * the store moves records. It remains the leader as long as its peers hear from it.
  */
 import type { Clock, Logger } from 'figquay'
+import { readEra, readOffset, type LogPosition } from './FigquayFleetLogPosition.js'
 import type { FleetStore } from './FigquayFleetPlatform.js'
 
 /** The daemon that sends orders to the runners; `daemon` is empty while there is none. */
@@ -12,6 +13,15 @@
   readonly fence: number
 }
 
+/** The store's record that names the leader. */
+interface LeaderRecord {
+  readonly daemon: string
+  /** Process that the leader runs as. */
+  readonly boot: string
+  /** Fencing token; missing in records of a release that knows no eras, which takes the offset for it. */
+  readonly fence?: number
+}
+
 /** Options of the leader election. */
 export interface LeadershipOptions {
   readonly self: string
@@ -53,7 +63,7 @@
   private current: Leader | undefined
   private leaderAbsentSinceMs: number
   /** Position after the last shared record that this daemon knows of. */
-  private recordsEnd = 0
+  private recordsEnd: LogPosition = 0
   /** Another record was written meanwhile; the records have to be read before the next attempt. */
   private isRecordsEndStale = false
   /** Token under which peers take this daemon for the leader: of an earlier process here, or of a write whose response was lost. */
@@ -127,12 +137,14 @@
    * @example
    * leadership.applyLeaderRecord(record.value, record.position)
    */
-  applyLeaderRecord (text: string, position: number): void {
-    const { daemon, boot } = JSON.parse(text) as { readonly daemon: string, readonly boot: string }
-    const isEarlierProcess = daemon === this.options.self && boot !== this.options.bootId
-    const fence = position + 1
-    this.updateLeader({ daemon: isEarlierProcess ? '' : daemon, fence })
-    if (this.current?.fence === fence) this.isVacatedByRestart = isEarlierProcess
+  applyLeaderRecord (text: string, position: LogPosition): void {
+    const { daemon, boot, fence = readOffset(position) + 1 } = JSON.parse(text) as LeaderRecord
+    const isOwnProcess = boot === this.options.bootId
+    // After a restore, another daemon may have been the leader since: records of it may be lost.
+    const isOfOlderEra = readEra(fence) < readEra(position)
+    const isVacant = daemon === this.options.self && (!isOwnProcess || isOfOlderEra)
+    this.updateLeader({ daemon: isVacant ? '' : daemon, fence })
+    if (this.current?.fence === fence && !this.isLeader) this.isVacatedByRestart = isVacant && (isOwnProcess || !isOfOlderEra)
   }
 
   /** Applies the leader that a peer reports. That this daemon is the leader itself is taken from the store only. */
@@ -152,7 +164,7 @@
   }
 
   /** Updates the end of the shared records, for conditional writes. */
-  updateRecordsEnd (end: number): void {
+  updateRecordsEnd (end: LogPosition): void {
     this.recordsEnd = Math.max(this.recordsEnd, end)
     this.isRecordsEndStale = false
   }
@@ -176,6 +188,7 @@
     const nowMs = clock.readMonotonicMs()
     if (this.isLeader) {
       await this.confirmLeadership(nowMs)
+      await this.renewToken()
       return
     }
     const connected = listConnected()
@@ -222,6 +235,13 @@
     if (this.isLeader && (reading.ok || isConfirmedByPeers)) this.unconfirmedSinceMs = undefined
   }
 
+  /** After a restore of the store, the leader's record may be lost, and daemons that start would not know of it. */
+  private async renewToken (): Promise<void> {
+    if (!this.isLeader || this.isRecordsEndStale || readEra(this.recordsEnd) <= readEra(this.current!.fence)) return
+    this.options.logger.info('leader renews its fencing token, as the store was restored', { fence: this.current!.fence, era: readEra(this.recordsEnd) })
+    await this.acquireLeadership()
+  }
+
   /** Whether at least half of the peers are connected; they would report another leader. */
   private hasHalfOfPeersConnected (): boolean {
     const connected = this.options.listConnected().length
@@ -231,7 +251,9 @@
 
   private async acquireLeadership (): Promise<void> {
     const { self, bootId, store, logger } = this.options
-    const writeResult = await store.writeShared(LEADER_KEY, JSON.stringify({ daemon: self, boot: bootId }), this.recordsEnd)
+    const expectedEnd = this.recordsEnd
+    const record: LeaderRecord = { daemon: self, boot: bootId, fence: expectedEnd + 1 }
+    const writeResult = await store.writeShared(LEADER_KEY, JSON.stringify(record), expectedEnd)
     if (!writeResult.ok) {
       logger.debug('could not acquire leadership', { error: writeResult.error.message })
       return
--- a/packages/figquay-fleet/src/__tests__/unit/Leadership.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/Leadership.test.ts
@@ -6,7 +6,7 @@
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { JsonLogger, makeFailure, makeSuccess, type Clock } from 'figquay'
-import { FleetLeadership, LEADER_KEY, type FleetStore, type SharedRecord } from '../../index.js'
+import { FleetLeadership, LEADER_KEY, makeLogPosition, readEra, readOffset, type FleetStore, type SharedRecord } from '../../index.js'
 
 /** Time step of the simulation. */
 const STEP_MS = 50
@@ -33,6 +33,12 @@
   readonly kind: 'sleep' | 'cut'
 }
 
+/** The store loses what was written in the last `lostMs` before it, and gives out their offsets again. */
+interface Restore {
+  readonly atMs: number
+  readonly lostMs: number
+}
+
 interface Order {
   readonly daemon: string
   readonly fence: number
@@ -40,10 +46,12 @@
 }
 
 /** Simulates three daemons for half a minute, each of which sends an order whenever it may; returns the orders. */
-async function simulateFaults (faults: readonly Fault[]): Promise<Order[]> {
+async function simulateFaults (faults: readonly Fault[], restores: readonly Restore[] = []): Promise<Order[]> {
   const clock = new SharedClock()
   const logger = JsonLogger.create('test', 'silent')
-  const records: SharedRecord[] = []
+  const records: Array<SharedRecord & { readonly writtenAtMs: number }> = []
+  let era = 1
+  const listAfter = (after: number): SharedRecord[] => records.map((record, offset) => ({ ...record, position: makeLogPosition(era, offset) })).filter(({ position }) => position > after)
   const orders: Order[] = []
   const isAffected = (kind: Fault['kind'], daemon: number, atMs = clock.nowMs): boolean => faults.some((fault) => fault.kind === kind && fault.daemon === daemon && atMs >= fault.atMs && atMs < fault.atMs + fault.durationMs)
   const lastHeardMs = DAEMONS.map(() => 0)
@@ -51,12 +59,13 @@
     const isCut = (): boolean => isAffected('cut', index)
     const failure = makeFailure({ sent: 'maybe' as const, reason: 'timeout' as const, message: 'cut' })
     const store = {
-      readShared: async (after: number) => isCut() ? failure : makeSuccess({ records: records.filter(({ position }) => position > after), end: records.length }),
+      readShared: async (after: number) => isCut() ? failure : makeSuccess({ records: listAfter(after), isComplete: false, end: makeLogPosition(era, records.length) }),
       writeShared: async (key: string, value: string, end: number | undefined) => {
         if (isCut()) return failure
-        if (end !== records.length) return makeSuccess({ type: 'overtaken' })
-        records.push({ key, value, position: records.length })
-        return makeSuccess({ type: 'written', position: records.length - 1 })
+        // A store compares offsets only; its client compares the eras.
+        if (end === undefined || readOffset(end) !== records.length) return makeSuccess({ type: 'overtaken' })
+        records.push({ key, value, position: end, writtenAtMs: clock.nowMs })
+        return makeSuccess(readEra(end) === era ? { type: 'written', position: end } : { type: 'overtaken' })
       }
     } as unknown as FleetStore
     const listConnected = (): string[] => isCut() ? [] : DAEMONS.filter((name, other) => name !== self && clock.nowMs - lastHeardMs[other]! < PEER_TIMEOUT_MS)
@@ -64,6 +73,12 @@
   })
   while (clock.nowMs < 30_000) {
     clock.nowMs += STEP_MS
+    const restore = restores.find(({ atMs }) => atMs >= clock.nowMs && atMs < clock.nowMs + STEP_MS)
+    if (restore !== undefined) {
+      const lost = records.filter(({ writtenAtMs }) => writtenAtMs >= clock.nowMs - restore.lostMs).length
+      records.length -= lost
+      era += 1
+    }
     for (const daemon of daemons) {
       if (isAffected('sleep', daemon.index)) continue
       // A daemon that resumes first sends what it planned before it was suspended.
@@ -74,11 +89,11 @@
         continue
       }
       lastHeardMs[daemon.index] = clock.nowMs
-      for (const { key, value, position } of records.filter((record) => record.position > daemon.lastReadPosition)) {
+      for (const { key, value, position } of listAfter(daemon.lastReadPosition)) {
         daemon.lastReadPosition = position
         if (key === LEADER_KEY) daemon.leadership.applyLeaderRecord(value!, position)
       }
-      daemon.leadership.updateRecordsEnd(records.length)
+      daemon.leadership.updateRecordsEnd(makeLogPosition(era, records.length))
       if (clock.nowMs % REFRESH_INTERVAL_MS === 0) await daemon.leadership.refresh()
     }
   }
@@ -91,11 +106,13 @@
     const others = orders.slice(0, index).filter((other) => other.daemon !== order.daemon && order.atMs - other.atMs < ALTERNATION_WINDOW_MS)
     const isAlternation = others.some((other) => orders.some((first) => first.daemon === order.daemon && first.atMs < other.atMs && order.atMs - first.atMs < ALTERNATION_WINDOW_MS))
     const hasLowerToken = orders.slice(0, index).some((other) => other.fence > order.fence)
-    return [...isAlternation ? [`${order.daemon} alternates with another daemon at ${order.atMs}`] : [], ...hasLowerToken ? [`${order.daemon} used an older fencing token at ${order.atMs}`] : []]
+    const hasSameToken = others.some((other) => other.fence === order.fence)
+    return [...hasSameToken ? [`${order.daemon} used the fencing token of another daemon at ${order.atMs}`] : [], ...isAlternation ? [`${order.daemon} alternates with another daemon at ${order.atMs}`] : [], ...hasLowerToken ? [`${order.daemon} used an older fencing token at ${order.atMs}`] : []]
   })
 }
 
 const sleeps = fc.array(fc.record({ daemon: fc.integer({ min: 0, max: 2 }), atMs: fc.integer({ min: 2_000, max: 25_000 }), durationMs: fc.integer({ min: 100, max: 6_000 }), kind: fc.constant('sleep' as const) }), { maxLength: 5 })
+const restores = fc.array(fc.record({ atMs: fc.integer({ min: 2_000, max: 28_000 }), lostMs: fc.integer({ min: 500, max: 15_000 }) }), { minLength: 1, maxLength: 3 })
 const networkCuts = fc.array(fc.record({ daemon: fc.integer({ min: 0, max: 2 }), atMs: fc.integer({ min: 2_000, max: 25_000 }), durationMs: fc.integer({ min: 100, max: 6_000 }), kind: fc.constant('cut' as const) }), { maxLength: 3 })
 
 describe('leader election', () => {
@@ -110,6 +127,17 @@
     }), { numRuns: 150, seed: 20261204 })
   })
 
+  it('never lets two daemons alternate, nor a fencing token fall or be used twice, while the store is restored and daemons are suspended or partitioned', async () => {
+    await fc.assert(fc.asyncProperty(sleeps, networkCuts, restores, async (sleepFaults, cutFaults, storeRestores) => {
+      expect(findViolations(await simulateFaults([...sleepFaults, ...cutFaults], storeRestores))).toEqual([])
+    }), { numRuns: 300, seed: 20261205 })
+  })
+
+  it('goes on after restores of the store', async () => {
+    const orders = await simulateFaults([], [{ atMs: 10_000, lostMs: 15_000 }, { atMs: 20_000, lostMs: 3_000 }])
+    expect([orders.length > 500, orders.filter(({ atMs }) => atMs > 25_000).length > 50, new Set(orders.map(({ daemon }) => daemon)).size]).toEqual([true, true, 1])
+  })
+
   it('never lets two daemons alternate, nor an older fencing token be used, while daemons are suspended or partitioned', async () => {
     await fc.assert(fc.asyncProperty(sleeps, networkCuts, async (sleepFaults, cutFaults) => {
       expect(findViolations(await simulateFaults([...sleepFaults, ...cutFaults]))).toEqual([])
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -263,7 +263,9 @@
 
   private findStoreRole (): StoreRole {
     const role = this.peers.storeRole
-    return role === 'listener' && (this.leadership.mustReadStore || this.leadership.isRestartedLeader) ? 'looker' : role
+    const { leadership, storeWatcher } = this
+    const mustRead = leadership.mustReadStore || leadership.isRestartedLeader || (leadership.isLeader && storeWatcher.isSharedOutdated)
+    return role === 'listener' && mustRead ? 'looker' : role
   }
 
   private findBudget (service: string): RetryBudget {
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -181,7 +181,12 @@
 
   /** Whether this daemon follows the shared records and so knows their end, on which conditional writes depend. */
   get canWrite (): boolean {
-    return this.hasReadShared && this.isSynced && !this.isListener
+    return this.hasReadShared && this.isSynced && !this.isListener && !this.isSharedOutdated
+  }
+
+  /** Whether the shared records were last read before the store was restored. */
+  get isSharedOutdated (): boolean {
+    return readEra(this.sharedPosition) < this.newestEra
   }
 
   /** Time since the list of runners was last read from the store, by this daemon or by the source of a snapshot, in milliseconds. */
