Write records again that a restored store has lost

Crash reports, acquittals and the records by which daemons find each other were written once and taken as stored for ever. After a restore they are gone: a daemon that starts doesn't know its peers or a request that crashes runners.

A leader that only listens reads the shared records once per era.

--- a/packages/figquay-fleet/src/FigquayFleetFacts.ts
+++ b/packages/figquay-fleet/src/FigquayFleetFacts.ts
@@ -156,6 +156,11 @@
     if (entry !== undefined) entry.isStored = true
   }
 
+  /** Records which facts the store has, and that it has no others. */
+  replaceStored (ids: ReadonlySet<string>): void {
+    for (const [id, entry] of this.entries) entry.isStored = ids.has(id)
+  }
+
   /** Whether a fact has neither expired nor lies too far in the future. */
   isUnexpired ({ atMs }: Fact): boolean {
     const ageMs = this.clock.now().getTime() - atMs
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -5,6 +5,7 @@
 import { AttemptTracker, PART_SUCCESS_WINDOW_MS } from './FigquayServingAttemptTracker.js'
 import { ConfigurationSource } from './FigquayServingConfigurationSource.js'
 import { ConfigurationSync } from './FigquayServingConfigurationSync.js'
+import { DaemonRecords } from './FigquayServingDaemonRecords.js'
 import { CrashHistory, isPartKey } from './FigquayServingCrashHistory.js'
 import { PartSuccesses } from './FigquayServingPartSuccesses.js'
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
@@ -63,6 +64,7 @@
   private readonly crashHistory: CrashHistory
   private readonly partSuccesses: PartSuccesses
   private readonly factStore: FactStoreSync
+  private readonly daemonRecords: DaemonRecords
   private readonly attemptWatch: AttemptTracker
   /** Prompt parts that are about to be cleared of crashes. */
   private readonly scheduledAcquittals = new Set<string>()
@@ -89,6 +91,7 @@
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, isEligible: () => this.storeWatcher.canWrite })
     const { leadership } = this
     this.factStore = FactStoreSync.create({ clock, logger, store, facts, isLeader: () => leadership.isLeader })
+    this.daemonRecords = DaemonRecords.create({ clock, logger, store, canRestore: () => leadership.isLeader && !this.storeWatcher.isSharedOutdated })
     this.attemptWatch = AttemptTracker.create({ clock, table, exchanges, hasPartSucceeded: (key, sinceMs) => partSuccesses.hasSucceededSince(key, sinceMs), reportCrash: (runner, crash) => this.reportCrash('crash', runner, crash), reportPossibleCrash: (runner, crash) => this.reportCrash('doubt', runner, crash), recordProbe: (message, fields) => this.traces.recordProbe(message, fields) })
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
@@ -143,6 +146,7 @@
       leadership,
       facts,
       factStore: this.factStore,
+      daemonRecords: this.daemonRecords,
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
@@ -213,6 +217,7 @@
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
     this.tasks.startLoop('unresolved attempts', FACTS_INTERVAL_MS, async () => this.attemptWatch.refresh())
     this.tasks.startLoop('facts', FACTS_INTERVAL_MS, () => this.factStore.flush())
+    this.tasks.startLoop('records of daemons', FACTS_INTERVAL_MS, () => this.daemonRecords.flush())
     this.tasks.startLoop('placement', PLAN_INTERVAL_MS, async () => this.runPlans())
   }
 
--- a/packages/figquay-serving/src/FigquayServingFactStoreSync.ts
+++ b/packages/figquay-serving/src/FigquayServingFactStoreSync.ts
@@ -16,6 +16,8 @@
 export const FACT_KEY_PREFIX = 'fact/'
 /** The leader writes a fact that its origin hasn't written for this long, in milliseconds: time for several attempts of the origin. */
 const ORPHANED_AFTER_MS = 3_000
+/** Largest size of the facts of one write, in characters: a few seconds' worth at most, and well below what a call may hold. */
+const MAX_WRITE_CHARACTERS = 500_000
 /** Delay before a failed write is retried, in milliseconds: the store may be overloaded. */
 const RETRY_DELAY_MS = 1_000
 
@@ -63,6 +65,18 @@
     this.options.facts.addFact(fact, true)
   }
 
+  /**
+   * Records that the store has only the facts of these records, as after a restore; the leader writes the others again.
+   *
+   * @example
+   * factStore.replaceRecords(['fact/crash-7'])
+   */
+  replaceRecords (keys: readonly string[]): void {
+    const ids = new Set(keys.map((key) => key.slice(FACT_KEY_PREFIX.length)))
+    for (const id of [...this.stored.keys()]) if (!ids.has(id)) this.stored.delete(id)
+    this.options.facts.replaceStored(ids)
+  }
+
   /**
    * Writes pending facts in one call; the leader also writes orphaned facts and deletes expired ones. Called periodically.
    *
@@ -73,11 +87,11 @@
     const { clock, store, facts, isLeader, logger } = this.options
     if (clock.readMonotonicMs() < this.nextWriteAtMs) return
     const orphaned = isLeader() ? facts.listUnstored(ORPHANED_AFTER_MS).filter((fact) => fact.type !== 'leaving') : []
-    const due = new Map([...this.pending.values(), ...orphaned].map((fact) => [fact.id, fact]))
+    const due = selectWithinSize(new Map([...this.pending.values(), ...orphaned].map((fact) => [fact.id, fact])))
     const expired = isLeader() ? [...this.stored.values()].filter((fact) => !facts.isUnexpired(fact)) : []
     if (due.size + expired.length === 0) return
     const result = await store.writeRecords([
-      ...[...due.values()].map((fact) => ({ key: `${FACT_KEY_PREFIX}${fact.id}`, value: JSON.stringify(fact) })),
+      ...[...due].map(([id, { text }]) => ({ key: `${FACT_KEY_PREFIX}${id}`, value: text })),
       ...expired.map(({ id }) => ({ key: `${FACT_KEY_PREFIX}${id}`, value: undefined }))
     ])
     if (!result.ok) {
@@ -85,7 +99,7 @@
       this.nextWriteAtMs = clock.readMonotonicMs() + RETRY_DELAY_MS
       return
     }
-    for (const fact of due.values()) {
+    for (const { fact } of due.values()) {
       this.pending.delete(fact.id)
       this.stored.set(fact.id, fact)
       facts.markStored(fact.id)
@@ -94,6 +108,19 @@
   }
 }
 
+/** Selects the facts of one write, by id, with their texts; the others follow with the next. */
+function selectWithinSize (facts: ReadonlyMap<string, Fact>): Map<string, { readonly fact: Fact, readonly text: string }> {
+  const selected = new Map<string, { readonly fact: Fact, readonly text: string }>()
+  let size = 0
+  for (const [id, fact] of facts) {
+    const text = JSON.stringify(fact)
+    size += text.length
+    if (size > MAX_WRITE_CHARACTERS && selected.size > 0) break
+    selected.set(id, { fact, text })
+  }
+  return selected
+}
+
 function parseFact (text: string): Fact | undefined {
   try {
     const value: unknown = JSON.parse(text)
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -2,6 +2,7 @@
 import { describeError, hashText, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { BEFORE_LOG, decodePosition, encodePosition, LEADER_KEY, isFact, readEra, type EncodedPosition, type LogPosition, type ConfigurationHolder, type Fact, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate, type SharedRecordBatch } from 'figquay-fleet'
 
+import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
 
 /** State that a daemon sends to one that can't read the store or lags behind; the configuration is sent by `ConfigurationSource`. */
@@ -85,7 +86,8 @@
   readonly table: FleetRunnerTable
   readonly leadership: FleetLeadership
   readonly facts: FleetFacts
-  readonly factStore: Pick<FactStoreSync, 'applyRecord'>
+  readonly factStore: Pick<FactStoreSync, 'applyRecord' | 'replaceRecords'>
+  readonly daemonRecords: DaemonRecords
   /** Called with the data centre of each daemon, by address, after a change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
   readonly findStoreRole: () => StoreRole
@@ -138,16 +140,14 @@
 const EXPIRY_GRACE_MS = 2_000
 /** A read that exceeds its long-poll timeout by this much has met an outage of the store, in milliseconds. */
 const OUTAGE_OVERRUN_MS = 500
-/** Key prefix of the records by which daemons discover each other. */
-const DAEMON_KEY_PREFIX = 'daemon/'
 
 /** Watches the store, or syncs from peers that do. */
 export class StoreWatcher {
-  private readonly daemons = new Map<string, string>()
   private configurationPosition = BEFORE_LOG
   private sharedPosition = BEFORE_LOG
-  /** Newest era of the store that this daemon has read of, or a peer has. */
-  private newestEra = 0
+  /** Newest era of the store that this daemon or a peer has read; undefined until one has. */
+  private newestEra: number | undefined
+  private hasSeenRestore = false
   private hasReadShared = false
   private hasReadRunners = false
   private hasFacts = false
@@ -186,7 +186,7 @@
 
   /** Whether the shared records were last read before the store was restored. */
   get isSharedOutdated (): boolean {
-    return readEra(this.sharedPosition) < this.newestEra
+    return readEra(this.sharedPosition) < (this.newestEra ?? 0)
   }
 
   /** Time since the list of runners was last read from the store, by this daemon or by the source of a snapshot, in milliseconds. */
@@ -232,7 +232,7 @@
 
   /** Number of registered daemons that this one knows. */
   get daemonCount (): number {
-    return this.daemons.size
+    return this.options.daemonRecords.daemons.size
   }
 
   /** Makes a snapshot of what is newer than the given position, with the facts if they are needed. */
@@ -246,7 +246,7 @@
       removals: table.listRemovals(after).map(({ position, ...removal }) => ({ ...removal, ...encodePosition(position) })),
       isComplete,
       ...encodePosition(table.position),
-      daemons: [...this.daemons],
+      daemons: [...this.options.daemonRecords.daemons],
       facts: needsFacts && this.hasFacts ? this.options.facts.listAfter(0) : undefined,
       storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
     }
@@ -305,8 +305,8 @@
     const { store, clock, leadership } = this.options
     const reading = await store.readShared(this.sharedPosition, waitMs, signal)
     if (!reading.ok) return this.logReadFailure('shared records', reading)
-    this.applySharedRecords(reading.value)
     this.noteEra(readEra(reading.value.end), 'store')
+    this.applySharedRecords(reading.value)
     this.hasReadShared = true
     this.hasFacts = true
     leadership.updateRecordsEnd(reading.value.end)
@@ -315,20 +315,28 @@
   }
 
   private applySharedRecords (reading: SharedRecordBatch): void {
-    const previousCount = this.daemons.size
+    const { daemonRecords, factStore, leadership, setDaemons } = this.options
+    const isRestored = reading.isComplete && readEra(reading.end) > readEra(this.sharedPosition)
     let hasChanged = false
     for (const { key, value, position } of reading.records) {
       this.sharedPosition = Math.max(this.sharedPosition, position)
-      if (key === LEADER_KEY && value !== undefined) this.options.leadership.applyLeaderRecord(value, position)
-      if (key.startsWith(FACT_KEY_PREFIX)) this.options.factStore.applyRecord(key, value)
+      if (key === LEADER_KEY && value !== undefined) leadership.applyLeaderRecord(value, position)
+      if (key.startsWith(FACT_KEY_PREFIX)) factStore.applyRecord(key, value)
       if (!key.startsWith(DAEMON_KEY_PREFIX)) continue
-      const address = key.slice(DAEMON_KEY_PREFIX.length)
       hasChanged = true
-      if (value === undefined) this.daemons.delete(address)
-      else this.daemons.set(address, value)
+      daemonRecords.applyRecord(key, value)
     }
+    if (isRestored) this.noteLostRecords(reading)
     this.sharedPosition = Math.max(this.sharedPosition, reading.end - 1)
-    if (hasChanged || previousCount !== this.daemons.size) this.options.setDaemons(this.daemons)
+    if (hasChanged) setDaemons(daemonRecords.daemons)
+  }
+
+  /** What daemons wrote since the copy was made is missing from the restored store; the leader writes it again. */
+  private noteLostRecords ({ records }: SharedRecordBatch): void {
+    const { daemonRecords, factStore } = this.options
+    const keys = records.map(({ key }) => key)
+    factStore.replaceRecords(keys.filter((key) => key.startsWith(FACT_KEY_PREFIX)))
+    if (this.hasSeenRestore) daemonRecords.noteRestored(keys.filter((key) => key.startsWith(DAEMON_KEY_PREFIX)))
   }
 
   private async watchRunners (signal: AbortSignal): Promise<void> {
@@ -406,11 +414,13 @@
 
   /** After a restore, pending long polls may wait at offsets that are given out again; they are repeated from the new era's records. */
   private noteEra (era: number, source: string): void {
-    if (era <= this.newestEra) return
-    const isRestored = this.hasReadRunners || this.hasReadShared
-    if (isRestored) this.options.logger.warn('store was restored from an older copy', { era, previous: this.newestEra, source, version: this.options.configurations.version })
+    const previous = this.newestEra
+    if (previous !== undefined && era <= previous) return
     this.newestEra = era
-    if (isRestored) this.abortLongPolls()
+    if (previous === undefined) return
+    this.hasSeenRestore = true
+    this.options.logger.warn('store was restored from an older copy', { era, previous, source, version: this.options.configurations.version })
+    this.abortLongPolls()
   }
 
   private updateReachability (isReachable: boolean): void {
@@ -436,9 +446,9 @@
    */
   comparePeerProgress (peer: string, { position, changedAt, daemonCount }: PeerProgress): void {
     const { table, clock } = this.options
-    this.noteEra(readEra(position), peer)
+    if (position !== BEFORE_LOG) this.noteEra(readEra(position), peer)
     const nowMs = clock.readMonotonicMs()
-    if (changedAt <= table.position && daemonCount <= this.daemons.size) {
+    if (changedAt <= table.position && daemonCount <= this.daemonCount) {
       // The peer has read nothing but heartbeats beyond this daemon's position.
       if (this.hasReadRunners) table.advancePosition(position)
       if (this.peerAhead === peer) this.laggingSinceMs = undefined
@@ -473,18 +483,16 @@
     const position = decodePosition(snapshot)
     // A peer that has not heard of a restore may list runners that are gone.
     if (readEra(position) >= readEra(table.position)) this.applyRunnerSnapshot(snapshot, position)
-    if (position !== BEFORE_LOG) this.hasReadRunners = true
+    if (position !== BEFORE_LOG) {
+      this.noteEra(readEra(position), 'snapshot')
+      this.hasReadRunners = true
+    }
     if (Array.isArray(snapshot.facts)) {
       for (const fact of snapshot.facts.filter(isFact)) this.options.facts.addFact(fact)
       this.hasFacts = true
     }
-    let hasNewDaemon = false
-    for (const [address, zone] of snapshot.daemons) {
-      if (this.daemons.has(address)) continue
-      this.daemons.set(address, zone)
-      hasNewDaemon = true
-    }
-    if (hasNewDaemon) this.options.setDaemons(this.daemons)
+    const { daemonRecords, setDaemons } = this.options
+    if (daemonRecords.addDaemons(snapshot.daemons)) setDaemons(daemonRecords.daemons)
   }
 
   private applyRunnerSnapshot (snapshot: FleetSnapshot, position: LogPosition): void {
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
-import { ConfigurationSource, ConfigurationSync, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
+import { ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -49,7 +49,7 @@
   const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
   const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
-    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
+    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
   return { configurationReads, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
