Compare the configuration with the peers before a daemon says that it is ready

Change: a daemon becomes ready, and answers 404, once all connected peers have announced their versions and it has the newest of them, or after 0.7 s: no quorum, so daemons that all start at once, or a daemon alone, serve.

--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -46,6 +46,11 @@
 const STORE_FALLBACK_MS = 1_200
 /** Random addition to that time, in milliseconds: what the first daemons read there, the others get from them. */
 const STORE_FALLBACK_JITTER_MS = 600
+/**
+ * A daemon that starts takes its configuration for the newest after this time, in milliseconds, though not all connected
+ * peers have announced theirs: they do so every 200 ms.
+ */
+const CONFIRM_TIMEOUT_MS = 700
 /** `Retry-After` of a request that only a newer configuration may have a route for, in milliseconds: most daemons fetch it within this time. */
 const OUTDATED_RETRY_AFTER_MS = 500
 /** Largest compressed update that is accepted, in bytes. */
@@ -61,6 +66,10 @@
   private newest = { version: -1, sinceMs: 0 }
   private nextStoreReadAtMs = Number.POSITIVE_INFINITY
   private isFetching = false
+  /** Peers that have announced their versions since this daemon started; cleared once the configuration is confirmed. */
+  private readonly announcedPeers = new Set<string>()
+  private startedAtMs: number | undefined
+  private isConfirmedNewest = false
 
   private constructor (private readonly options: ConfigurationSyncOptions) {
     options.configurations.registerListener((configuration) => this.dropOlderPeers(configuration.version))
@@ -85,8 +94,32 @@
     return version < 0 || this.newest.version > version
   }
 
+  /**
+   * Whether the active configuration was compared with those of the peers since this daemon started. The store may have been
+   * restored from an older copy, which contains an older one.
+   */
+  get isConfirmed (): boolean {
+    if (!this.isConfirmedNewest && this.hasComparedVersions()) {
+      this.isConfirmedNewest = true
+      this.announcedPeers.clear()
+    }
+    return this.isConfirmedNewest
+  }
+
+  private hasComparedVersions (): boolean {
+    const { clock, configurations, listConnected, logger } = this.options
+    if (configurations.version < 0 || this.startedAtMs === undefined) return false
+    const waitedMs = Math.round(clock.readMonotonicMs() - this.startedAtMs)
+    const connected = listConnected()
+    const hasHeardPeers = !this.isBehind && connected.length > 0 && connected.every((peer) => this.announcedPeers.has(peer))
+    if (!hasHeardPeers && waitedMs < CONFIRM_TIMEOUT_MS) return false
+    logger.info('configuration compared with the peers', { version: configurations.version, newest: this.newestVersion, heard: this.announcedPeers.size, connected: connected.length, waitedMs })
+    return true
+  }
+
   /** Starts to fetch a configuration while none is active. */
   start (): void {
+    this.startedAtMs = this.options.clock.readMonotonicMs()
     this.ensureFetching()
   }
 
@@ -100,7 +133,7 @@
   resolveRoute (host: string, path: string): Route | Refusal {
     const route = this.options.configurations.findRoute(host, path)
     if (route !== undefined) return route
-    if (!this.isBehind) return Refusal.create('not_found', 'no route matches the host and path')
+    if (!this.isBehind && this.isConfirmed) return Refusal.create('not_found', 'no route matches the host and path')
     return Refusal.create('not_configured', 'a newer configuration has not been loaded yet', { retryAfterMs: OUTDATED_RETRY_AFTER_MS })
   }
 
@@ -117,6 +150,7 @@
    */
   noteAnnouncement (peer: string, { version, newestVersion }: VersionAnnouncement): void {
     const active = this.options.configurations.version
+    if (!this.isConfirmedNewest) this.announcedPeers.add(peer)
     if (version >= active && version >= 0) this.peerVersions.set(peer, version)
     else this.peerVersions.delete(peer)
     // Daemons of an older release don't announce the newest version.
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -185,7 +185,7 @@
 
   /** Whether the platform may route callers to this daemon. */
   get isReady (): boolean {
-    return !this.stopping && this.storeWatcher.isSynced
+    return !this.stopping && this.storeWatcher.isSynced && this.configurationSync.isConfirmed
   }
 
   /**
