Take streams up only at the software version that began them

Cause: which version began a stream was known to the daemon that answered it, for as long as the answer lasted; Resumes was decoded nowhere, and a daemon took the versions that it saw at the moment for all there are.

Each daemon remembers the streams that it began; while several versions serve, it also has two daemons remember them that a hash of the request's id names. A daemon that takes a stream up asks its peers (all of a small fleet, two holders in a large one) and pins the version. A stream that nobody remembers goes on only if this daemon and all that reply know of a single version in the last ten minutes; otherwise it is refused at once as not run. The leader keeps the versions of each service as facts in the store, so daemons that all start at once know of a version whose runners have left. The first event isn't delayed: memory only raises the share that goes on, safety doesn't depend on it.

Ruled out: writing each stream to the store before its first event (330 daemons would each write about once a second within the store's rate), and a header of our own (callers don't bring it back).

A line and a counter (figquay_stream_resumptions_total) tell for each stream where its version was learned, or why it couldn't go on.

--- a/packages/figquay-fleet/src/FigquayFleetFacts.ts
+++ b/packages/figquay-fleet/src/FigquayFleetFacts.ts
@@ -52,7 +52,17 @@
   readonly atMs: number
 }
 
-export type Fact = CrashFact | AcquittalFact | LeavingFact
+/** A software version served a service: streams that it has begun may still be taken up. */
+export interface VersionFact {
+  readonly type: 'version'
+  readonly id: string
+  readonly service: string
+  readonly softwareVersion: string
+  /** Wall-clock time, in milliseconds. */
+  readonly atMs: number
+}
+
+export type Fact = CrashFact | AcquittalFact | LeavingFact | VersionFact
 
 /** Lifetime of a fact, in milliseconds: callers give up on a request, and leaving runners are gone, well before. */
 const FACT_TTL_MS = 600_000
@@ -198,9 +208,10 @@
  */
 export function isFact (value: unknown): value is Fact {
   if (typeof value !== 'object' || value === null) return false
-  const { type, id, runner, bornMs, suspects, isolated, bystanders, fingerprint, incarnations, atMs } = value as Record<string, unknown>
+  const { type, id, runner, bornMs, suspects, isolated, bystanders, fingerprint, incarnations, service, softwareVersion, atMs } = value as Record<string, unknown>
   if (typeof id !== 'string' || typeof atMs !== 'number') return false
   if (type === 'acquittal') return typeof fingerprint === 'string' && (incarnations === undefined || isStringArray(incarnations))
+  if (type === 'version') return typeof service === 'string' && typeof softwareVersion === 'string'
   if (typeof runner !== 'string' || typeof bornMs !== 'number') return false
   return type === 'leaving' || ((type === 'crash' || type === 'doubt') && [suspects, isolated, bystanders].every(isStringArray))
 }
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -5,7 +5,7 @@
 export { FleetRunnerTable, hasAdapter, type InFlightRequest, type RunnerTableChange, type RunnerView } from './FigquayFleetRunnerTable.js'
 export { formatLoads, parseLoads, PeerLoads, type LoadRow, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 export { RunnerUpdateBuffer, isRunnerUpdate, type HoldingsUpdate, type LeavingUpdate, type RunnerUpdate } from './FigquayFleetRunnerUpdates.js'
-export { FleetFacts, isFact, type AcquittalFact, type CrashFact, type Fact, type FactsState, type LeavingFact } from './FigquayFleetFacts.js'
+export { FleetFacts, isFact, type AcquittalFact, type CrashFact, type Fact, type FactsState, type LeavingFact, type VersionFact } from './FigquayFleetFacts.js'
 export { chooseRunner, selectByRendezvousHash, PREFILL_TOKENS_PER_MS, type ChoiceRequest, type ReusableState } from './FigquayFleetRunnerChoice.js'
 export { PromptCacheIndex } from './FigquayFleetPromptCacheIndex.js'
 export { StoreLoadLimiter } from './FigquayFleetStoreLoadLimiter.js'
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -12,6 +12,8 @@
 import { FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
 import { ServingRouter } from './FigquayServingRouter.js'
+import { StreamOrigins } from './FigquayServingStreamOrigins.js'
+import { VersionHistory } from './FigquayServingVersionHistory.js'
 import { StoreWatcher, type StoreRole } from './FigquayServingStoreWatcher.js'
 import { shortenFingerprint } from './FigquayServingSuspectGate.js'
 import { ServingTelemetry } from './FigquayServingTelemetry.js'
@@ -66,6 +68,8 @@
   private readonly factStore: FactStoreSync
   private readonly daemonRecords: DaemonRecords
   private readonly attemptWatch: AttemptTracker
+  private readonly versions: VersionHistory
+  private readonly streamOrigins: StreamOrigins
   /** Prompt parts that are about to be cleared of crashes. */
   private readonly scheduledAcquittals = new Set<string>()
   private readonly retryBudgets = new Map<string, RetryBudget>()
@@ -84,6 +88,7 @@
     this.crashHistory = CrashHistory.create((fact) => facts.isUnexpired(fact), (fact) => this.hasRunnerEnded(fact), ({ atMs }) => clock.now().getTime() - atMs)
     this.partSuccesses = PartSuccesses.create(clock)
     const { partSuccesses } = this
+    this.versions = VersionHistory.create({ clock, table: this.table, publishFact: (fact) => this.publishDurableFact(fact), isLeader: () => this.leadership.isLeader })
     facts.registerListener((fact) => this.applyFact(fact))
     const demand = FleetDemand.create(clock)
     const memory = PromptCacheIndex.create(clock)
@@ -96,6 +101,7 @@
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
     this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => this.peers.hints.sumOpenRequests() })
+    this.streamOrigins = StreamOrigins.create({ self: address, clock, logger, tasks: this.tasks, versions: this.versions, isSynced: () => this.storeWatcher.isSynced, isLargeFleet: () => this.peers.isLargeFleet, listDaemons: () => this.peers.daemonZones, listConnected: () => this.peers.connectedPeers, callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs) })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, isAvoided: (runner) => this.peers.requestLimiter.isAvoided(runner), announceNeeds: () => this.peers.announceNeeds() })
     this.configurationSync = ConfigurationSync.create({
       self: address,
@@ -132,6 +138,7 @@
         this.storeWatcher.comparePeerProgress(peer, progress)
       },
       measureStoreAge: () => this.storeWatcher.storeAgeMs,
+      streamOrigins: () => this.streamOrigins,
       countDaemons: () => this.storeWatcher.daemonCount,
       schedulePlanning: () => this.schedulePlanning(),
       createMesh: options.createMesh
@@ -171,6 +178,7 @@
       releasePermit: (request) => this.peers.suspects.releasePermit(request),
       requestLimiter: this.peers.requestLimiter,
       noteAdapterUse: (runner, key) => this.peers.hints.recordAdapterUse(runner, key),
+      streamOrigins: this.streamOrigins,
       announceLeaving
     })
   }
@@ -218,6 +226,7 @@
     this.tasks.startLoop('unresolved attempts', FACTS_INTERVAL_MS, async () => this.attemptWatch.refresh())
     this.tasks.startLoop('facts', FACTS_INTERVAL_MS, () => this.factStore.flush())
     this.tasks.startLoop('records of daemons', FACTS_INTERVAL_MS, () => this.daemonRecords.flush())
+    this.tasks.startLoop('software versions', FACTS_INTERVAL_MS, async () => this.refreshVersions())
     this.tasks.startLoop('placement', PLAN_INTERVAL_MS, async () => this.runPlans())
   }
 
@@ -273,6 +282,11 @@
     return role === 'listener' && mustRead ? 'looker' : role
   }
 
+  private refreshVersions (): void {
+    const routes = this.configurations.current?.routes.filter(({ isResumable }) => isResumable) ?? []
+    this.versions.refresh(new Set(routes.flatMap(({ targets }) => targets.map(({ service }) => service))), this.options.clock.now().getTime())
+  }
+
   private findBudget (service: string): RetryBudget {
     const { perRequest, burst } = this.options.retries
     const share = burst / Math.max(MIN_RETRY_SHARES, this.peers.daemonCount)
@@ -284,6 +298,7 @@
   /** Applies a new fact, whether it originates here or at a peer. */
   private applyFact (fact: Fact): void {
     this.crashHistory.addFact(fact)
+    if (fact.type === 'version') this.versions.noteVersion(fact.service, fact.softwareVersion, this.options.clock.now().getTime() - fact.atMs)
     if (fact.type === 'leaving') this.table.markLeaving(fact.runner, fact.bornMs)
     if (fact.type !== 'crash' && fact.type !== 'doubt') return
     this.clearSuccessfulParts(fact)
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -4,6 +4,7 @@
 import { chooseCapacityRetryMs, decideMissingModel, estimateLoadMs, hasCapacity } from './FigquayServingWaiting.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { RunnerExchangeClient, ServedRequest } from './FigquayServingTypes.js'
+import { nameVersion } from './FigquayServingVersionHistory.js'
 
 /** Dependencies of the dispatcher. */
 export interface ServingDispatcherOptions {
@@ -96,7 +97,7 @@
    */
   async findRunner (request: ServedRequest, triedRunners: ReadonlySet<string>, signal: AbortSignal, softwareVersion?: string): Promise<Runner | Refusal> {
     while (true) {
-      const candidates = this.listCandidates(request).filter(({ runner }) => softwareVersion === undefined || runner.softwareVersion === softwareVersion)
+      const candidates = this.listCandidates(request).filter(({ runner }) => softwareVersion === undefined || nameVersion(runner) === softwareVersion)
       // The caller resumes or begins anew; a load on a runner of this version isn't planned for one stream.
       if (candidates.length === 0 && softwareVersion !== undefined) return Refusal.create('no_upstream', 'no runner of the software version that began the stream can go on with it')
       const candidatesWithCapacity = candidates.filter(hasCapacity)
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -7,6 +7,7 @@
 import { FactExchange, type FactsMessage } from './FigquayServingFactExchange.js'
 import { RequestLimiter, type LimitEnd, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
+import type { StreamMemory, StreamOrigins, StreamQuery } from './FigquayServingStreamOrigins.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { chooseStoreRole, decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreRole } from './FigquayServingStoreWatcher.js'
 
@@ -38,6 +39,8 @@
   readonly findNewestVersion: () => number
   readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
   readonly measureStoreAge: () => number
+  /** Remembers which software version began streams, for other daemons. */
+  readonly streamOrigins: () => Pick<StreamOrigins, 'handleRemember' | 'handleFind'>
   /** Returns the number of registered daemons that this one knows. */
   readonly countDaemons: () => number
   /** Schedules a placement run, as requests wait for a model or adapter. */
@@ -124,6 +127,11 @@
     return this.mesh.connectedPeers
   }
 
+  /** Data centre of each known daemon, this one and the seeds included, by address. */
+  get daemonZones (): ReadonlyMap<string, string> {
+    return this.zoneByDaemon
+  }
+
   /** Number of known daemons, this one and the seeds included. */
   get daemonCount (): number {
     return this.zoneByDaemon.size
@@ -257,6 +265,8 @@
       'limit.take': (request: RequestPermitRequest) => this.requestLimiter.handleAcquire(request),
       'limit.end': (end: LimitEnd) => this.requestLimiter.handleEnd(end),
       'suspect.return': (request: PermitRequest) => this.suspects.handleRelease(request),
+      'stream.remember': (memories: readonly StreamMemory[]) => this.options.streamOrigins().handleRemember(memories),
+      'stream.find': (query: StreamQuery) => this.options.streamOrigins().handleFind(query),
       'fleet.read': (request: SnapshotRequest) => this.options.makeSnapshot(request),
       'fleet.configuration': (request: ConfigurationRequest) => this.options.serveConfiguration(request)
     }
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -7,6 +7,7 @@
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
+import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
 import type { ServingTelemetry } from './FigquayServingTelemetry.js'
@@ -33,6 +34,7 @@
   readonly releasePermit: SuspectGateOptions['releasePermit']
   readonly requestLimiter: RequestLimiter
   readonly noteAdapterUse: (runner: string, key: string) => void
+  readonly streamOrigins: Pick<StreamOrigins, 'findOrigin' | 'noteBegin'>
   /** Tells the peers that a runner is draining. */
   readonly announceLeaving: (runner: string, bornMs: number) => void
   readonly telemetry: ServingTelemetry
@@ -43,7 +45,7 @@
   readonly request: ServedRequest
   /** What the gate for suspects knows of the request. */
   readonly gated: GatedRequest
-  readonly stream: StreamProgress
+  stream: StreamProgress
   readonly sink: ResponseSink
   readonly signal: AbortSignal
   readonly triedRunners: Set<string>
@@ -117,10 +119,10 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
+    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId, undefined), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
     try {
-      const refusal = await this.runAttempts(progress)
+      const refusal = await this.prepareResumption(progress) ?? await this.runAttempts(progress)
       const result = this.finishRequest(progress, refusal, signal.aborted)
       this.options.telemetry.noteResult(request, result)
       return result
@@ -158,6 +160,24 @@
     return 'refused'
   }
 
+  /** Finds the software version that may go on with a stream that its caller takes up; returns the refusal if it can't be told. */
+  private async prepareResumption (progress: RequestProgress): Promise<Refusal | undefined> {
+    const { request } = progress
+    const { streamOrigins, telemetry } = this.options
+    if (request.resumeAfterEventId === undefined || !request.route.isResumable) return undefined
+    const origin = await streamOrigins.findOrigin(request.resumedRequestId, request.service)
+    if (origin.type === 'known') {
+      progress.stream = StreamProgress.create(request.resumeAfterEventId, origin.softwareVersion)
+      telemetry.noteResumption(request, origin.source)
+      telemetry.recordDecision('stream taken up', request, { resumes: request.resumedRequestId, callerEventId: request.resumeAfterEventId, softwareVersion: origin.softwareVersion, source: origin.source, originAgeMs: origin.ageMs })
+      return undefined
+    }
+    telemetry.noteResumption(request, origin.reason)
+    telemetry.recordDecision('stream can\'t go on', request, { resumes: request.resumedRequestId, callerEventId: request.resumeAfterEventId, reason: origin.reason })
+    const isTemporary = origin.reason === 'no-peer-replied' || origin.reason === 'not-synced'
+    return Refusal.create('no_upstream', `the software version that began the stream is unknown: ${origin.reason}`, isTemporary ? { retryAfterMs: FAILED_RETRY_AFTER_MS } : {})
+  }
+
   /** Returns the refusal that ended the request; undefined if it was answered. */
   private async runAttempts (progress: RequestProgress): Promise<Refusal | undefined> {
     const { request, signal } = progress
@@ -354,6 +374,7 @@
       if (!progress.stream.isNext(event)) return { type: 'failed', failure: MISPLACED_RESUMPTION }
     }
     openRequest.hasOutput = true
+    if (progress.request.route.isResumable && !progress.stream.hasEvents) this.options.streamOrigins.noteBegin(progress.request, runner)
     if (progress.request.route.isStream) progress.stream.noteEvents(event, runner)
     await progress.sink.writeBytes(event.bytes)
     return undefined
--- a/packages/figquay-serving/src/FigquayServingStreamProgress.ts
+++ b/packages/figquay-serving/src/FigquayServingStreamProgress.ts
@@ -1,6 +1,7 @@
 /** Where the caller of a stream is, and which answer may go on from there. No clock, no I/O. */
 import type { Runner } from 'figquay-fleet'
 import type { ExchangeEvent } from './FigquayServingTypes.js'
+import { nameVersion } from './FigquayServingVersionHistory.js'
 
 const OK = 200
 /** Event ids that can be compared: decimal numbers that a double represents exactly. */
@@ -19,17 +20,19 @@
   private version: string | undefined
   private isBegun = false
 
-  private constructor (callerEventId: string | undefined) {
+  private constructor (callerEventId: string | undefined, version: string | undefined) {
     this.eventId = callerEventId
+    this.version = version
   }
 
   /**
    * @param callerEventId Id of the last event that the caller has from an earlier request of its own.
+   * @param version Version of the runner software that sent the caller those events; undefined for a new stream.
    * @example
-   * const stream = StreamProgress.create(request.resumeAfterEventId)
+   * const stream = StreamProgress.create(request.resumeAfterEventId, '1.4')
    */
-  static create (callerEventId: string | undefined): StreamProgress {
-    return new StreamProgress(callerEventId)
+  static create (callerEventId: string | undefined, version?: string): StreamProgress {
+    return new StreamProgress(callerEventId, version)
   }
 
   /** Id of the last event that the caller has, from this request or an earlier one of its own. */
@@ -42,7 +45,7 @@
     return this.isBegun
   }
 
-  /** Version of the runner software whose events were forwarded. */
+  /** Version of the runner software whose events the caller has. */
   get softwareVersion (): string | undefined {
     return this.version
   }
@@ -73,6 +76,6 @@
     this.eventId = lastEventId ?? this.eventId
     if (lastEventId !== undefined || hasUnnumberedEnd) this.isPositionUnknown = hasUnnumberedEnd
     this.isBegun = true
-    this.version = runner.softwareVersion
+    this.version = nameVersion(runner)
   }
 }
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -16,6 +16,7 @@
   private readonly attempts: Counter<'service' | 'outcome'>
   private readonly firstByteSeconds: Histogram<'route'>
   private readonly quarantined: Counter<'route'>
+  private readonly resumptions: Counter<'route' | 'origin'>
   private windowStartMs = 0
   private linesInWindow = 0
   private suppressed = 0
@@ -25,6 +26,7 @@
     this.results = new Counter({ name: 'figquay_requests_total', help: 'Requests by route and result', labelNames: ['route', 'result'], registers })
     this.attempts = new Counter({ name: 'figquay_attempts_total', help: 'Exchanges with runners by service and outcome', labelNames: ['service', 'outcome'], registers })
     this.quarantined = new Counter({ name: 'figquay_quarantined_total', help: 'Requests refused because they have crashed runners, by route', labelNames: ['route'], registers })
+    this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers take up, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
   }
 
@@ -51,6 +53,11 @@
     this.results.inc({ route: request.route.name, result })
   }
 
+  /** Counts a stream that its caller takes up, by where its origin was learned or why it is unknown. */
+  noteResumption (request: ServedRequest, origin: string): void {
+    this.resumptions.inc({ route: request.route.name, origin })
+  }
+
   /** Counts a request that was refused because it has crashed runners. */
   noteQuarantined (request: ServedRequest): void {
     this.quarantined.inc({ route: request.route.name })
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -14,6 +14,8 @@
   readonly parts: readonly PromptPart[]
   /** Id of the last event that the caller has of a stream that it takes up; undefined for a new stream, and for other requests. */
   readonly resumeAfterEventId: string | undefined
+  /** Id of the request that brought the first event of that stream; undefined if the caller doesn't name it. */
+  readonly resumedRequestId?: string | undefined
   /** Digest of caller, path and body; a caller's retry of a request has the same one. */
   readonly fingerprint: string
   /** Monotonic time of arrival, in milliseconds. */
--- a/packages/figquay-serving/src/__tests__/unit/DaemonCount.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/DaemonCount.test.ts
@@ -20,7 +20,7 @@
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: SELF.id, bootId: 'b', store: {} as FleetStore, clock, logger, listConnected: () => [], isEligible: () => false })
   const peers = ServingPeers.create({
-    self: SELF, bootId: 'b', seeds: [], secrets: SECRETS, clock, logger, tasks, table, leadership, demand: FleetDemand.create(clock), configurations: ConfigurationHolder.create(), facts: FleetFacts.create(clock), listNeeds: () => [], noteAdapterUse: () => {}, makeSnapshot: () => ({}) as FleetSnapshot, serveConfiguration: () => ({ type: 'none' }), findNewestVersion: () => -1, comparePeerProgress: () => {}, measureStoreAge: () => 0, countDaemons: () => DAEMON_COUNT, schedulePlanning: () => {}
+    self: SELF, bootId: 'b', seeds: [], secrets: SECRETS, clock, logger, tasks, table, leadership, demand: FleetDemand.create(clock), configurations: ConfigurationHolder.create(), facts: FleetFacts.create(clock), listNeeds: () => [], noteAdapterUse: () => {}, streamOrigins: () => ({ handleRemember: () => true, handleFind: () => ({ isSynced: true, softwareVersion: undefined, versions: [] }) }), makeSnapshot: () => ({}) as FleetSnapshot, serveConfiguration: () => ({ type: 'none' }), findNewestVersion: () => -1, comparePeerProgress: () => {}, measureStoreAge: () => 0, countDaemons: () => DAEMON_COUNT, schedulePlanning: () => {}
   })
   const peer = PeerMesh.create({ self: PEER, secrets: SECRETS, clock, logger, methods: { 'fleet.reading': ({ reading }: { readonly reading: PeerProgress }) => corrections.push(reading) } })
   cleanups.push(() => peer.close(), () => peers.close())
--- a/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
@@ -64,6 +64,7 @@
     facts: FleetFacts.create(clock),
     listNeeds: () => [],
     noteAdapterUse: () => {},
+    streamOrigins: () => ({ handleRemember: () => true, handleFind: () => ({ isSynced: true, softwareVersion: undefined, versions: [] }) }),
     makeSnapshot: () => ({}) as FleetSnapshot,
     serveConfiguration: () => ({ type: 'none' }),
     findNewestVersion: () => -1,
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -35,6 +35,7 @@
     configurations,
     listNeeds: () => [],
     noteAdapterUse: () => {},
+    streamOrigins: () => ({ handleRemember: () => true, handleFind: () => ({ isSynced: true, softwareVersion: undefined, versions: [] }) }),
     facts: FleetFacts.create(clock),
     makeSnapshot: () => snapshot,
     serveConfiguration: (request) => source.serveRequest(request),
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -4,7 +4,7 @@
 import { JsonLogger, SystemClock, type Refusal } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptCacheIndex, type Fact, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
-import { ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest } from '../../index.js'
+import { ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest, type StreamOrigin } from '../../index.js'
 
 const ROUTE: Route = {
   name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, priority: 0, targets: [], maxAttempts: 1
@@ -103,6 +103,8 @@
   readonly deadlyPart?: string
   /** Position of the caller in a stream that it resumes. */
   readonly resumeAfterEventId?: string
+  /** What is known of the version that began the stream. */
+  readonly origin?: StreamOrigin
   /** Requested model; it is loaded on no runner. */
   readonly model?: string
   readonly deadlineMs?: number
@@ -118,10 +120,11 @@
 
 const NO_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {} }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const { noteTracker, noteSuccessfulParts } = { ...NO_CALLBACKS, ...callbacks }
   const leaving: string[] = []
+  const begun: Array<string | undefined> = []
   const table = FleetRunnerTable.create(clock)
   for (const [index, id] of ['r1', 'r2', 'r3'].entries()) {
     table.putRunner({ id, service: 's', softwareVersion: versions[index], address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
@@ -157,6 +160,7 @@
     releasePermit: () => {},
     requestLimiter,
     noteAdapterUse: () => {},
+    streamOrigins: { findOrigin: async () => origin, noteBegin: (_request, { softwareVersion }) => begun.push(softwareVersion) },
     announceLeaving: (runner) => leaving.push(runner),
     telemetry: ServingTelemetry.create(clock, JsonLogger.create('test', 'silent'))
   })
@@ -173,9 +177,23 @@
     if (whileServing !== undefined) await clock.waitFor(100).then(() => whileServing(router, dispatcher))
     result = await serving
   }
-  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
+  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
 }
 
+describe('routing of a stream that its caller takes up', () => {
+  it('goes on at the version that began it, also when the first runner of it breaks off', async () => {
+    const { sink, sent, begun } = await serve([makeScript(HEAD, makeData('fourteen ', '14'), makeFailure('reset', 'unknown')), makeScript(HEAD, makeData('fifteen', '15'), END)], RESUMABLE, { versions: ['a', 'b', 'b'], resumeAfterEventId: '13', origin: { type: 'known', softwareVersion: 'b', source: 'peer', ageMs: undefined } })
+    expect([sink.text, sink.ending, sent.map((text) => text.slice(0, 2)).sort(), begun]).toEqual(['200 fourteen fifteen', 'finished', ['r2', 'r3'], ['b']])
+  })
+
+  it('is refused as not run if its version is unknown or has no runner', async () => {
+    const unknown = await serve([], RESUMABLE, { versions: ['a', 'b', 'b'], resumeAfterEventId: '13', origin: { type: 'unknown', reason: 'several-versions' } })
+    const gone = await serve([], RESUMABLE, { versions: ['a', 'b', 'b'], resumeAfterEventId: '13', origin: { type: 'known', softwareVersion: 'c', source: 'own', ageMs: 5 } })
+    expect([unknown.sink.ending, gone.sink.ending, unknown.sent.length + gone.sent.length]).toEqual(['refused 503 not-run', 'refused 503 not-run', 0])
+    expect(unknown.tookMs + gone.tookMs < 200).toEqual(true)
+  })
+})
+
 describe('routing of a request', () => {
   it('forwards a response', async () => {
     const { sink } = await serve([makeScript(HEAD, makeData('ok'), END)])
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -6,6 +6,8 @@
 export { CrashHistory, classifyCrashes, isPartKey, listChargeKeys, type CrashCount, type QuarantineState } from './FigquayServingCrashHistory.js'
 export { PartSuccesses } from './FigquayServingPartSuccesses.js'
 export { FactExchange, type FactExchangeOptions, type FactsMessage } from './FigquayServingFactExchange.js'
+export { StreamOrigins, type OriginSource, type StreamMemory, type StreamOrigin, type StreamOriginsOptions, type StreamQuery, type StreamReply } from './FigquayServingStreamOrigins.js'
+export { VersionHistory, nameVersion, type VersionHistoryOptions } from './FigquayServingVersionHistory.js'
 export { DaemonRecords, type DaemonRecordsOptions } from './FigquayServingDaemonRecords.js'
 export { FACT_KEY_PREFIX, FactStoreSync, type FactStoreSyncOptions } from './FigquayServingFactStoreSync.js'
 export { RequestLimiter, type LimitEnd, type RequestLimiterOptions, type RequestPermitReply, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
