--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -95,10 +95,13 @@
   }
 
   /**
-   * Whether the active configuration was compared with those of the peers since this daemon started. The store may have been
-   * restored from an older copy, which contains an older one.
+   * Confirms that the active configuration is the newest, once it was compared with those of the peers; true from then on. A
+   * daemon that starts can't rely on the store alone, which may have been restored from an older copy.
+   *
+   * @example
+   * const isReady = sync.confirmVersion()
    */
-  get isConfirmed (): boolean {
+  confirmVersion (): boolean {
     if (!this.isConfirmedNewest && this.hasComparedVersions()) {
       this.isConfirmedNewest = true
       this.announcedPeers.clear()
@@ -133,7 +136,7 @@
   resolveRoute (host: string, path: string): Route | Refusal {
     const route = this.options.configurations.findRoute(host, path)
     if (route !== undefined) return route
-    if (!this.isBehind && this.isConfirmed) return Refusal.create('not_found', 'no route matches the host and path')
+    if (!this.isBehind && this.confirmVersion()) return Refusal.create('not_found', 'no route matches the host and path')
     return Refusal.create('not_configured', 'a newer configuration has not been loaded yet', { retryAfterMs: OUTDATED_RETRY_AFTER_MS })
   }
 
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -193,7 +193,7 @@
 
   /** Whether the platform may route callers to this daemon. */
   get isReady (): boolean {
-    return !this.stopping && this.storeWatcher.isSynced && this.configurationSync.isConfirmed
+    return !this.stopping && this.storeWatcher.isSynced && this.configurationSync.confirmVersion()
   }
 
   /**
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -45,6 +45,7 @@
   readonly request: ServedRequest
   /** What the gate for suspects knows of the request. */
   readonly gated: GatedRequest
+  /** Replaced once the version that began a stream is known, which its caller takes up. */
   stream: StreamProgress
   readonly sink: ResponseSink
   readonly signal: AbortSignal
@@ -119,7 +120,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId, undefined), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
+    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.prepareResumption(progress) ?? await this.runAttempts(progress)
--- a/packages/figquay-serving/src/FigquayServingStreamOrigins.ts
+++ b/packages/figquay-serving/src/FigquayServingStreamOrigins.ts
@@ -7,9 +7,9 @@
  * daemons that are asked know of a single version.
  */
 import { describeError, hashText, setBounded, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
+import type { Runner } from 'figquay-fleet'
 import type { ServedRequest } from './FigquayServingTypes.js'
 import { nameVersion, type VersionHistory } from './FigquayServingVersionHistory.js'
-import type { Runner } from 'figquay-fleet'
 
 /** A stream that a daemon tells others to remember. */
 export interface StreamMemory {
@@ -81,6 +81,10 @@
 const RECENT_STREAM_MS = 10_000
 const CALL_TIMEOUT_MS = 400
 
+/** Hexadecimal digits of a request id's hash that choose its group of holders. */
+const GROUP_DIGITS = 4
+const HEXADECIMAL = 16
+
 /** Origins of streams, as one daemon knows them. */
 export class StreamOrigins {
   private readonly streams = new Map<string, RememberedStream>()
@@ -196,7 +200,7 @@
   /** Other daemons in the order in which they remember a stream; the second is of another data centre than the first if there is one. */
   private rankHolders (requestId: string): string[] {
     const { self, listDaemons, listConnected, isLargeFleet } = this.options
-    const group = parseInt(hashText(requestId).slice(0, 4), 16) % HOLDER_GROUPS
+    const group = parseInt(hashText(requestId).slice(0, GROUP_DIGITS), HEXADECIMAL) % HOLDER_GROUPS
     const zones = listDaemons()
     const candidates = isLargeFleet() ? [...zones.keys()].filter((daemon) => daemon !== self) : [...listConnected()]
     const ranked = candidates.map((daemon) => ({ daemon, rank: hashText(`${group} ${daemon}`) })).sort((a, b) => a.rank < b.rank ? -1 : 1).map(({ daemon }) => daemon)
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -140,9 +140,9 @@
     configurations.adoptConfiguration(makeConfiguration(1, 1))
     sync.start()
     sync.noteAnnouncement('a', { version: 1, newestVersion: 1 })
-    const before = sync.isConfirmed
+    const before = sync.confirmVersion()
     await clock.runFor(1_000)
-    expect([before, sync.isConfirmed]).toEqual([false, true])
+    expect([before, sync.confirmVersion()]).toEqual([false, true])
     await tasks.stop()
   })
 
