--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -238,7 +238,8 @@
   /** Makes a snapshot of what is newer than the given position, with the facts if they are needed. */
   makeSnapshot ({ needsFacts, ...requested }: SnapshotRequest): FleetSnapshot {
     const { table } = this.options
-    const position = decodePosition(requested)
+    // A release that knows no eras gets the difference, as it would from its own.
+    const position = decodePosition({ era: readEra(table.position), ...requested })
     const isComplete = !this.isCovered(position)
     const after = isComplete ? BEFORE_LOG : position
     return {
@@ -260,14 +261,14 @@
 
   /** Repeats a long poll; `updateReachability` aborts it when the store becomes unreachable or reachable again. */
   private async runLongPolls (signal: AbortSignal, read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
+    const { clock } = this.options
     // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
     let waitMs = 0
     while (!signal.aborted) {
       if (this.isListener) {
-        await this.options.clock.waitFor(LISTENER_CHECK_MS, signal)
+        await clock.waitFor(LISTENER_CHECK_MS, signal)
         continue
       }
-      const { clock } = this.options
       const startedAtMs = clock.readMonotonicMs()
       const longPollAbort = this.longPollAbort
       const abort = (): void => longPollAbort.abort()
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
-import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
+import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, makeLogPosition, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
 import { ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
@@ -142,6 +142,26 @@
     expect(configurationReads.length <= measureMs / 100 + 1).toEqual(true)
   })
 
+  it('sends a peer that knows no eras the difference, and one that has read lost records everything', () => {
+    const { watcher, table } = makeWatcher(false, async () => undefined)
+    table.putRunner({ ...RUNNER, id: 'old' }, makeLogPosition(2, 3))
+    table.putRunner({ ...RUNNER, id: 'new' }, makeLogPosition(2, 8))
+    const listIds = (request: Omit<SnapshotRequest, 'needsFacts'>): string[] => watcher.makeSnapshot({ ...request, needsFacts: false }).runners.map(({ runner }) => runner.id)
+    expect([listIds({ position: 5 }), listIds({ era: 2, position: 5 }), listIds({ era: 1, position: 90 }), watcher.makeSnapshot({ era: 1, position: 90, needsFacts: false }).isComplete]).toEqual([['new'], ['new'], ['old', 'new'], true])
+  })
+
+  it('drops runners of lost records that a peer of the new era doesn\'t list, after the grace period, and ignores one of the old era', async () => {
+    const { watcher, table } = makeWatcher(false, async () => undefined)
+    const makeSnapshot = (era: number, id: string): FleetSnapshot => ({ runners: [{ runner: { ...RUNNER, id }, era, position: 4 }], removals: [], isComplete: true, era, position: 4, daemons: [], facts: [], storeAgeMs: 0 })
+    watcher.applySnapshot(makeSnapshot(1, 'lost'))
+    watcher.applySnapshot(makeSnapshot(2, 'kept'))
+    watcher.applySnapshot(makeSnapshot(1, 'late'))
+    const before = ['lost', 'kept', 'late'].map((id) => table.findRunner(id)?.id)
+    await SystemClock.create().waitFor(2_200)
+    table.listViews('s')
+    expect([before, ['lost', 'kept', 'late'].map((id) => table.findRunner(id)?.id)]).toEqual([['lost', 'kept', undefined], [undefined, 'kept', undefined]])
+  })
+
   it('requests a snapshot for changes but not for heartbeats', async () => {
     let asked = 0
     const { watcher, table } = makeWatcher(false, async () => {
