Resume a stream as soon as one peer remembers it

A caller that resumed a stream waited for the replies of all connected peers, 0.4 s beside one that stands still, though the first had told the version. The test (StreamOrigins, 'is told as soon as one peer remembers it') failed before: no origin after 10 ms of virtual time. Safety is unchanged: a stream that nobody remembers still waits for all replies.

--- a/packages/figquay-serving/src/FigquayServingStreamOrigins.ts
+++ b/packages/figquay-serving/src/FigquayServingStreamOrigins.ts
@@ -177,10 +177,25 @@
     return this.options.clock.readMonotonicMs() - atMs > STREAM_MEMORY_MS
   }
 
-  /** In a small fleet all connected peers are asked, as the one that began the stream may be among them. */
+  /** Collects replies until a peer remembers the stream or all that are asked have replied. */
   private async askPeers (query: StreamQuery): Promise<StreamReply[]> {
-    const { isLargeFleet, listConnected } = this.options
-    if (!isLargeFleet()) return (await Promise.all(listConnected().map((peer) => this.askPeer(peer, query)))).filter((reply) => reply !== undefined)
+    return await (this.options.isLargeFleet() ? this.askHolders(query) : this.askConnected(query))
+  }
+
+  /** In a small fleet, the daemon that began the stream may be among the connected peers. */
+  private async askConnected (query: StreamQuery): Promise<StreamReply[]> {
+    const replies: StreamReply[] = []
+    const isRemembered = new AbortController()
+    const asking = this.options.listConnected().map(async (peer) => {
+      const reply = await this.askPeer(peer, query)
+      if (reply !== undefined) replies.push(reply)
+      if (reply?.softwareVersion !== undefined) isRemembered.abort()
+    })
+    await Promise.race([Promise.all(asking), new Promise((resolve) => isRemembered.signal.addEventListener('abort', resolve, { once: true }))])
+    return replies
+  }
+
+  private async askHolders (query: StreamQuery): Promise<StreamReply[]> {
     const replies: StreamReply[] = []
     for (const holder of this.rankHolders(query.requestId).slice(0, MAX_HOLDER_TRIES)) {
       if (replies.length >= HOLDERS || replies.some(({ softwareVersion }) => softwareVersion !== undefined)) break
--- a/packages/figquay-serving/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StreamOrigins.test.ts
@@ -20,6 +20,8 @@
   readonly table: FleetRunnerTable
   isSynced: boolean
   isReachable: boolean
+  /** Time that the daemon takes to reply, in milliseconds. */
+  replyDelayMs: number
 }
 
 /** Daemons that call each other without delay; an unreachable one neither replies nor gets replies. */
@@ -56,6 +58,7 @@
     const callPeer = async <T>(peer: string, method: string, params: unknown): Promise<Outcome<T, string>> => {
       const target = this.daemons.find((daemon) => daemon.address === peer)!
       if (!target.isReachable || !this.daemons.find((daemon) => daemon.address === address)!.isReachable) return makeFailure('unreachable')
+      if (target.replyDelayMs > 0) await clock.waitFor(target.replyDelayMs)
       const received = JSON.parse(JSON.stringify(params)) as unknown
       const reply = method === 'stream.find' ? target.origins.handleFind(received as StreamQuery) : target.origins.handleRemember(received as StreamMemory[])
       return makeSuccess(JSON.parse(JSON.stringify(reply)) as T)
@@ -73,7 +76,7 @@
       listConnected: () => this.daemons.filter(isConnected).map((daemon) => daemon.address),
       callPeer
     })
-    return { address, versions, origins, table, isSynced: true, isReachable: true }
+    return { address, versions, origins, table, isSynced: true, isReachable: true, replyDelayMs: 0 }
   }
 }
 
@@ -99,6 +102,20 @@
     })
   }
 
+  it('is told as soon as one peer remembers it, though another stands still', async () => {
+    const fleet = new OriginsFleet(8)
+    for (const version of ['a', 'b']) fleet.listRunner(version)
+    fleet.begin(0, 'request-1', 'b')
+    await fleet.clock.runFor(BATCHES_MS)
+    fleet.daemons[7]!.replyDelayMs = 400
+    let found: string | undefined
+    fleet.find(4, 'request-1').then((text) => {
+      found = text
+    })
+    await fleet.clock.runFor(10)
+    expect(found?.[0]).toEqual('b')
+  })
+
   it('costs no message while one version serves, and is that version', async () => {
     const fleet = new OriginsFleet(8)
     fleet.listRunner('a')
