Find peers and write their records again although a leader starts without knowing them

Traced: a restore lost their records, the leader was killed before it had written them again, and its next process, the leader once more, knew no daemon but itself. It heard its peers' hints but could call none of them ('peer is not connected', every 1.3 s for 17 s), as only daemons that the store, a seed or a peer names can be called; nor did it know that records were lost before its start.

Change: a daemon that sends messages can be called, like a seed without a known data centre, so the starting daemon learns the others from it. What the store lacks is taken from what it lists, not from having seen the restore: the leader writes daemons that it knows and the store hasn't listed for 1.5 s while it follows the records; one that only listens follows them until nothing is missing.

A unit test said that nothing is written without a restore; it now says that nothing is written for a daemon that the store lists a little later, and that one which it never lists is.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -96,7 +96,7 @@
     this.leadership = FleetLeadership.create({ self: address, bootId, store, clock, logger, listConnected: () => this.peers.connectedPeers, isEligible: () => this.storeWatcher.canWrite })
     const { leadership } = this
     this.factStore = FactStoreSync.create({ clock, logger, store, facts, isLeader: () => leadership.isLeader })
-    this.daemonRecords = DaemonRecords.create({ clock, logger, store, canRestore: () => leadership.isLeader && !this.storeWatcher.isSharedOutdated })
+    this.daemonRecords = DaemonRecords.create({ clock, logger, store, canRestore: () => leadership.isLeader && this.storeWatcher.canWrite })
     this.attemptWatch = AttemptTracker.create({ clock, table, exchanges, hasPartSucceeded: (key, sinceMs) => partSuccesses.hasSucceededSince(key, sinceMs), reportCrash: (runner, crash) => this.reportCrash('crash', runner, crash), reportPossibleCrash: (runner, crash) => this.reportCrash('doubt', runner, crash), recordProbe: (message, fields) => this.traces.recordProbe(message, fields) })
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
@@ -278,7 +278,7 @@
   private findStoreRole (): StoreRole {
     const role = this.peers.storeRole
     const { leadership, storeWatcher } = this
-    const mustRead = leadership.mustReadStore || leadership.isRestartedLeader || (leadership.isLeader && storeWatcher.isSharedOutdated)
+    const mustRead = leadership.mustReadStore || leadership.isRestartedLeader || (leadership.isLeader && (storeWatcher.isSharedOutdated || this.daemonRecords.hasUnlisted))
     return role === 'listener' && mustRead ? 'looker' : role
   }
 
--- a/packages/figquay-serving/src/FigquayServingDaemonRecords.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemonRecords.ts
@@ -7,7 +7,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly store: Pick<FleetStore, 'writeRecords'>
-  /** Whether this daemon is the leader, which alone writes lost records, and reads the shared records of the newest era. */
+  /** Whether this daemon is the leader, which alone writes lost records, and follows the shared records. */
   readonly canRestore: () => boolean
 }
 
@@ -21,7 +21,6 @@
   private readonly zones = new Map<string, string>()
   /** Daemons that the store doesn't list, with the time since which that is known. */
   private readonly unlistedSinceMs = new Map<string, number>()
-  private hasLostRecords = false
   private isWriting = false
 
   private constructor (private readonly options: DaemonRecordsOptions) {}
@@ -39,6 +38,11 @@
     return this.zones
   }
 
+  /** Whether daemons are known that the store doesn't list, as far as this daemon has read it. */
+  get hasUnlisted (): boolean {
+    return this.unlistedSinceMs.size > 0
+  }
+
   /** Applies a record of the store; an undefined value means that it was deleted. */
   applyRecord (key: string, zone: string | undefined): void {
     const address = key.slice(DAEMON_KEY_PREFIX.length)
@@ -58,13 +62,12 @@
   }
 
   /**
-   * Records that the store was restored and now has only these records.
+   * Records that the store has only these records. Others may have been lost with a restore, also before this daemon started.
    *
    * @example
-   * records.noteRestored(['daemon/10.0.0.1:80'])
+   * records.replaceRecords(['daemon/10.0.0.1:80'])
    */
-  noteRestored (keys: readonly string[]): void {
-    this.hasLostRecords = true
+  replaceRecords (keys: readonly string[]): void {
     const listed = new Set(keys)
     const nowMs = this.options.clock.readMonotonicMs()
     for (const address of this.zones.keys()) {
@@ -72,10 +75,10 @@
     }
   }
 
-  /** Writes the records that a restore has lost, in one call; called periodically. */
+  /** Writes the records that the store has lost, in one call; called periodically. */
   async flush (): Promise<void> {
     const { clock, logger, store, canRestore } = this.options
-    if (!this.hasLostRecords || this.isWriting || !canRestore()) return
+    if (this.isWriting || !canRestore()) return
     const nowMs = clock.readMonotonicMs()
     const lost = [...this.unlistedSinceMs].filter(([, sinceMs]) => nowMs - sinceMs >= RESTORE_DELAY_MS).map(([address]) => address)
     if (lost.length === 0) return
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -61,6 +61,11 @@
 /** Interval at which a daemon of a large fleet reports demand to the leader, in milliseconds: well within the time in which demand shifts. */
 const REPORT_INTERVAL_MS = 400
 
+/** Daemons that are remembered because they were heard, before the store names them: more than a fleet has. */
+const MAX_HEARD_DAEMONS = 1_000
+/** `ip:port`, which is a daemon's id. */
+const DAEMON_ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
+
 /** Exchanges state between one daemon and its peers. */
 export class ServingPeers {
   readonly hints: HintExchange
@@ -73,6 +78,9 @@
   /** Updates that were sent to a daemon directly and have arrived, or may still arrive, by daemon. */
   private readonly directlySent = new Map<string, WeakSet<RunnerUpdate>>()
   private zoneByDaemon: ReadonlyMap<string, string> = new Map()
+  /** Daemons that have sent messages before any record or peer named them, as the store may have lost their records. */
+  private readonly heardDaemons = new Set<string>()
+  private announcedDaemons: ReadonlyMap<string, string> = new Map()
   private treeNeighbours: readonly string[] = []
   private lastLeader: string | undefined
   private hintsSentAtMs = Number.NEGATIVE_INFINITY
@@ -180,12 +188,22 @@
    */
   setDaemons (daemons: ReadonlyMap<string, string>): void {
     const { self, seeds } = this.options
-    this.zoneByDaemon = new Map([...seeds.map((seed): [string, string] => [seed, self.zone]), ...daemons, [self.id, self.zone]])
-    // A seed's data centre is unknown until its record is read, so it isn't ranked until then.
+    this.announcedDaemons = daemons
+    const withoutZone = [...seeds, ...this.heardDaemons].map((daemon): [string, string] => [daemon, self.zone])
+    this.zoneByDaemon = new Map([...withoutZone, ...daemons, [self.id, self.zone]])
+    // The data centre of a seed, or of a daemon that was only heard, is unknown until its record is read, so it isn't ranked until then.
     this.relay.setDaemons(new Map([...daemons, [self.id, self.zone]]))
     this.updateConnections()
   }
 
+  /** Makes a daemon that sends messages one that can be called, if it wasn't known: it knows the others. */
+  private noteSender (daemon: string): void {
+    if (this.zoneByDaemon.has(daemon) || this.heardDaemons.size >= MAX_HEARD_DAEMONS || !DAEMON_ADDRESS.test(daemon)) return
+    this.heardDaemons.add(daemon)
+    this.options.logger.info('heard from a daemon that neither the store nor a peer has named', { daemon })
+    this.setDaemons(this.announcedDaemons)
+  }
+
   /** Calls a method of a peer, to which a connection is opened if there is none. */
   callPeer <T>(peer: string, method: string, params: unknown, timeoutMs: number): Promise<Outcome<T, string>> {
     return this.mesh.callPeer<T>(peer, method, params, timeoutMs)
@@ -247,6 +265,7 @@
   private makeRpcMethods () {
     return {
       'fleet.hints': (hints: FleetHints) => {
+        this.noteSender(hints.from)
         this.hints.applyHints(hints)
         this.correctDaemonCount(hints)
         this.relay.recordStoreAge(hints)
@@ -256,7 +275,10 @@
       },
       'fleet.reading': ({ from, reading }: { readonly from: string, readonly reading: EncodedProgress }) => this.options.comparePeerProgress(from, { ...reading, ...decodeProgress(reading) }),
       'fleet.report': (hints: FleetHints) => this.handleReport(hints),
-      'fleet.exchange': (message: RelayMessage) => this.relay.handleExchange(message),
+      'fleet.exchange': (message: RelayMessage) => {
+        this.noteSender(message.from)
+        return this.relay.handleExchange(message)
+      },
       'fleet.news': (items: readonly unknown[]) => {
         for (const item of items.filter(isRunnerUpdate)) if (this.news.addUpdate(item)) this.applyUpdate(item)
       },
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -147,7 +147,6 @@
   private sharedPosition = BEFORE_LOG
   /** Newest era of the store that this daemon or a peer has read; undefined until one has. */
   private newestEra: number | undefined
-  private hasSeenRestore = false
   private hasReadShared = false
   private hasReadRunners = false
   private hasFacts = false
@@ -337,7 +336,7 @@
     const { daemonRecords, factStore } = this.options
     const keys = records.map(({ key }) => key)
     factStore.replaceRecords(keys.filter((key) => key.startsWith(FACT_KEY_PREFIX)))
-    if (this.hasSeenRestore) daemonRecords.noteRestored(keys.filter((key) => key.startsWith(DAEMON_KEY_PREFIX)))
+    daemonRecords.replaceRecords(keys.filter((key) => key.startsWith(DAEMON_KEY_PREFIX)))
   }
 
   private async watchRunners (signal: AbortSignal): Promise<void> {
@@ -419,7 +418,6 @@
     if (previous !== undefined && era <= previous) return
     this.newestEra = era
     if (previous === undefined) return
-    this.hasSeenRestore = true
     this.options.logger.warn('store was restored from an older copy', { era, previous, source, version: this.options.configurations.version })
     this.abortLongPolls()
   }
--- a/packages/figquay-serving/src/__tests__/unit/LostRecords.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/LostRecords.test.ts
@@ -64,7 +64,7 @@
     let isLeader = false
     const records = DaemonRecords.create({ clock, logger, store, canRestore: () => isLeader })
     for (const address of ['a', 'b', 'c', 'd']) records.applyRecord(`daemon/${address}`, 'zone')
-    records.noteRestored(['daemon/a'])
+    records.replaceRecords(['daemon/a'])
     records.applyRecord('daemon/b', 'zone')
     await clock.runFor(ORPHANED_AFTER_MS)
     await records.flush()
@@ -76,13 +76,17 @@
     expect(store.writes).toEqual([[{ key: 'daemon/c', value: 'zone' }, { key: 'daemon/d', value: 'zone' }]])
   })
 
-  it('are not written without a restore, though a peer may name a daemon before the store does', async () => {
+  it('are not written if a peer names a daemon a little before the store does, but are if the store never does', async () => {
     const clock = SimulatedClock.create()
     const store = makeStore()
     const records = DaemonRecords.create({ clock, logger, store, canRestore: () => true })
-    expect([records.addDaemons([['a', 'zone']]), records.addDaemons([['a', 'zone']])]).toEqual([true, false])
-    await clock.runFor(ORPHANED_AFTER_MS)
+    expect([records.addDaemons([['a', 'zone'], ['b', 'zone']]), records.addDaemons([['a', 'zone']])]).toEqual([true, false])
+    await clock.runFor(1_000)
     await records.flush()
     expect(store.writes).toEqual([])
+    records.applyRecord('daemon/a', 'zone')
+    await clock.runFor(ORPHANED_AFTER_MS)
+    await records.flush()
+    expect(store.writes).toEqual([[{ key: 'daemon/b', value: 'zone' }]])
   })
 })
