--- a/packages/figquay-fleet/src/FigquayFleetFacts.ts
+++ b/packages/figquay-fleet/src/FigquayFleetFacts.ts
@@ -52,7 +52,7 @@
   readonly atMs: number
 }
 
-/** A software version served a service: streams that it has begun may still be taken up. */
+/** A software version served a service: callers may still resume streams that it has begun. */
 export interface VersionFact {
   readonly type: 'version'
   readonly id: string
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -9,7 +9,8 @@
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import type { StreamMemory, StreamOrigins, StreamQuery } from './FigquayServingStreamOrigins.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
-import { chooseStoreRole, decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest, type StoreRole } from './FigquayServingStoreWatcher.js'
+import { decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
+import { chooseStoreRole, type StoreRole } from './FigquayServingStoreRole.js'
 
 /** How far a daemon has read the store, as it tells a peer. */
 type EncodedProgress = EncodedPosition & PeerProgress & VersionAnnouncement
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -2,7 +2,8 @@
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { decodePosition, encodePosition, formatLoads, readEra, readOffset, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
-import { decodeProgress, type PeerProgress, type StoreRole } from './FigquayServingStoreWatcher.js'
+import { decodeProgress, type PeerProgress } from './FigquayServingSnapshot.js'
+import type { StoreRole } from './FigquayServingStoreRole.js'
 import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
 /** Request and response of one exchange between two daemons. */
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -45,7 +45,7 @@
   readonly request: ServedRequest
   /** What the gate for suspects knows of the request. */
   readonly gated: GatedRequest
-  /** Replaced once the version that began a stream is known, which its caller takes up. */
+  /** Replaced once the version that began a stream is known, which its caller resumes. */
   stream: StreamProgress
   readonly sink: ResponseSink
   readonly signal: AbortSignal
@@ -161,7 +161,7 @@
     return 'refused'
   }
 
-  /** Finds the software version that may go on with a stream that its caller takes up; returns the refusal if it can't be told. */
+  /** Finds the software version that may go on with a stream that its caller resumes; returns the refusal if it can't be told. */
   private async prepareResumption (progress: RequestProgress): Promise<Refusal | undefined> {
     const { request } = progress
     const { streamOrigins, telemetry } = this.options
@@ -170,11 +170,11 @@
     if (origin.type === 'known') {
       progress.stream = StreamProgress.create(request.resumeAfterEventId, origin.softwareVersion)
       telemetry.noteResumption(request, origin.source)
-      telemetry.recordDecision('stream taken up', request, { resumes: request.resumedRequestId, callerEventId: request.resumeAfterEventId, softwareVersion: origin.softwareVersion, source: origin.source, originAgeMs: origin.ageMs })
+      telemetry.recordDecision('caller resumes a stream', request, { resumes: request.resumedRequestId, callerEventId: request.resumeAfterEventId, softwareVersion: origin.softwareVersion, source: origin.source, originAgeMs: origin.ageMs })
       return undefined
     }
     telemetry.noteResumption(request, origin.reason)
-    telemetry.recordDecision('stream can\'t go on', request, { resumes: request.resumedRequestId, callerEventId: request.resumeAfterEventId, reason: origin.reason })
+    telemetry.recordDecision('stream can\'t be resumed', request, { resumes: request.resumedRequestId, callerEventId: request.resumeAfterEventId, reason: origin.reason })
     const isTemporary = origin.reason === 'no-peer-replied' || origin.reason === 'not-synced'
     return Refusal.create('no_upstream', `the software version that began the stream is unknown: ${origin.reason}`, isTemporary ? { retryAfterMs: FAILED_RETRY_AFTER_MS } : {})
   }
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingSnapshot.ts
@@ -0,0 +1,97 @@
+/** Snapshots of the list of runners between daemons: what a peer lacks, also after the store was restored from an older copy. */
+import { BEFORE_LOG, decodePosition, encodePosition, readEra, type EncodedPosition, type Fact, type FleetRunnerTable, type LogPosition, type Runner } from 'figquay-fleet'
+
+/** State that a daemon sends to one that can't read the store or lags behind; the configuration is sent by `ConfigurationSource`. */
+export interface FleetSnapshot {
+  readonly runners: ReadonlyArray<EncodedPosition & { readonly runner: Runner }>
+  readonly removals: ReadonlyArray<EncodedPosition & { readonly id: string, readonly graceMs: number }>
+  /** The runners are all that the sender knows: others were lost with a restore of the store. */
+  readonly isComplete?: boolean
+  /** Era of the offset below; missing from a daemon that knows no eras. */
+  readonly era?: number
+  /** Offset up to which the sender has read the list of runners. */
+  readonly position: number
+  readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
+  /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
+  readonly facts: readonly Fact[] | undefined
+  /** Time since the list of runners was last read from the store, in milliseconds. */
+  readonly storeAgeMs: number
+}
+
+/** Request for a snapshot. */
+export interface SnapshotRequest {
+  /** Era of the offset below; missing from a daemon that knows no eras. */
+  readonly era?: number
+  /** Offset up to which the requester has read the list of runners. */
+  readonly position: number
+  /** Whether it has no facts yet; later it reconciles them by their digest. */
+  readonly needsFacts: boolean
+}
+
+/** How far a peer has read the store. */
+export interface PeerProgress {
+  /** Position up to which the peer has read the list of runners. */
+  readonly position: LogPosition
+  /** Position of the last change in that list, heartbeats excluded. */
+  readonly changedAt: LogPosition
+  /** Number of daemons that the peer knows. */
+  readonly daemonCount: number
+}
+
+/**
+ * Decodes how far a peer has read the store from one of its messages.
+ *
+ * @example
+ * decodeProgress({ era: 2, position: 7, changedAt: 5, daemonCount: 8 })
+ */
+export function decodeProgress ({ era, position, changedAt, daemonCount }: EncodedPosition & Pick<PeerProgress, 'changedAt' | 'daemonCount'>): PeerProgress {
+  return { position: decodePosition({ era, position }), changedAt: decodePosition({ era, position: changedAt }), daemonCount }
+}
+
+/** The part of a snapshot that concerns runners. */
+type RunnerSnapshot = Pick<FleetSnapshot, 'runners' | 'removals' | 'isComplete' | 'era' | 'position'>
+
+/** Whether a daemon that has read up to a position knows nothing that this one has neither read nor seen replaced by a restore. */
+function isCovered (table: FleetRunnerTable, position: LogPosition): boolean {
+  const { position: own, lastEraPosition } = table
+  return readEra(position) === readEra(own) || (readEra(position) === readEra(lastEraPosition) && position <= lastEraPosition)
+}
+
+/**
+ * Makes a snapshot of what is newer than the requester's position, or of everything if it may know runners that a restore has
+ * lost.
+ *
+ * @example
+ * makeRunnerSnapshot(table, { era: 2, position: 812 })
+ */
+export function makeRunnerSnapshot (table: FleetRunnerTable, requested: EncodedPosition): RunnerSnapshot {
+  // A release that knows no eras gets the difference, as it would from its own.
+  const requestedPosition = decodePosition({ era: readEra(table.position), ...requested })
+  const isComplete = !isCovered(table, requestedPosition)
+  const after = isComplete ? BEFORE_LOG : requestedPosition
+  return {
+    runners: table.listAnnouncements(after).map(({ runner, position }) => ({ runner, ...encodePosition(position) })),
+    removals: table.listRemovals(after).map(({ position, ...removal }) => ({ ...removal, ...encodePosition(position) })),
+    isComplete,
+    ...encodePosition(table.position)
+  }
+}
+
+/**
+ * Applies a peer's snapshot, unless the peer has read an older era: it may list runners that are gone. Returns whether it did.
+ *
+ * @param graceMs Time for which runners are kept that the first snapshot of a new era doesn't list, in milliseconds; undefined
+ * before any list was read.
+ * @example
+ * applyRunnerSnapshot(table, snapshot, 2_000)
+ */
+export function applyRunnerSnapshot (table: FleetRunnerTable, snapshot: RunnerSnapshot, graceMs: number | undefined): boolean {
+  const position = decodePosition(snapshot)
+  const isNewEra = readEra(position) > readEra(table.position)
+  if (readEra(position) < readEra(table.position)) return false
+  for (const { runner, ...encoded } of snapshot.runners) table.putRunner(runner, decodePosition(encoded))
+  for (const { id, graceMs: removalGraceMs, ...encoded } of snapshot.removals) table.removeRunner(id, decodePosition(encoded), removalGraceMs)
+  if (isNewEra && graceMs !== undefined && snapshot.isComplete === true) table.removeUnlisted(new Set(snapshot.runners.map(({ runner }) => runner.id)), position, graceMs)
+  table.advancePosition(position)
+  return true
+}
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -1,79 +1,11 @@
 /** Keeps a daemon's copy of the platform's store up to date, from peers while the store is unreachable. */
-import { describeError, hashText, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { BEFORE_LOG, decodePosition, encodePosition, LEADER_KEY, isFact, readEra, type EncodedPosition, type LogPosition, type ConfigurationHolder, type Fact, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate, type SharedRecordBatch } from 'figquay-fleet'
+import { describeError, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
+import { BEFORE_LOG, decodePosition, encodePosition, LEADER_KEY, isFact, readEra, type ConfigurationHolder, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate, type SharedRecordBatch } from 'figquay-fleet'
 
 import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
-
-/** State that a daemon sends to one that can't read the store or lags behind; the configuration is sent by `ConfigurationSource`. */
-export interface FleetSnapshot {
-  readonly runners: ReadonlyArray<EncodedPosition & { readonly runner: Runner }>
-  readonly removals: ReadonlyArray<EncodedPosition & { readonly id: string, readonly graceMs: number }>
-  /** The runners are all that the sender knows: others were lost with a restore of the store. */
-  readonly isComplete?: boolean
-  /** Era of the offset below; missing from a daemon that knows no eras. */
-  readonly era?: number
-  /** Offset up to which the sender has read the list of runners. */
-  readonly position: number
-  readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
-  /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
-  readonly facts: readonly Fact[] | undefined
-  /** Time since the list of runners was last read from the store, in milliseconds. */
-  readonly storeAgeMs: number
-}
-
-/** Request for a snapshot. */
-export interface SnapshotRequest {
-  /** Era of the offset below; missing from a daemon that knows no eras. */
-  readonly era?: number
-  /** Offset up to which the requester has read the list of runners. */
-  readonly position: number
-  /** Whether it has no facts yet; later it reconciles them by their digest. */
-  readonly needsFacts: boolean
-}
-
-/** How far a peer has read the store. */
-export interface PeerProgress {
-  /** Position up to which the peer has read the list of runners. */
-  readonly position: LogPosition
-  /** Position of the last change in that list, heartbeats excluded. */
-  readonly changedAt: LogPosition
-  /** Number of daemons that the peer knows. */
-  readonly daemonCount: number
-}
-
-/**
- * Decodes how far a peer has read the store from one of its messages.
- *
- * @example
- * decodeProgress({ era: 2, position: 7, changedAt: 5, daemonCount: 8 })
- */
-export function decodeProgress ({ era, position, changedAt, daemonCount }: EncodedPosition & Pick<PeerProgress, 'changedAt' | 'daemonCount'>): PeerProgress {
-  return { position: decodePosition({ era, position }), changedAt: decodePosition({ era, position: changedAt }), daemonCount }
-}
-
-/**
- * How a daemon follows the store. A `reader` long-polls everything and passes it on to its peers. A `looker` long-polls
- * everything except the list of runners, which it gets from the reader and polls rarely. A `listener` gets everything from
- * its peers.
- */
-export type StoreRole = 'reader' | 'looker' | 'listener'
-
-/** Number of daemons in a small fleet that read the store: one reader, the others lookers. */
-const STORE_READING_DAEMONS = 3
-
-/**
- * Chooses how a daemon of a small fleet follows the store, by its rank among the daemons that it is connected to.
- *
- * @example
- * chooseStoreRole('10.0.0.1:80', []) // 'reader': a daemon without peers reads for itself
- */
-export function chooseStoreRole (self: string, connected: readonly string[]): StoreRole {
-  const ownHash = hashText(self)
-  const rank = connected.filter((peer) => hashText(peer) < ownHash).length
-  if (rank === 0) return 'reader'
-  return rank < STORE_READING_DAEMONS ? 'looker' : 'listener'
-}
+import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
+import type { StoreRole } from './FigquayServingStoreRole.js'
 
 /** Options of the store watcher. */
 export interface StoreWatcherOptions {
@@ -234,30 +166,17 @@
     return this.options.daemonRecords.daemons.size
   }
 
-  /** Makes a snapshot of what is newer than the given position, with the facts if they are needed. */
+  /** Makes a snapshot of what is newer than the requester's copy, with the facts if they are needed. */
   makeSnapshot ({ needsFacts, ...requested }: SnapshotRequest): FleetSnapshot {
-    const { table } = this.options
-    // A release that knows no eras gets the difference, as it would from its own.
-    const position = decodePosition({ era: readEra(table.position), ...requested })
-    const isComplete = !this.isCovered(position)
-    const after = isComplete ? BEFORE_LOG : position
+    const { table, daemonRecords, facts } = this.options
     return {
-      runners: table.listAnnouncements(after).map(({ runner, position }) => ({ runner, ...encodePosition(position) })),
-      removals: table.listRemovals(after).map(({ position, ...removal }) => ({ ...removal, ...encodePosition(position) })),
-      isComplete,
-      ...encodePosition(table.position),
-      daemons: [...this.options.daemonRecords.daemons],
-      facts: needsFacts && this.hasFacts ? this.options.facts.listAfter(0) : undefined,
+      ...makeRunnerSnapshot(table, requested),
+      daemons: [...daemonRecords.daemons],
+      facts: needsFacts && this.hasFacts ? facts.listAfter(0) : undefined,
       storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
     }
   }
 
-  /** Whether a daemon that has read up to a position knows nothing that this one has neither read nor seen replaced by a restore. */
-  private isCovered (position: LogPosition): boolean {
-    const { position: own, lastEraPosition } = this.options.table
-    return readEra(position) === readEra(own) || (readEra(position) === readEra(lastEraPosition) && position <= lastEraPosition)
-  }
-
   /** Repeats a long poll; `updateReachability` aborts it when the store becomes unreachable or reachable again. */
   private async runLongPolls (signal: AbortSignal, read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
     const { clock } = this.options
@@ -478,10 +397,11 @@
 
   /** Applies the snapshot of a peer. */
   applySnapshot (snapshot: FleetSnapshot): void {
-    const { table } = this.options
+    const { table, clock } = this.options
     const position = decodePosition(snapshot)
-    // A peer that has not heard of a restore may list runners that are gone.
-    if (readEra(position) >= readEra(table.position)) this.applyRunnerSnapshot(snapshot, position)
+    if (applyRunnerSnapshot(table, snapshot, this.hasReadRunners ? EXPIRY_GRACE_MS : undefined)) {
+      this.runnersReadAtMs = Math.max(this.runnersReadAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
+    }
     if (position !== BEFORE_LOG) {
       this.noteEra(readEra(position), 'snapshot')
       this.hasReadRunners = true
@@ -494,16 +414,6 @@
     if (daemonRecords.addDaemons(snapshot.daemons)) setDaemons(daemonRecords.daemons)
   }
 
-  private applyRunnerSnapshot (snapshot: FleetSnapshot, position: LogPosition): void {
-    const { table, clock } = this.options
-    const isNewEra = this.hasReadRunners && readEra(position) > readEra(table.position)
-    for (const { runner, ...encoded } of snapshot.runners) table.putRunner(runner, decodePosition(encoded))
-    for (const { id, graceMs, ...encoded } of snapshot.removals) table.removeRunner(id, decodePosition(encoded), graceMs)
-    if (isNewEra && snapshot.isComplete === true) table.removeUnlisted(new Set(snapshot.runners.map(({ runner }) => runner.id)), position, EXPIRY_GRACE_MS)
-    table.advancePosition(position)
-    this.runnersReadAtMs = Math.max(this.runnersReadAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
-  }
-
   private logReadFailure (what: string, outcome: Outcome<unknown, CallFailure>): false {
     if (!outcome.ok && outcome.error.reason !== 'cancelled') {
       this.options.logger.debug('store read failed', { what, error: describeError(outcome.error.message) })
--- a/packages/figquay-serving/src/FigquayServingStreamOrigins.ts
+++ b/packages/figquay-serving/src/FigquayServingStreamOrigins.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers which software version began a stream, for callers that take it up at another daemon. What two versions write
+ * Remembers which software version began a stream, for callers that resume it at another daemon. What two versions write
  * doesn't fit together, so a stream goes on at the version that began it, or not at all.
  *
  * While one version serves, each daemon remembers its own streams only. While several do, it also tells two daemons that a
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -26,7 +26,7 @@
     this.results = new Counter({ name: 'figquay_requests_total', help: 'Requests by route and result', labelNames: ['route', 'result'], registers })
     this.attempts = new Counter({ name: 'figquay_attempts_total', help: 'Exchanges with runners by service and outcome', labelNames: ['service', 'outcome'], registers })
     this.quarantined = new Counter({ name: 'figquay_quarantined_total', help: 'Requests refused because they have crashed runners, by route', labelNames: ['route'], registers })
-    this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers take up, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
+    this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers resume, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
   }
 
@@ -53,7 +53,7 @@
     this.results.inc({ route: request.route.name, result })
   }
 
-  /** Counts a stream that its caller takes up, by where its origin was learned or why it is unknown. */
+  /** Counts a stream that its caller resumes, by where its origin was learned or why it is unknown. */
   noteResumption (request: ServedRequest, origin: string): void {
     this.resumptions.inc({ route: request.route.name, origin })
   }
--- a/packages/figquay-serving/src/FigquayServingVersionHistory.ts
+++ b/packages/figquay-serving/src/FigquayServingVersionHistory.ts
@@ -15,7 +15,7 @@
   readonly isLeader: () => boolean
 }
 
-/** A version that has had no runner for this long began no stream that is still taken up, in milliseconds: the lifetime of facts. */
+/** A version that has had no runner for this long began no stream that callers still resume, in milliseconds: the lifetime of facts. */
 const VERSION_MEMORY_MS = 600_000
 /** The version of a service that goes on serving is published again after this time, in milliseconds, as its last fact expires. */
 const PUBLISH_INTERVAL_MS = 300_000
@@ -81,7 +81,7 @@
   /**
    * Notes the versions of the runners that are listed now; the leader also publishes them. Called periodically.
    *
-   * @param services Services with streams that may be taken up.
+   * @param services Services with streams that may be resumed.
    * @param nowMs Wall-clock time, in milliseconds.
    * @example
    * versions.refresh(['assistant'], clock.now().getTime())
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -180,7 +180,7 @@
   return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
 }
 
-describe('routing of a stream that its caller takes up', () => {
+describe('routing of a stream that its caller resumes', () => {
   it('goes on at the version that began it, also when the first runner of it breaks off', async () => {
     const { sink, sent, begun } = await serve([makeScript(HEAD, makeData('fourteen ', '14'), makeFailure('reset', 'unknown')), makeScript(HEAD, makeData('fifteen', '15'), END)], RESUMABLE, { versions: ['a', 'b', 'b'], resumeAfterEventId: '13', origin: { type: 'known', softwareVersion: 'b', source: 'peer', ageMs: undefined } })
     expect([sink.text, sink.ending, sent.map((text) => text.slice(0, 2)).sort(), begun]).toEqual(['200 fourteen fifteen', 'finished', ['r2', 'r3'], ['b']])
