Review: case 2, resumed streams are refused although their model is being loaded

Shows that streams whose runner is taken away at short notice are all lost when it alone held their model: clients that take them up get 503 at once, while new streams for the same model wait for its load on another runner of the same software version, and begin.

Tried with review/2/run.sh: eight daemons as the deploy file starts them, six engines of one version, 24 streams at the runner that leaves, 24 new streams sent around the moment at which it is gone.

--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -16,8 +16,8 @@
   /**
    * @param options.behave Called with each request that may run; answers it, or returns false for the ordinary answer.
    */
-  constructor ({ store, record, id, service, ip, zone, models, version = 1, slots = 64, workMs = 20, behave = () => false }) {
-    Object.assign(this, { store, record, id, service, ip, zone, models, version, slots, workMs, behave })
+  constructor ({ store, record, id, service, ip, zone, models, version = 1, slots = 64, workMs = 20, loadMs = 500, behave = () => false }) {
+    Object.assign(this, { store, record, id, service, ip, zone, models, version, slots, workMs, loadMs, behave })
   }
 
   async start (port = 0) {
@@ -37,7 +37,7 @@
   announce () {
     this.#sequence += 1
     const held = this.models === undefined ? {} : { models: this.models.map((name) => ({ name, version: 1, adapters: [] })), busy: this.isBusy }
-    return this.store.put('keyed.servers', this.id, JSON.stringify({ service: this.service, addr: `${this.ip}:${this.port}`, zone: this.zone, version: this.version, slots: this.slots, state: this.state, 'cold-left-ms': 0, sequence: this.#sequence, born: this.born, ...held }))
+    return this.store.put('keyed.servers', this.id, JSON.stringify({ service: this.service, addr: `${this.ip}:${this.port}`, zone: this.zone, version: this.version, slots: this.slots, state: this.state, 'cold-left-ms': 0, sequence: this.#sequence, born: this.born, ...held, ...this.remainingMs === undefined ? {} : { 'remaining-ms': this.remainingMs } }))
   }
 
   /** Leaves without a report: its entry is removed, and it serves on until it is closed. Returns the time of the acknowledgement. */
@@ -52,6 +52,15 @@
     return this.announce()
   }
 
+  /** Is taken away at short notice: it reports that it drains, and is gone when the time is over, whatever it runs. */
+  async reclaim (remainingMs) {
+    this.remainingMs = remainingMs
+    this.drain()
+    await wait(remainingMs)
+    this.close()
+    this.removeEntry()
+  }
+
   /** Ends at once, as after a crash. */
   close () {
     clearInterval(this.#heartbeat)
@@ -64,6 +73,7 @@
     for await (const chunk of request) chunks.push(chunk)
     const body = Buffer.concat(chunks)
     const requestId = request.headers['x-request-id']
+    if (this.state === 'draining') response.setHeader('server-leaving', '1')
     const answer = (status, value, headers = {}) => response.writeHead(status, { 'content-type': 'application/json', ...requestId === undefined ? {} : { 'x-request-id': requestId }, ...headers }).end(JSON.stringify(value))
     const expected = request.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.id) return answer(421, {}, { 'x-instance-id': this.id, 'x-not-executed': '1' })
@@ -98,7 +108,7 @@
     this.isBusy = true
     answer(202, {})
     this.record('order', { runner: this.id, operation, model, holder, fence })
-    await wait(500)
+    await wait(operation === 'load' ? this.loadMs : 50)
     this.models = operation === 'load' ? [...this.models, model] : this.models.filter((name) => name !== model)
     this.isBusy = false
     this.announce()
