Review: case 4, repeated lookups are refused for good after their runners lost power once

Shows that harmless lookups for the same item, by the same client address, are quarantined as if they had crashed their runners when the three runners of a service go dark together, and are refused with 502 from then on, although the runners are back and serve orders.

--- a/review/standins/link.mjs
+++ b/review/standins/link.mjs
@@ -77,9 +77,12 @@
     from.on('end', () => {
       if (!connection.isSilent) to.end()
     })
-    from.on('error', () => {})
+    let wasReset = false
+    from.on('error', ({ code }) => {
+      wasReset = code === 'ECONNRESET'
+    })
     from.on('close', () => {
-      if (!connection.isSilent) to.destroy()
+      if (!connection.isSilent) wasReset ? to.resetAndDestroy() : to.destroy()
       if (connection.client.destroyed && connection.target.destroyed) this.#connections.delete(connection)
     })
   }
--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -61,6 +61,12 @@
     this.removeEntry()
   }
 
+  /** Loses power: nothing that arrives is answered or closed any more, and it writes nothing to the store. */
+  goDark () {
+    clearInterval(this.#heartbeat)
+    this.isDark = true
+  }
+
   /** Ends at once, as after a crash. */
   close () {
     clearInterval(this.#heartbeat)
@@ -71,6 +77,7 @@
   async #handle (request, response) {
     const chunks = []
     for await (const chunk of request) chunks.push(chunk)
+    if (this.isDark) return
     const body = Buffer.concat(chunks)
     const requestId = request.headers['x-request-id']
     if (this.state === 'draining') response.setHeader('server-leaving', '1')
@@ -86,6 +93,7 @@
     if (await this.behave(arrival) !== false) return
     this.noteRun(arrival)
     await wait(this.workMs)
+    if (this.isDark) return
     response.writeHead(200, { 'content-type': 'application/octet-stream', 'x-request-id': requestId, 'x-response-signature': `signed.${requestId}`, 'x-server-load': `1,0,${this.slots}` }).end(`answer to ${requestId} of ${this.service}`)
   }
 
