--- a/review/standins/link.mjs
+++ b/review/standins/link.mjs
@@ -20,6 +20,11 @@
     return [...this.#connections].filter((connection) => !connection.isSilent).length
   }
 
+  /** Ports from which the link's connections reach their target. */
+  get targetPorts () {
+    return [...this.#connections].map(({ target }) => target.localPort)
+  }
+
   /**
    * Connections on which no byte went either way for `idleMs` go silent for good: neither bytes nor closing pass, and neither
    * end is told. New connections work. Returns how many.
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -30,6 +30,8 @@
 
 export class Store {
   #topics = new Map()
+  /** Ports of the callers whose reads wait for records now. */
+  waitingPorts = new Set()
   #server = createServer((request, response) => this.#handle(request, response).catch(() => response.destroy()))
 
   async listen (ip) {
@@ -88,7 +90,11 @@
     if (url.pathname !== '/figquay/log-read') return answer(404, {})
     const from = Number(url.searchParams.get('from'))
     const waitMs = Math.min(30_000, Number(url.searchParams.get('wait-ms') ?? 0))
-    if (topic.records.length <= from && waitMs > 0) await this.#waitForRecords(topic, waitMs)
+    if (topic.records.length <= from && waitMs > 0) {
+      this.waitingPorts.add(request.socket.remotePort)
+      await this.#waitForRecords(topic, waitMs)
+      this.waitingPorts.delete(request.socket.remotePort)
+    }
     const header = Buffer.alloc(HEADER_BYTES)
     header.writeBigUInt64BE(BigInt(topic.records.length))
     response.writeHead(200).end(Buffer.concat([header, ...topic.records.slice(from).map(encodeRecord)]))
