Log which daemons read the store, and what their reads of each topic show

Now each change of the role, the first failed read of a topic in a row and the end of failures have a line, and the metrics count reads by topic and show the age of each topic.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -159,8 +159,10 @@
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
+      noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
     })
+    this.traces.observeStoreAges((topic) => this.storeWatcher.measureTopicAge(topic))
     this.router = ServingRouter.create({
       clock,
       configurations,
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -6,6 +6,7 @@
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
+import { STORE_TOPICS, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Options of the store watcher. */
 export interface StoreWatcherOptions {
@@ -29,6 +30,8 @@
   readonly requestSnapshot: (request: SnapshotRequest, peer: string | undefined) => Promise<FleetSnapshot | undefined>
   /** Activates a configuration that was read from the store. */
   readonly adoptConfiguration: (configuration: FleetConfiguration) => void
+  /** Counts a read of a topic of the store by its outcome. */
+  readonly noteStoreRead: (topic: StoreTopic, outcome: 'ok' | 'failed') => void
 }
 
 /** Timeout of a long poll for records that rarely change, in milliseconds. */
@@ -73,8 +76,18 @@
 /** A read that exceeds its long-poll timeout by this much has met an outage of the store, in milliseconds. */
 const OUTAGE_OVERRUN_MS = 500
 
+/** What a daemon's own reads of one topic have shown. */
+interface TopicReads {
+  /** Monotonic time of the last successful read, in milliseconds. */
+  confirmedAtMs: number
+  /** Monotonic time since which reads fail, in milliseconds; undefined while they succeed. */
+  failingSinceMs: number | undefined
+}
+
 /** Watches the store, or syncs from peers that do. */
 export class StoreWatcher {
+  private readonly topicReads = new Map<StoreTopic, TopicReads>(STORE_TOPICS.map((topic) => [topic, { confirmedAtMs: Number.NEGATIVE_INFINITY, failingSinceMs: undefined }]))
+  private loggedRole: StoreRole | undefined
   private configurationPosition = BEFORE_LOG
   private sharedPosition = BEFORE_LOG
   /** Newest era of the store that this daemon or a peer has read; undefined until one has. */
@@ -199,13 +212,34 @@
   }
 
   private get isListener (): boolean {
-    return this.isSynced && this.options.findStoreRole() === 'listener'
+    return this.isSynced && this.findRole() === 'listener'
+  }
+
+  private findRole (): StoreRole {
+    const role = this.options.findStoreRole()
+    if (role !== this.loggedRole) {
+      this.options.logger.info('store role changed', { role, previous: this.loggedRole, ...this.describeTopics() })
+      this.loggedRole = role
+    }
+    return role
+  }
+
+  /** Time since this daemon last read a topic itself, in milliseconds; infinite if it never has. */
+  measureTopicAge (topic: StoreTopic): number {
+    return this.options.clock.readMonotonicMs() - this.topicReads.get(topic)!.confirmedAtMs
+  }
+
+  /** Age of each topic by this daemon's own reads, for logs. */
+  private describeTopics (): Record<string, number | undefined> {
+    const describeAge = (topic: StoreTopic): number | undefined => Number.isFinite(this.measureTopicAge(topic)) ? Math.round(this.measureTopicAge(topic)) : undefined
+    return { storeAgeMs: Number.isFinite(this.storeAgeMs) ? Math.round(this.storeAgeMs) : undefined, configurationAgeMs: describeAge('configuration'), sharedAgeMs: describeAge('shared'), runnersAgeMs: describeAge('runners') }
   }
 
   private async readConfiguration (waitMs: number, signal: AbortSignal): Promise<boolean> {
-    const { store, adoptConfiguration } = this.options
+    const { store, clock, adoptConfiguration } = this.options
+    const startedAtMs = clock.readMonotonicMs()
     const reading = await store.readConfiguration(this.configurationPosition, waitMs, signal)
-    if (!reading.ok) return this.logReadFailure('configuration', reading)
+    if (!this.noteRead('configuration', reading, startedAtMs)) return false
     this.configurationPosition = reading.value.position
     this.noteEra(readEra(reading.value.position), 'store')
     if (reading.value.configuration !== undefined) adoptConfiguration(reading.value.configuration)
@@ -214,16 +248,17 @@
 
   /** Reads the newest configuration from the store without waiting for a newer one; undefined if it can't be read. */
   async readNewestConfiguration (signal: AbortSignal): Promise<FleetConfiguration | undefined> {
+    const startedAtMs = this.options.clock.readMonotonicMs()
     const reading = await this.options.store.readConfiguration(BEFORE_LOG, 0, signal)
-    if (reading.ok) return reading.value.configuration
-    this.logReadFailure('newest configuration', reading)
-    return undefined
+    if (!this.noteRead('configuration', reading, startedAtMs)) return undefined
+    return reading.value.configuration
   }
 
   private async readSharedRecords (waitMs: number, signal: AbortSignal): Promise<boolean> {
     const { store, clock, leadership } = this.options
+    const startedAtMs = clock.readMonotonicMs()
     const reading = await store.readShared(this.sharedPosition, waitMs, signal)
-    if (!reading.ok) return this.logReadFailure('shared records', reading)
+    if (!this.noteRead('shared', reading, startedAtMs)) return false
     this.noteEra(readEra(reading.value.end), 'store')
     this.applySharedRecords(reading.value)
     this.hasReadShared = true
@@ -265,10 +300,10 @@
         continue
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
-      const isReader = this.options.findStoreRole() === 'reader' || !this.hasReadRunners
+      const isReader = this.findRole() === 'reader' || !this.hasReadRunners
       const longPollMs = isReader ? RUNNERS_LONG_POLL_MS : 0
       const reading = await this.options.store.readRunners(this.options.table.position, longPollMs, signal)
-      if (reading.ok) {
+      if (this.noteRead('runners', reading, startedAtMs)) {
         const nowMs = this.options.clock.readMonotonicMs()
         if (!this.isReachable || nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS) this.storeRecoveredAtMs = nowMs
         this.noteEra(readEra(reading.value.position), 'store')
@@ -276,7 +311,6 @@
         this.runnersReadAtMs = this.options.clock.readMonotonicMs()
         this.updateReachability(true)
       } else if (!signal.aborted) {
-        this.logReadFailure('runners', reading)
         this.updateReachability(false)
         await this.fetchFromPeer()
       }
@@ -372,7 +406,7 @@
       if (this.peerAhead === peer) this.laggingSinceMs = undefined
       return
     }
-    const toleranceMs = this.options.findStoreRole() === 'reader' ? LAG_TOLERANCE_MS : 0
+    const toleranceMs = this.findRole() === 'reader' ? LAG_TOLERANCE_MS : 0
     if (this.laggingSinceMs === undefined) {
       this.laggingSinceMs = nowMs
       this.peerAhead = peer
@@ -414,10 +448,24 @@
     if (daemonRecords.addDaemons(snapshot.daemons)) setDaemons(daemonRecords.daemons)
   }
 
-  private logReadFailure (what: string, outcome: Outcome<unknown, CallFailure>): false {
-    if (!outcome.ok && outcome.error.reason !== 'cancelled') {
-      this.options.logger.debug('store read failed', { what, error: describeError(outcome.error.message) })
+  /** Notes the outcome of a read of a topic, and logs the first failure in a row and the end of failures. */
+  private noteRead<T> (topic: StoreTopic, reading: Outcome<T, CallFailure>, startedAtMs: number): reading is Extract<Outcome<T, CallFailure>, { ok: true }> {
+    const { clock, logger, noteStoreRead } = this.options
+    const nowMs = clock.readMonotonicMs()
+    const reads = this.topicReads.get(topic)!
+    if (reading.ok) {
+      if (reads.failingSinceMs !== undefined) logger.info('reads of the store succeed again', { topic, failedForMs: Math.round(nowMs - reads.failingSinceMs) })
+      reads.confirmedAtMs = nowMs
+      reads.failingSinceMs = undefined
+      noteStoreRead(topic, 'ok')
+      return true
     }
+    if (reading.error.reason === 'cancelled') return false
+    noteStoreRead(topic, 'failed')
+    const fields = { topic, reason: reading.error.reason, error: describeError(reading.error.message), tookMs: Math.round(nowMs - startedAtMs), ...this.describeTopics() }
+    if (reads.failingSinceMs === undefined) logger.info('reads of the store fail', fields)
+    else logger.debug('store read failed', fields)
+    reads.failingSinceMs ??= nowMs
     return false
   }
 }
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -1,7 +1,7 @@
 /** Request metrics, and a rate-limited log line for each decision that departs from the normal path. */
-import { Counter, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { Clock, LogFields, Logger } from 'figquay'
-import type { ServedRequest, ServedResult } from './FigquayServingTypes.js'
+import { STORE_TOPICS, type ServedRequest, type ServedResult, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Log lines on decisions per second; suppressed lines are counted, and the next line reports their number. */
 const MAX_DECISION_LINES_PER_SECOND = 50
@@ -17,6 +17,7 @@
   private readonly firstByteSeconds: Histogram<'route'>
   private readonly quarantined: Counter<'route'>
   private readonly resumptions: Counter<'route' | 'origin'>
+  private readonly storeReads: Counter<'topic' | 'outcome'>
   private windowStartMs = 0
   private linesInWindow = 0
   private suppressed = 0
@@ -27,6 +28,7 @@
     this.attempts = new Counter({ name: 'figquay_attempts_total', help: 'Exchanges with runners by service and outcome', labelNames: ['service', 'outcome'], registers })
     this.quarantined = new Counter({ name: 'figquay_quarantined_total', help: 'Requests refused because they have crashed runners, by route', labelNames: ['route'], registers })
     this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers resume, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
+    this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
   }
 
@@ -58,6 +60,30 @@
     this.resumptions.inc({ route: request.route.name, origin })
   }
 
+  /** Counts a read of a topic of the store by its outcome. */
+  noteStoreRead (topic: StoreTopic, outcome: 'ok' | 'failed'): void {
+    this.storeReads.inc({ topic, outcome })
+  }
+
+  /**
+   * Keeps a gauge of how long ago this daemon last read each topic of the store itself.
+   *
+   * @param measureAge Time since the last read of a topic, in milliseconds; infinite if there was none.
+   * @example
+   * telemetry.observeStoreAges((topic) => watcher.measureTopicAge(topic))
+   */
+  observeStoreAges (measureAge: (topic: StoreTopic) => number): void {
+    const gauge: Gauge<'topic'> = new Gauge({
+      name: 'figquay_store_topic_age_seconds',
+      help: 'Time since this daemon last read a topic of the platform\'s store itself',
+      labelNames: ['topic'],
+      registers: [this.registry],
+      collect: () => {
+        for (const topic of STORE_TOPICS) gauge.set({ topic }, measureAge(topic) / MS_PER_SECOND)
+      }
+    })
+  }
+
   /** Counts a request that was refused because it has crashed runners. */
   noteQuarantined (request: ServedRequest): void {
     this.quarantined.inc({ route: request.route.name })
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -125,3 +125,7 @@
 
 /** How a request ended. */
 export type ServedResult = 'answered' | 'refused' | 'broken' | 'caller-left'
+
+/** Topics of the store that daemons follow. */
+export const STORE_TOPICS = ['configuration', 'runners', 'shared'] as const
+export type StoreTopic = typeof STORE_TOPICS[number]
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -49,7 +49,7 @@
   const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
   const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
-    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
+    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
   return { configurationReads, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
