--- a/packages/figquay-fleet/src/FigquayFleetLeadership.ts
+++ b/packages/figquay-fleet/src/FigquayFleetLeadership.ts
@@ -163,6 +163,11 @@
     return this.current?.daemon === '' && this.isVacatedByRestart
   }
 
+  /** Whether a conditional write has shown that the store holds records that this daemon hasn't read. */
+  get lacksRecords (): boolean {
+    return this.isRecordsEndStale
+  }
+
   /** Updates the end of the shared records, for conditional writes. */
   updateRecordsEnd (end: LogPosition): void {
     this.recordsEnd = Math.max(this.recordsEnd, end)
--- a/packages/figquay-fleet/src/FigquayFleetPlatform.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlatform.ts
@@ -44,6 +44,12 @@
 /** Result of a conditional write: `overtaken` when another record was written first. */
 export type WriteResult = { readonly type: 'written', readonly position: LogPosition } | { readonly type: 'overtaken' }
 
+/**
+ * A read whose answer hasn't begun this long after its wait is over has met a dead connection, in milliseconds; it is
+ * repeated on a new one. A store that works answers within a few milliseconds.
+ */
+export const STORE_SILENCE_MS = 350
+
 /**
  * The platform's store. Reads return what follows the position `after`; `BEFORE_LOG` reads everything, and so does a
  * position of an older era than the store's.
@@ -59,6 +65,8 @@
   abstract writeShared (key: string, value: string, expectedEnd: LogPosition | undefined): Promise<Outcome<WriteResult, CallFailure>>
   /** Writes or deletes records in one call, without a condition. */
   abstract writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>>
+  /** Has later calls open new connections, as those that are open may have gone silent; calls in progress continue. */
+  abstract renewConnections (): void
   /** Closes connections. */
   abstract close (): void
 }
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -13,7 +13,7 @@
 export { planModels, type ModelPlanStep, type ModelPlanInput, type PlannerReplica, type PlannerModel, type PlannerRunner, type UnplacedReason } from './FigquayFleetModelPlan.js'
 export { computePlanDelayMs } from './FigquayFleetPlanPace.js'
 export { planAdapter, type AdapterCandidate, type AdapterPlanStep } from './FigquayFleetAdapterPlan.js'
-export { FleetStore, RunnerOrderClient, type FleetOrder, type FleetOrderReply, type RunnerChange, type RunnerRegistryUpdate, type RunnerState, type SharedRecordBatch, type SharedRecord, type SharedWrite, type WriteResult } from './FigquayFleetPlatform.js'
+export { FleetStore, RunnerOrderClient, STORE_SILENCE_MS, type FleetOrder, type FleetOrderReply, type RunnerChange, type RunnerRegistryUpdate, type RunnerState, type SharedRecordBatch, type SharedRecord, type SharedWrite, type WriteResult } from './FigquayFleetPlatform.js'
 export { BEFORE_LOG, decodePosition, encodePosition, makeLogPosition, readEra, readOffset, type EncodedPosition, type LogPosition } from './FigquayFleetLogPosition.js'
 export { FleetLeadership, LEADER_KEY, type Leader, type LeadershipOptions } from './FigquayFleetLeadership.js'
 export { checkOrder, countUsedAdapterSlots, measureUsedMb, type CheckedOrder } from './FigquayFleetOrderCheck.js'
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -15,6 +15,7 @@
 import { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { VersionHistory } from './FigquayServingVersionHistory.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
+import { computeStoreTiming, type ChangeBounds } from './FigquayServingStoreTiming.js'
 import { StoreWatcher } from './FigquayServingStoreWatcher.js'
 import { shortenFingerprint } from './FigquayServingSuspectGate.js'
 import { ServingTelemetry } from './FigquayServingTelemetry.js'
@@ -32,6 +33,8 @@
   readonly peerSecrets: readonly string[]
   /** Retry budget of a service over all daemons. */
   readonly retries: { readonly perRequest: number, readonly burst: number }
+  /** Times within which changes must take effect. */
+  readonly bounds: ChangeBounds
   readonly clock: Clock
   readonly logger: Logger
   readonly store: FleetStore
@@ -159,6 +162,7 @@
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
+      computeTiming: () => computeStoreTiming(options.bounds, this.peers.spread),
       noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
     })
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -11,6 +11,7 @@
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import { chooseStoreRole, type StoreRole } from './FigquayServingStoreRole.js'
+import type { FleetSpread } from './FigquayServingStoreTiming.js'
 
 /** How far a daemon has read the store, as it tells a peer. */
 type EncodedProgress = EncodedPosition & PeerProgress & VersionAnnouncement
@@ -55,6 +56,8 @@
  * of the time in which a runner's queue changes much.
  */
 const HINT_INTERVAL_MS = 200
+/** Time until all daemons of a small fleet have what one has read, in milliseconds: hints, then a call for what has changed. */
+const MESH_SPREAD_MS = HINT_INTERVAL_MS + 100
 /** Shortest interval between messages that announce new needs, in milliseconds. */
 const MIN_NEED_INTERVAL_MS = 10
 /** Largest fleet that uses a full mesh; beyond it, the messages would cost more than the requests. */
@@ -151,6 +154,11 @@
     return this.zoneByDaemon.size > MAX_FULL_MESH_DAEMONS
   }
 
+  /** How fast the daemons tell each other what they have read. */
+  get spread (): FleetSpread {
+    return this.isLargeFleet ? this.relay.spread : { spreadMs: MESH_SPREAD_MS }
+  }
+
   /**
    * How this daemon follows the store. A daemon that knows too few others takes a large fleet for a small one and waits for
    * hints that nobody sends; it stops being a listener once the last read that it knows of is too old.
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -4,6 +4,7 @@
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 import { decodeProgress, type PeerProgress } from './FigquayServingSnapshot.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
+import type { FleetSpread } from './FigquayServingStoreTiming.js'
 import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
 /** Request and response of one exchange between two daemons. */
@@ -88,6 +89,11 @@
 /** A daemon reads the store itself after this long without an exchange with its parent, in milliseconds. */
 const MAX_PARENT_SILENCE_MS = 1_000
 
+/** Exchanges that a change takes to every daemon: between the roots, then down. */
+const SPREAD_EXCHANGES = 2
+/** Time until a daemon that has heard of a change has fetched it, in milliseconds. */
+const FETCH_MS = 150
+
 /** Exchanges of one daemon with its parent in the tree or, as a root, with the other roots. */
 export class FleetRelay {
   private ranked: RankedDaemons = new Map()
@@ -137,6 +143,15 @@
     return this.storeAgeMs > MAX_STORE_AGE_MS
   }
 
+  /** How fast the daemons tell each other what they have read. */
+  get spread (): FleetSpread {
+    return { spreadMs: SPREAD_EXCHANGES * this.intervalMs + FETCH_MS }
+  }
+
+  private get intervalMs (): number {
+    return EXCHANGE_INTERVAL_MS * Math.max(1, this.daemonCount / MAX_FULL_RATE_DAEMONS)
+  }
+
   /** Records the store age that a peer has reported; what it read of an older era than this daemon has read is outdated. */
   recordStoreAge ({ storeAgeMs: ageMs, ...encoded }: Pick<RelayMessage, 'storeAgeMs' | 'era' | 'position'>): void {
     if (readEra(decodePosition(encoded)) < readEra(this.options.table.position)) return
@@ -170,8 +185,7 @@
       try {
         if (isEnabled()) await this.exchangeOnce()
       } finally {
-        const intervalMs = EXCHANGE_INTERVAL_MS * Math.max(1, this.daemonCount / MAX_FULL_RATE_DAEMONS)
-        await clock.waitFor(Math.max(1, startedAtMs + intervalMs - clock.readMonotonicMs()), signal)
+        await clock.waitFor(Math.max(1, startedAtMs + this.intervalMs - clock.readMonotonicMs()), signal)
       }
     })
   }
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -6,6 +6,7 @@
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
+import type { StoreTiming } from './FigquayServingStoreTiming.js'
 import { STORE_TOPICS, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Options of the store watcher. */
@@ -24,6 +25,8 @@
   /** Called with the data centre of each daemon, by address, after a change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
   readonly findStoreRole: () => StoreRole
+  /** Computes the time limits of this daemon's reads, which depend on the size of the fleet. */
+  readonly computeTiming: () => StoreTiming
   /** Tells the peers at once that a runner is leaving, before they compare their progress. */
   readonly announceLeaving: (runner: string, bornMs: number) => void
   /** Requests what is newer than this daemon's copy from a peer, or from any if none is given; undefined without a response. */
@@ -34,8 +37,13 @@
   readonly noteStoreRead: (topic: StoreTopic, outcome: 'ok' | 'failed') => void
 }
 
-/** Timeout of a long poll for records that rarely change, in milliseconds. */
+/**
+ * Wait of a read for records that rarely change, in milliseconds, at daemons that would hear of a change from the reader
+ * if the connection that they wait on were dead.
+ */
 const LONG_POLL_MS = 20_000
+/** Interval at which a daemon checks whether its role has changed, in milliseconds. */
+const ROLE_CHECK_MS = 100
 /**
  * Shortest interval between two reads of the list of runners, in milliseconds, so that changes are read in batches: well
  * within the time in which requests to a leaving runner must stop.
@@ -88,6 +96,9 @@
 export class StoreWatcher {
   private readonly topicReads = new Map<StoreTopic, TopicReads>(STORE_TOPICS.map((topic) => [topic, { confirmedAtMs: Number.NEGATIVE_INFINITY, failingSinceMs: undefined }]))
   private loggedRole: StoreRole | undefined
+  private lastRole: StoreRole = 'reader'
+  /** Whether this daemon lacked shared records at the last check, so that its read of them may be waiting in vain. */
+  private hasLackedRecords = false
   private configurationPosition = BEFORE_LOG
   private sharedPosition = BEFORE_LOG
   /** Newest era of the store that this daemon or a peer has read; undefined until one has. */
@@ -147,8 +158,9 @@
   startTasks (tasks: TaskGroup): void {
     tasks.startTask('start', async (signal) => {
       if (!this.options.isSeed) await this.bootstrapFromPeers(signal)
-      tasks.startTask('shared records', (inner) => this.runLongPolls(inner, (waitMs, read) => this.readSharedRecords(waitMs, read)))
-      tasks.startTask('configuration', (inner) => this.runLongPolls(inner, (waitMs, read) => this.readConfiguration(waitMs, read)))
+      tasks.startTask('shared records', (inner) => this.runLongPolls(inner, 'shared', (waitMs, read) => this.readSharedRecords(waitMs, read)))
+      tasks.startTask('configuration', (inner) => this.runLongPolls(inner, 'configuration', (waitMs, read) => this.readConfiguration(waitMs, read)))
+      tasks.startLoop('store role', ROLE_CHECK_MS, async () => this.refreshRole())
       tasks.startTask('runners', (inner) => this.watchRunners(inner))
     })
   }
@@ -190,8 +202,31 @@
     }
   }
 
-  /** Repeats a long poll; `updateReachability` aborts it when the store becomes unreachable or reachable again. */
-  private async runLongPolls (signal: AbortSignal, read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
+  /** Restarts the reads that wait, if they may be waiting in vain. */
+  private refreshRole (): void {
+    const { leadership } = this.options
+    const role = this.findRole()
+    const hasBecomeReader = role === 'reader' && this.lastRole === 'looker'
+    const isWaitingInVain = leadership.lacksRecords && this.hasLackedRecords
+    this.lastRole = role
+    this.hasLackedRecords = leadership.lacksRecords
+    if (hasBecomeReader || isWaitingInVain) this.restartReads()
+  }
+
+  private restartReads (): void {
+    this.options.store.renewConnections()
+    this.abortLongPolls()
+  }
+
+  /** Wait of a read, in milliseconds: the reader answers for all that a change which its connection keeps from it is noticed in time. */
+  private chooseWait (topic: 'configuration' | 'shared'): number {
+    if (this.findRole() !== 'reader') return LONG_POLL_MS
+    const { configurationWaitMs, sharedWaitMs } = this.options.computeTiming()
+    return topic === 'configuration' ? configurationWaitMs : sharedWaitMs
+  }
+
+  /** Repeats a long poll; `abortLongPolls` has it begin anew. */
+  private async runLongPolls (signal: AbortSignal, topic: 'configuration' | 'shared', read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
     const { clock } = this.options
     // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
     let waitMs = 0
@@ -205,9 +240,10 @@
       const abort = (): void => longPollAbort.abort()
       signal.addEventListener('abort', abort, { once: true })
       const succeeded = await read(waitMs, longPollAbort.signal)
-      waitMs = succeeded ? LONG_POLL_MS : 0
+      const wasRestarted = longPollAbort.signal.aborted
+      waitMs = succeeded && !wasRestarted ? this.chooseWait(topic) : 0
       signal.removeEventListener('abort', abort)
-      await clock.waitFor(succeeded ? Math.max(0, startedAtMs + MIN_READ_INTERVAL_MS - clock.readMonotonicMs()) : RETRY_DELAY_MS, signal)
+      await clock.waitFor(succeeded || wasRestarted ? Math.max(0, startedAtMs + MIN_READ_INTERVAL_MS - clock.readMonotonicMs()) : RETRY_DELAY_MS, signal)
     }
   }
 
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -1,7 +1,7 @@
 /** Daemons of one fleet in one process, on virtual time, with a store and links between them that take time for each byte. */
 import { JsonLogger, makeFailure, makeSuccess, type CallFailure, type Logger, type Outcome } from 'figquay'
 import { FleetStore, makeLogPosition, readEra, readOffset, type FleetConfiguration, type LogPosition, type Route, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
-import { rankDaemons, ServingDaemon, type RunnerExchangeClient } from '../../index.js'
+import { rankDaemons, ServingDaemon, type ChangeBounds, type RunnerExchangeClient } from '../../index.js'
 import { SimulatedClock } from './SimulatedClock.js'
 import { SimulatedNetwork } from './SimulatedNetwork.js'
 
@@ -89,6 +89,8 @@
     return makeSuccess(undefined)
   }
 
+  override renewConnections (): void {}
+
   override close (): void {}
 
   /** Waits until there is something to read, then for the time that the response takes. */
@@ -127,6 +129,8 @@
   /** Bandwidth of a daemon's link, in bytes per millisecond. */
   readonly bytesPerMs: number
   readonly createLogger?: (address: string) => Logger
+  /** Those of the grown sites by default. */
+  readonly bounds?: ChangeBounds
 }
 
 /** Delay between daemons on the network, in milliseconds. */
@@ -242,6 +246,7 @@
       seeds,
       peerSecrets: ['a-secret-of-these-tests'],
       retries: { perRequest: 0.1, burst: 10 },
+      bounds: this.options.bounds ?? { drainWithinMs: 3_000, applyWithinMs: 3_000 },
       clock,
       logger: this.options.createLogger?.(address) ?? JsonLogger.create(address, 'silent'),
       store: new SimulatedStore(this.store, clock, this.options.bytesPerMs),
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, makeLogPosition, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
-import { ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
+import { computeStoreTiming, ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -12,6 +12,7 @@
   services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 1, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map() } }]]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
+const BOUNDS = { drainWithinMs: 2_000, applyWithinMs: 2_000 }
 const EVERYTHING: SnapshotRequest = { position: -1, needsFacts: true }
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
@@ -28,7 +29,8 @@
     },
     readRunners: async () => readings.shift() ?? await reply({ changes: [{ type: 'announced', runner: RUNNER, position: 4 }], isComplete: true, position: 4 }),
     readShared: () => reply({ records: [{ key: 'daemon/10.0.0.2:80', value: 'z', position: 0 }], end: 1 }),
-    writeShared: () => reply({ type: 'written', position: 0 })
+    writeShared: () => reply({ type: 'written', position: 0 }),
+    renewConnections: () => {}
   } as unknown as FleetStore
 }
 
@@ -49,7 +51,7 @@
   const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
   const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
-    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
+    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, computeTiming: () => computeStoreTiming(BOUNDS, { spreadMs: 300 }), noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
   return { configurationReads, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -19,6 +19,7 @@
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
 export { applyRunnerSnapshot, decodeProgress, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 export { chooseStoreRole, type StoreRole } from './FigquayServingStoreRole.js'
+export { computeStoreTiming, type ChangeBounds, type FleetSpread, type StoreTiming } from './FigquayServingStoreTiming.js'
 export { StoreWatcher, type StoreWatcherOptions } from './FigquayServingStoreWatcher.js'
 export { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 export { ServingPeers, type ServingMesh, type ServingPeersOptions } from './FigquayServingPeers.js'
