--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -31,6 +31,8 @@
    * that is known from hints alone is not passed on, as it would decrease with each hop.
    */
   readonly storeAgeMs: number
+  /** Identifies that read; missing from a daemon that doesn't name reads. */
+  readonly storeRead?: string
   /** Load by runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
   /** Request arrivals by model since the last message. */
@@ -70,8 +72,8 @@
   readonly findNewestVersion: () => number
   /** Summary of this daemon's facts. */
   readonly readFactsState: () => FactsState
-  /** Time since the store was last read, by this daemon or the one that its state comes from, in milliseconds. */
-  readonly measureStoreAge: () => number
+  /** The last read of the store by this daemon or the one that its state comes from. */
+  readonly reportStoreRead: () => Pick<FleetHints, 'storeAgeMs' | 'storeRead'>
 }
 
 /** Creates the hints of this daemon and applies those of its peers. */
@@ -132,7 +134,7 @@
   }
 
   private makeMessage (arrivals: ReadonlyMap<string, Arrivals>): FleetHints {
-    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, findNewestVersion, readFactsState, measureStoreAge } = this.options
+    const { self, table, demand, leadership, configurations, listNeeds, countDaemons, findNewestVersion, readFactsState, reportStoreRead } = this.options
     const adapters = [...this.usedAdapters].map((entry) => entry.split('\n') as [string, string])
     this.usedAdapters = new Set()
     const needs = listNeeds()
@@ -146,7 +148,7 @@
       changedAt: readOffset(table.lastChangePosition),
       daemonCount: countDaemons(),
       facts: readFactsState(),
-      storeAgeMs: Math.round(measureStoreAge()),
+      ...reportStoreRead(),
       loads: [...table.exportLoads()].map(([runner, load]) => [runner, load.requests, load.pendingTokens, Math.round(load.recentTokens), [...this.countOwnRequests(runner)]]),
       arrivals: [...arrivals],
       needs,
--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -6,6 +6,7 @@
 import { describeError, Refusal, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { applyConfigurationUpdate, type ConfigurationHolder, type ConfigurationUpdate, type FleetConfiguration, type Route } from 'figquay-fleet'
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
+import { FALLBACK_JITTER_MS } from './FigquayServingStoreTiming.js'
 
 /** Versions that a peer announces. */
 export interface VersionAnnouncement {
@@ -25,6 +26,8 @@
   readonly callPeer: <T>(peer: string, method: string, params: unknown, timeoutMs: number) => Promise<Outcome<T, string>>
   /** Peers to which a connection is open. */
   readonly listConnected: () => readonly string[]
+  /** Computes how long a daemon that is behind asks its peers before it reads the store, in milliseconds. */
+  readonly computeFallbackMs: () => number
   /** Reads the newest configuration from the store; undefined if it can't be read. */
   readonly readFromStore: (signal: AbortSignal) => Promise<FleetConfiguration | undefined>
 }
@@ -42,10 +45,6 @@
 const BUSY_PEER_JITTER_MS = 100
 /** Delay before the peers are checked again when none can be asked, in milliseconds. */
 const RETRY_DELAY_MS = 50
-/** A daemon that has been behind for this long reads the store, in milliseconds: less than half of the time that a change may take. */
-const STORE_FALLBACK_MS = 1_200
-/** Random addition to that time, in milliseconds: what the first daemons read there, the others get from them. */
-const STORE_FALLBACK_JITTER_MS = 600
 /**
  * A daemon that starts takes its configuration for the newest after this time, in milliseconds, though not all connected
  * peers have announced theirs: they do so every 200 ms.
@@ -175,7 +174,7 @@
   private noteNewest (peer: string, version: number): void {
     const { clock, logger, configurations } = this.options
     const nowMs = clock.readMonotonicMs()
-    if (!this.isBehind) this.nextStoreReadAtMs = nowMs + STORE_FALLBACK_MS + STORE_FALLBACK_JITTER_MS * Math.random()
+    if (!this.isBehind) this.nextStoreReadAtMs = nowMs + this.options.computeFallbackMs() + FALLBACK_JITTER_MS * Math.random()
     this.newest = { version, sinceMs: nowMs }
     logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
   }
@@ -205,7 +204,7 @@
     if (result === 'activated') return
     // Without any configuration, the store's own tasks read it as soon as no peer has helped.
     if (this.isBehind && configurations.version >= 0 && clock.readMonotonicMs() >= this.nextStoreReadAtMs) {
-      this.nextStoreReadAtMs = clock.readMonotonicMs() + STORE_FALLBACK_MS
+      this.nextStoreReadAtMs = clock.readMonotonicMs() + this.options.computeFallbackMs()
       const configuration = await this.options.readFromStore(signal)
       if (configuration !== undefined) this.adoptFromStore(configuration)
       return
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -15,7 +15,7 @@
 import { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { VersionHistory } from './FigquayServingVersionHistory.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
-import { computeStoreTiming, type ChangeBounds } from './FigquayServingStoreTiming.js'
+import type { ChangeBounds } from './FigquayServingStoreTiming.js'
 import { StoreWatcher } from './FigquayServingStoreWatcher.js'
 import { shortenFingerprint } from './FigquayServingSuspectGate.js'
 import { ServingTelemetry } from './FigquayServingTelemetry.js'
@@ -115,6 +115,7 @@
       configurations,
       callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs),
       listConnected: () => this.peers.connectedPeers,
+      computeFallbackMs: () => this.peers.timing.configurationFallbackMs,
       readFromStore: (signal) => this.storeWatcher.readNewestConfiguration(signal)
     })
     const { configurationSync } = this
@@ -141,13 +142,15 @@
         configurationSync.noteAnnouncement(peer, progress)
         this.storeWatcher.comparePeerProgress(peer, progress)
       },
-      measureStoreAge: () => this.storeWatcher.storeAgeMs,
+      findOwnRead: () => this.storeWatcher.ownRead,
+      bounds: options.bounds,
       streamOrigins: () => this.streamOrigins,
       countDaemons: () => this.storeWatcher.daemonCount,
       schedulePlanning: () => this.schedulePlanning(),
       createMesh: options.createMesh
     })
     this.storeWatcher = StoreWatcher.create({
+      bootId,
       isSeed: options.seeds.length === 0 || options.seeds.includes(address),
       clock,
       logger,
@@ -162,7 +165,7 @@
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
-      computeTiming: () => computeStoreTiming(options.bounds, this.peers.spread),
+      computeTiming: () => this.peers.timing,
       noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
     })
@@ -282,6 +285,16 @@
     })
   }
 
+  /** Ids of the runners of a service that requests may be sent to. */
+  listRunners (service: string): string[] {
+    return this.table.listViews(service).map(({ runner }) => runner.id)
+  }
+
+  /** How this daemon follows the store now. */
+  get storeRole (): StoreRole {
+    return this.findStoreRole()
+  }
+
   private findStoreRole (): StoreRole {
     const role = this.peers.storeRole
     const { leadership, storeWatcher } = this
--- /dev/null
+++ b/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
@@ -0,0 +1,61 @@
+/** Newest read of the store that a daemon knows of, by itself or by another daemon. */
+import type { Clock } from 'figquay'
+
+/** A read of the store as daemons tell each other; the fields are part of their messages. */
+export interface StoreReadReport {
+  /** Time since the read, in milliseconds. */
+  readonly storeAgeMs: number
+  /** Identifies the read; missing from a daemon that doesn't name reads. */
+  readonly storeRead?: string
+}
+
+/**
+ * Keeps the newest read. A report doesn't say how long it was under way, so a read that daemons tell each other in circles
+ * would seem ever newer; each read is identified, and dated by the oldest report of it.
+ */
+export class NewestStoreRead {
+  private atMs = Number.NEGATIVE_INFINITY
+  private id: string | undefined
+
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * @example
+   * const newest = NewestStoreRead.create(clock)
+   */
+  static create (clock: Clock): NewestStoreRead {
+    return new NewestStoreRead(clock)
+  }
+
+  /** Time since the read, in milliseconds; infinite if none is known. */
+  get ageMs (): number {
+    return this.clock.readMonotonicMs() - this.atMs
+  }
+
+  /** The read as other daemons are told of it. JSON can't represent infinity. */
+  get report (): StoreReadReport {
+    return { storeAgeMs: Math.min(Math.round(this.ageMs), Number.MAX_SAFE_INTEGER), storeRead: this.id }
+  }
+
+  /**
+   * Notes a read that was reported.
+   *
+   * @example
+   * newest.noteReport({ storeAgeMs: 120, storeRead: 'boot-1/17' })
+   */
+  noteReport ({ storeAgeMs, storeRead }: StoreReadReport): void {
+    if (!Number.isFinite(storeAgeMs)) return
+    const atMs = this.clock.readMonotonicMs() - Math.max(0, storeAgeMs)
+    const isSameRead = storeRead !== undefined && storeRead === this.id
+    if (isSameRead) this.atMs = Math.min(this.atMs, atMs)
+    else if (atMs > this.atMs) {
+      this.atMs = atMs
+      this.id = storeRead
+    }
+  }
+
+  /** Returns the newer one of two. */
+  static selectNewer (a: NewestStoreRead, b: NewestStoreRead): NewestStoreRead {
+    return a.atMs >= b.atMs ? a : b
+  }
+}
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -8,10 +8,11 @@
 import { RequestLimiter, type LimitEnd, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import type { StreamMemory, StreamOrigins, StreamQuery } from './FigquayServingStreamOrigins.js'
+import type { NewestStoreRead } from './FigquayServingNewestStoreRead.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import { chooseStoreRole, type StoreRole } from './FigquayServingStoreRole.js'
-import type { FleetSpread } from './FigquayServingStoreTiming.js'
+import { computeStoreTiming, type ChangeBounds, type FleetSpread, type StoreTiming } from './FigquayServingStoreTiming.js'
 
 /** How far a daemon has read the store, as it tells a peer. */
 type EncodedProgress = EncodedPosition & PeerProgress & VersionAnnouncement
@@ -40,7 +41,10 @@
   /** Returns the newest version of the configuration that this daemon knows to exist. */
   readonly findNewestVersion: () => number
   readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
-  readonly measureStoreAge: () => number
+  /** Returns the newest read of the store by this daemon, or by the source of its state. */
+  readonly findOwnRead: () => NewestStoreRead
+  /** Times within which changes must take effect. */
+  readonly bounds: ChangeBounds
   /** Remembers which software version began streams, for other daemons. */
   readonly streamOrigins: () => Pick<StreamOrigins, 'handleRemember' | 'handleFind'>
   /** Returns the number of registered daemons that this one knows. */
@@ -92,11 +96,11 @@
   private newsSerial = 0
 
   private constructor (private readonly options: ServingPeersOptions) {
-    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, comparePeerProgress, measureStoreAge, countDaemons, findNewestVersion, leadership, facts } = options
+    const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, comparePeerProgress, findOwnRead, countDaemons, findNewestVersion, leadership, facts } = options
     this.news = RunnerUpdateBuffer.create(clock)
     const createMesh = options.createMesh ?? ((meshOptions: PeerMeshOptions) => PeerMesh.create(meshOptions))
     this.mesh = createMesh({ self, secrets: options.secrets, methods: this.makeRpcMethods(), clock, logger })
-    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, recordAdapterUse: noteAdapterUse, countDaemons, findNewestVersion, readFactsState: () => facts.state, measureStoreAge })
+    this.hints = HintExchange.create({ self: self.id, clock, table, demand, leadership, configurations, listNeeds, recordAdapterUse: noteAdapterUse, countDaemons, findNewestVersion, readFactsState: () => facts.state, reportStoreRead: () => findOwnRead().report })
     const callPeer: ServingMesh['callPeer'] = (peer, method, params, timeoutMs) => this.mesh.callPeer(peer, method, params, timeoutMs)
     this.suspects = SuspectIsolator.create({ self: self.id, clock, callPeer, listConnected: () => this.mesh.connectedPeers, findLeader: () => leadership.leader?.daemon })
     this.requestLimiter = RequestLimiter.create({ self: self.id, clock, callPeer, notifyPeer: (peer, method, params) => this.mesh.notifyPeer(peer, method, params), findLeader: () => leadership.leader?.daemon })
@@ -112,7 +116,8 @@
       configurations,
       news: this.news,
       mesh: this.mesh,
-      measureStoreAge,
+      findOwnRead,
+      computeTiming: () => this.timing,
       countDaemons,
       findNewestVersion,
       readFacts: () => facts.state,
@@ -154,9 +159,14 @@
     return this.zoneByDaemon.size > MAX_FULL_MESH_DAEMONS
   }
 
+  /** Time limits of this daemon's reads of the store. */
+  get timing (): StoreTiming {
+    return computeStoreTiming(this.options.bounds, this.spread)
+  }
+
   /** How fast the daemons tell each other what they have read. */
-  get spread (): FleetSpread {
-    return this.isLargeFleet ? this.relay.spread : { spreadMs: MESH_SPREAD_MS }
+  private get spread (): FleetSpread {
+    return this.isLargeFleet ? this.relay.spread : { spreadMs: MESH_SPREAD_MS, reportIntervalMs: HINT_INTERVAL_MS }
   }
 
   /**
@@ -165,8 +175,7 @@
    */
   get storeRole (): StoreRole {
     if (this.isLargeFleet) return this.relay.storeRole
-    const role = chooseStoreRole(this.options.self.id, this.connectedPeers)
-    return role === 'listener' && this.relay.isStoreStale ? 'reader' : role
+    return chooseStoreRole(this.options.self.id, this.connectedPeers, this.relay.storeAges, this.timing)
   }
 
   /**
@@ -277,7 +286,7 @@
         this.noteSender(hints.from)
         this.hints.applyHints(hints)
         this.correctDaemonCount(hints)
-        this.relay.recordStoreAge(hints)
+        this.relay.recordStoreRead(hints)
         this.options.comparePeerProgress(hints.from, { ...hints, ...decodeProgress(hints) })
         this.factExchange.reconcilePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.schedulePlanning()
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -2,13 +2,14 @@
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { decodePosition, encodePosition, formatLoads, readEra, readOffset, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
+import { NewestStoreRead, type StoreReadReport } from './FigquayServingNewestStoreRead.js'
 import { decodeProgress, type PeerProgress } from './FigquayServingSnapshot.js'
-import type { StoreRole } from './FigquayServingStoreRole.js'
-import type { FleetSpread } from './FigquayServingStoreTiming.js'
+import type { StoreAges, StoreRole } from './FigquayServingStoreRole.js'
+import type { FleetSpread, StoreTiming } from './FigquayServingStoreTiming.js'
 import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
-/** Request and response of one exchange between two daemons. */
-export interface RelayMessage {
+/** Request and response of one exchange between two daemons; its read of the store is the sender's or one that its peers have reported. */
+export interface RelayMessage extends StoreReadReport {
   readonly from: string
   readonly zone: string
   /** Identifies the sender's process; revisions restart with each process. */
@@ -28,8 +29,6 @@
   /** Number of daemons that the sender knows. */
   readonly daemonCount: number
   readonly facts: FactsState
-  /** Time since the store was last read by the sender or by any daemon that its peers have reported, in milliseconds. */
-  readonly storeAgeMs: number
   readonly loads: readonly LoadRow[]
   readonly news: readonly RunnerUpdate[]
   /** Revision of the sender's runner updates up to which the receiver is up to date after this message. */
@@ -56,8 +55,10 @@
   readonly configurations: ConfigurationHolder
   readonly news: RunnerUpdateBuffer
   readonly mesh: RelayMesh
-  /** Returns the time since this daemon last read the store itself, in milliseconds. */
-  readonly measureStoreAge: () => number
+  /** Returns the newest read of the store by this daemon, or by the source of its state. */
+  readonly findOwnRead: () => NewestStoreRead
+  /** Computes the time limits of this daemon's reads of the store. */
+  readonly computeTiming: () => StoreTiming
   /** Returns the number of registered daemons that this one knows. */
   readonly countDaemons: () => number
   /** Returns revision and digest of this daemon's facts. */
@@ -84,10 +85,8 @@
 const FAILED_PEER_BACKOFF_MS = 1_000
 /** The search depth is recomputed at this interval, in milliseconds: longer than connecting takes. */
 const SEARCH_DEPTH_INTERVAL_MS = 500
-/** A daemon reads the store itself once its peers' reads are older than this, in milliseconds: longer than a long poll that finds nothing new. */
-const MAX_STORE_AGE_MS = 3_000
-/** A daemon reads the store itself after this long without an exchange with its parent, in milliseconds. */
-const MAX_PARENT_SILENCE_MS = 1_000
+/** Shortest time without an exchange with its parent after which a daemon reads the store itself, in milliseconds. */
+const MIN_PARENT_SILENCE_MS = 1_000
 
 /** Exchanges that a change takes to every daemon: between the roots, then down. */
 const SPREAD_EXCHANGES = 2
@@ -97,20 +96,22 @@
 /** Exchanges of one daemon with its parent in the tree or, as a root, with the other roots. */
 export class FleetRelay {
   private ranked: RankedDaemons = new Map()
-  private treeRole: TreeRole = { neighbours: [], parent: undefined, otherRoots: [], isPrimaryRoot: true }
+  private treeRole: TreeRole = { neighbours: [], parent: undefined, isDeputy: false, otherRoots: [], isPrimaryRoot: true }
   private searchDepth = CANDIDATES_PER_ZONE
   private searchDepthAtMs = Number.NEGATIVE_INFINITY
   private daemonCount = 1
   private parentHeardAtMs = Number.NEGATIVE_INFINITY
-  /** Latest time at which another daemon read the store, as reported by peers. */
-  private reportedStoreReadAtMs = Number.NEGATIVE_INFINITY
+  /** Newest read of the store by another daemon, as reported by peers. */
+  private readonly reportedRead: NewestStoreRead
   private readonly retryAtMs = new Map<string, number>()
   /** By peer: its process and the newest revision received from it. */
   private readonly receivedRevisions = new Map<string, { readonly bootId: string, readonly revision: number }>()
   /** By peer: newest revision of this daemon's runner updates that the peer has. */
   private readonly ackedRevisions = new Map<string, number>()
 
-  private constructor (private readonly options: FleetRelayOptions) {}
+  private constructor (private readonly options: FleetRelayOptions) {
+    this.reportedRead = NewestStoreRead.create(options.clock)
+  }
 
   /**
    * @example
@@ -122,40 +123,44 @@
 
   /**
    * How this daemon follows the store: the primary root is a reader, the roots of the other data centres are lookers and all
-   * others are listeners. A listener becomes a reader when its parent is silent or the last read that it knows of is too old.
+   * others are listeners. Lookers and the deputies of roots become readers when they no longer hear of another daemon's
+   * reads, any listener when its parent is silent or the last read that it knows of is too old.
    */
   get storeRole (): StoreRole {
     const { treeRole } = this
-    if (treeRole.parent === undefined) return treeRole.isPrimaryRoot ? 'reader' : 'looker'
-    const isOutdated = this.options.clock.readMonotonicMs() - this.parentHeardAtMs > MAX_PARENT_SILENCE_MS || this.isStoreStale
+    const { lookerAgeMs, maxAgeMs } = this.options.computeTiming()
+    const { reportedAgeMs, storeAgeMs } = this.storeAges
+    if (treeRole.parent === undefined) return treeRole.isPrimaryRoot || reportedAgeMs > lookerAgeMs ? 'reader' : 'looker'
+    const parentSilenceMs = this.options.clock.readMonotonicMs() - this.parentHeardAtMs
+    const maxParentSilenceMs = Math.min(maxAgeMs, Math.max(MIN_PARENT_SILENCE_MS, 2 * this.intervalMs + EXCHANGE_TIMEOUT_MS))
+    const isOutdated = parentSilenceMs > maxParentSilenceMs || storeAgeMs > maxAgeMs || (treeRole.isDeputy && reportedAgeMs > lookerAgeMs)
     return isOutdated ? 'reader' : 'listener'
   }
 
-  /** Time since the store was last read by this daemon or by any that its peers have reported, in milliseconds. */
-  get storeAgeMs (): number {
-    const { clock, measureStoreAge } = this.options
-    // JSON can't represent infinity.
-    return Math.min(measureStoreAge(), clock.readMonotonicMs() - this.reportedStoreReadAtMs, Number.MAX_SAFE_INTEGER)
-  }
-
-  /** Whether neither this daemon nor any that its peers report has read the store recently: a listener must read it then. */
-  get isStoreStale (): boolean {
-    return this.storeAgeMs > MAX_STORE_AGE_MS
+  /** How long ago the store was last read, as far as this daemon knows. */
+  get storeAges (): StoreAges {
+    const reportedAgeMs = this.reportedRead.ageMs
+    return { reportedAgeMs, storeAgeMs: Math.min(this.options.findOwnRead().ageMs, reportedAgeMs) }
   }
 
   /** How fast the daemons tell each other what they have read. */
   get spread (): FleetSpread {
-    return { spreadMs: SPREAD_EXCHANGES * this.intervalMs + FETCH_MS }
+    return { spreadMs: SPREAD_EXCHANGES * this.intervalMs + FETCH_MS, reportIntervalMs: this.intervalMs }
   }
 
   private get intervalMs (): number {
     return EXCHANGE_INTERVAL_MS * Math.max(1, this.daemonCount / MAX_FULL_RATE_DAEMONS)
   }
 
-  /** Records the store age that a peer has reported; what it read of an older era than this daemon has read is outdated. */
-  recordStoreAge ({ storeAgeMs: ageMs, ...encoded }: Pick<RelayMessage, 'storeAgeMs' | 'era' | 'position'>): void {
-    if (readEra(decodePosition(encoded)) < readEra(this.options.table.position)) return
-    if (Number.isFinite(ageMs)) this.reportedStoreReadAtMs = Math.max(this.reportedStoreReadAtMs, this.options.clock.readMonotonicMs() - ageMs)
+  /**
+   * Records a read that a peer has reported. It says nothing of this daemon's copy while that lacks what the peer has: then
+   * the age grows until the copy is complete, or this daemon reads the store itself.
+   */
+  recordStoreRead ({ era, position, changedAt, ...report }: StoreReadReport & Pick<RelayMessage, 'era' | 'position' | 'changedAt'>): void {
+    const { table } = this.options
+    const isOfOlderEra = readEra(decodePosition({ era, position })) < readEra(table.position)
+    if (isOfOlderEra || decodePosition({ era, position: changedAt }) > table.position) return
+    this.reportedRead.noteReport(report)
   }
 
   /**
@@ -265,7 +270,7 @@
 
   private applyMessage (message: RelayMessage): void {
     const { news, applyUpdate: applyNews, leadership, comparePeerProgress } = this.options
-    this.recordStoreAge(message)
+    this.recordStoreRead(message)
     for (const item of message.news.filter(isRunnerUpdate)) {
       if (news.addUpdate(item)) applyNews(item)
     }
@@ -292,7 +297,7 @@
       changedAt: readOffset(table.lastChangePosition),
       daemonCount: countDaemons(),
       facts: readFacts(),
-      storeAgeMs: Math.round(this.storeAgeMs),
+      ...NewestStoreRead.selectNewer(this.options.findOwnRead(), this.reportedRead).report,
       loads: formatLoads(loads),
       news: news.listAfter(this.ackedRevisions.get(peer) ?? 0),
       revision: news.revision,
--- a/packages/figquay-serving/src/FigquayServingSnapshot.ts
+++ b/packages/figquay-serving/src/FigquayServingSnapshot.ts
@@ -1,8 +1,9 @@
 /** Snapshots of the list of runners between daemons: what a peer lacks, also after the store was restored from an older copy. */
 import { BEFORE_LOG, decodePosition, encodePosition, readEra, type EncodedPosition, type Fact, type FleetRunnerTable, type LogPosition, type Runner } from 'figquay-fleet'
+import type { StoreReadReport } from './FigquayServingNewestStoreRead.js'
 
-/** State that a daemon sends to one that can't read the store or lags behind; the configuration is sent by `ConfigurationSource`. */
-export interface FleetSnapshot {
+/** State that a daemon sends to one that can't read the store or lags behind, and when it was read from the store; the configuration is sent by `ConfigurationSource`. */
+export interface FleetSnapshot extends StoreReadReport {
   readonly runners: ReadonlyArray<EncodedPosition & { readonly runner: Runner }>
   readonly removals: ReadonlyArray<EncodedPosition & { readonly id: string, readonly graceMs: number }>
   /** The runners are all that the sender knows: others were lost with a restore of the store. */
@@ -14,8 +15,6 @@
   readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
   /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
   readonly facts: readonly Fact[] | undefined
-  /** Time since the list of runners was last read from the store, in milliseconds. */
-  readonly storeAgeMs: number
 }
 
 /** Request for a snapshot. */
--- a/packages/figquay-serving/src/FigquayServingStoreTiming.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreTiming.ts
@@ -18,6 +18,8 @@
 export interface FleetSpread {
   /** Until every other daemon has what one daemon has just read. */
   readonly spreadMs: number
+  /** Between two messages in which a daemon hears how long ago the store was read. */
+  readonly reportIntervalMs: number
 }
 
 /** Time limits of one daemon, in milliseconds. */
@@ -26,8 +28,23 @@
   readonly configurationWaitMs: number
   /** The same for the shared records, which daemons also tell each other. */
   readonly sharedWaitMs: number
+  /** The same for the list of runners: short enough that its age, as the others hear it, stays below `lookerAgeMs` while nothing changes. */
+  readonly runnersWaitMs: number
+  /** Age of the last read that a daemon hears of from which it reads in place of the reader, if it is the first to do so. */
+  readonly lookerAgeMs: number
+  /** Addition to that age for each daemon that is to do so before this one: until its reads are heard of. */
+  readonly takeoverStaggerMs: number
+  /** Age of the last read that a daemon knows of from which it reads for itself, whoever it may be. */
+  readonly maxAgeMs: number
+  /** Time that a daemon which is behind the newest configuration may spend on asking peers before it reads the store. */
+  readonly configurationFallbackMs: number
 }
 
+/** Interval at which a daemon checks whether it has to read the store, in milliseconds. */
+export const ROLE_CHECK_MS = 100
+/** Random part of the time after which daemons that are behind read the store, in milliseconds: what the first ones read there, the others get from them. */
+export const FALLBACK_JITTER_MS = 500
+
 /** A read on a new connection takes this long at most, in milliseconds, while the store works. */
 const NEW_CONNECTION_READ_MS = 150
 /** Delays of the event loop of a daemon that has a share of a core, in milliseconds. */
@@ -38,16 +55,27 @@
 const SHARED_WAIT_BOUNDS = 2
 
 /**
- * Computes the time limits. A read on a connection that has gone silent is noticed `STORE_SILENCE_MS` after its wait is
+ * Computes the time limits. Whoever reads for the others may be lost to them just after a read that found nothing: each
+ * daemon must notice the age of that read, and have read for itself, within the bound; those that take over first, early
+ * enough to have told the others by then. A read on a connection that has gone silent is noticed `STORE_SILENCE_MS` after its wait is
  * over; what it has missed must then be read on a new connection and told to all others within the bound.
  *
  * @example
- * computeStoreTiming({ drainWithinMs: 2_000, applyWithinMs: 2_000 }, { spreadMs: 300 }).configurationWaitMs // 900
+ * computeStoreTiming({ drainWithinMs: 2_000, applyWithinMs: 2_000 }, { spreadMs: 300, reportIntervalMs: 200 }).maxAgeMs // 1_450
  */
-export function computeStoreTiming ({ drainWithinMs, applyWithinMs }: ChangeBounds, { spreadMs }: FleetSpread): StoreTiming {
+export function computeStoreTiming ({ drainWithinMs, applyWithinMs }: ChangeBounds, { spreadMs, reportIntervalMs }: FleetSpread): StoreTiming {
   const boundMs = Math.min(drainWithinMs, applyWithinMs)
+  const takeoverMs = ROLE_CHECK_MS + NEW_CONNECTION_READ_MS
+  const maxAgeMs = boundMs - takeoverMs - EVENT_LOOP_MARGIN_MS
+  // A fleet that is slow at telling has no time for it: there, the daemons that aren't told in time read for themselves.
+  const lookerAgeMs = Math.max(maxAgeMs - takeoverMs - spreadMs, MIN_WAIT_MS + NEW_CONNECTION_READ_MS + reportIntervalMs)
   return {
     configurationWaitMs: Math.max(MIN_WAIT_MS, boundMs - STORE_SILENCE_MS - NEW_CONNECTION_READ_MS - spreadMs - EVENT_LOOP_MARGIN_MS),
-    sharedWaitMs: boundMs * SHARED_WAIT_BOUNDS
+    sharedWaitMs: boundMs * SHARED_WAIT_BOUNDS,
+    runnersWaitMs: Math.max(MIN_WAIT_MS, lookerAgeMs - NEW_CONNECTION_READ_MS - reportIntervalMs),
+    lookerAgeMs,
+    takeoverStaggerMs: takeoverMs + reportIntervalMs,
+    maxAgeMs,
+    configurationFallbackMs: Math.max(0, applyWithinMs - spreadMs - NEW_CONNECTION_READ_MS - EVENT_LOOP_MARGIN_MS - FALLBACK_JITTER_MS)
   }
 }
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -4,13 +4,16 @@
 
 import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
+import { NewestStoreRead } from './FigquayServingNewestStoreRead.js'
 import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
-import type { StoreTiming } from './FigquayServingStoreTiming.js'
+import { ROLE_CHECK_MS, type StoreTiming } from './FigquayServingStoreTiming.js'
 import { STORE_TOPICS, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Options of the store watcher. */
 export interface StoreWatcherOptions {
+  /** Identifies this process among those that have run at the address. */
+  readonly bootId: string
   /** Whether this daemon is a seed, which other daemons contact when they start. */
   readonly isSeed: boolean
   readonly clock: Clock
@@ -42,36 +45,21 @@
  * if the connection that they wait on were dead.
  */
 const LONG_POLL_MS = 20_000
-/** Interval at which a daemon checks whether its role has changed, in milliseconds. */
-const ROLE_CHECK_MS = 100
 /**
  * Shortest interval between two reads of the list of runners, in milliseconds, so that changes are read in batches: well
  * within the time in which requests to a leaving runner must stop.
  */
 const RUNNERS_INTERVAL_MS = 400
-/** Timeout of a long poll for the list of runners, in milliseconds: the time in which a dead connection to the store is noticed. */
-const RUNNERS_LONG_POLL_MS = 1_500
 /** A reader that lags behind a peer for this long requests its snapshot, in milliseconds: longer than its own reads take. */
 const LAG_TOLERANCE_MS = 1_200
 /** Interval at which a looker polls the list of runners although it hears from the reader, in milliseconds. */
 const LOOKER_POLL_INTERVAL_MS = 15_000
-/**
- * A looker polls at once when nothing new has come from the reader for this long, in milliseconds: runners write about every
- * 1.2 s, and the reader passes that on within two of its own intervals.
- */
-const READER_SILENCE_MS = 1_400
-/** Random delay added to that time, in milliseconds: the others hear what the first looker finds. */
-const READER_SILENCE_JITTER_MS = 200
-/** Interval at which a looker checks whether the reader is silent, in milliseconds. */
-const READER_SILENCE_CHECK_MS = 100
 /** Delay before a failed read or write is retried, in milliseconds. */
 const RETRY_DELAY_MS = 250
 /** Shortest interval between two reads of a topic, in milliseconds, whatever the store answers: a small part of the time in which a change must apply. */
 const MIN_READ_INTERVAL_MS = 100
 /** Delay between two reads of the shared records, in milliseconds, so that changes are read in batches. */
 const SHARED_RECORDS_INTERVAL_MS = 300
-/** Interval at which a listener checks whether it must read the store, in milliseconds. */
-const LISTENER_CHECK_MS = 250
 /** A starting daemon tries to get a snapshot from its peers for this long before it reads the store, in milliseconds. */
 const BOOTSTRAP_TIMEOUT_MS = 1_500
 /** Delay between two such requests, in milliseconds: connecting to a peer takes as long. */
@@ -95,8 +83,8 @@
 /** Watches the store, or syncs from peers that do. */
 export class StoreWatcher {
   private readonly topicReads = new Map<StoreTopic, TopicReads>(STORE_TOPICS.map((topic) => [topic, { confirmedAtMs: Number.NEGATIVE_INFINITY, failingSinceMs: undefined }]))
-  private loggedRole: StoreRole | undefined
-  private lastRole: StoreRole = 'reader'
+  /** Role at the last check. */
+  private role: StoreRole | undefined
   /** Whether this daemon lacked shared records at the last check, so that its read of them may be waiting in vain. */
   private hasLackedRecords = false
   private configurationPosition = BEFORE_LOG
@@ -111,10 +99,16 @@
   private laggingSinceMs: number | undefined
   private peerAhead: string | undefined
   private isFetching = false
-  private runnersReadAtMs = Number.NEGATIVE_INFINITY
+  /** Newest read of the list of runners, by this daemon or by the source of a snapshot. */
+  private readonly newestRead: NewestStoreRead
+  private readCount = 0
+  /** Topics that are read once more although this daemon may have become a listener again, as it has been without news for too long. */
+  private readonly takeoverTopics = new Set<StoreTopic>()
   private storeRecoveredAtMs = Number.NEGATIVE_INFINITY
 
-  private constructor (private readonly options: StoreWatcherOptions) {}
+  private constructor (private readonly options: StoreWatcherOptions) {
+    this.newestRead = NewestStoreRead.create(options.clock)
+  }
 
   /**
    * @example
@@ -144,9 +138,12 @@
     return readEra(this.sharedPosition) < (this.newestEra ?? 0)
   }
 
-  /** Time since the list of runners was last read from the store, by this daemon or by the source of a snapshot, in milliseconds. */
-  get storeAgeMs (): number {
-    return this.options.clock.readMonotonicMs() - this.runnersReadAtMs
+  /**
+   * Newest read of the list of runners, by this daemon or by the source of a snapshot. While reads of another topic fail,
+   * no new ones are noted, as a daemon that is told of them would take the other topic for current, too.
+   */
+  get ownRead (): NewestStoreRead {
+    return this.newestRead
   }
 
   /**
@@ -160,7 +157,7 @@
       if (!this.options.isSeed) await this.bootstrapFromPeers(signal)
       tasks.startTask('shared records', (inner) => this.runLongPolls(inner, 'shared', (waitMs, read) => this.readSharedRecords(waitMs, read)))
       tasks.startTask('configuration', (inner) => this.runLongPolls(inner, 'configuration', (waitMs, read) => this.readConfiguration(waitMs, read)))
-      tasks.startLoop('store role', ROLE_CHECK_MS, async () => this.refreshRole())
+      tasks.startLoop('store role', ROLE_CHECK_MS, async () => this.refreshReads())
       tasks.startTask('runners', (inner) => this.watchRunners(inner))
     })
   }
@@ -198,19 +195,16 @@
       ...makeRunnerSnapshot(table, requested),
       daemons: [...daemonRecords.daemons],
       facts: needsFacts && this.hasFacts ? facts.listAfter(0) : undefined,
-      storeAgeMs: Math.min(Math.round(this.storeAgeMs), Number.MAX_SAFE_INTEGER)
+      ...this.newestRead.report
     }
   }
 
-  /** Restarts the reads that wait, if they may be waiting in vain. */
-  private refreshRole (): void {
-    const { leadership } = this.options
-    const role = this.findRole()
-    const hasBecomeReader = role === 'reader' && this.lastRole === 'looker'
-    const isWaitingInVain = leadership.lacksRecords && this.hasLackedRecords
-    this.lastRole = role
-    this.hasLackedRecords = leadership.lacksRecords
-    if (hasBecomeReader || isWaitingInVain) this.restartReads()
+  /** Checks whether this daemon has to read the store, and whether reads wait in vain. */
+  private refreshReads (): void {
+    this.updateRole()
+    const { lacksRecords } = this.options.leadership
+    if (lacksRecords && this.hasLackedRecords) this.restartReads()
+    this.hasLackedRecords = lacksRecords
   }
 
   private restartReads (): void {
@@ -220,25 +214,36 @@
 
   /** Wait of a read, in milliseconds: the reader answers for all that a change which its connection keeps from it is noticed in time. */
   private chooseWait (topic: 'configuration' | 'shared'): number {
-    if (this.findRole() !== 'reader') return LONG_POLL_MS
+    if (this.updateRole() !== 'reader') return LONG_POLL_MS
     const { configurationWaitMs, sharedWaitMs } = this.options.computeTiming()
     return topic === 'configuration' ? configurationWaitMs : sharedWaitMs
   }
 
+  /** Waits until this daemon has to read again, or for as long as a role is checked. */
+  private async waitForRestart (signal: AbortSignal): Promise<void> {
+    const { longPollAbort } = this
+    const abort = (): void => longPollAbort.abort()
+    signal.addEventListener('abort', abort, { once: true })
+    await this.options.clock.waitFor(ROLE_CHECK_MS, longPollAbort.signal)
+    signal.removeEventListener('abort', abort)
+  }
+
   /** Repeats a long poll; `abortLongPolls` has it begin anew. */
   private async runLongPolls (signal: AbortSignal, topic: 'configuration' | 'shared', read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
     const { clock } = this.options
     // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
     let waitMs = 0
     while (!signal.aborted) {
-      if (this.isListener) {
-        await clock.waitFor(LISTENER_CHECK_MS, signal)
+      if (this.isListener && !this.takeoverTopics.has(topic)) {
+        await this.waitForRestart(signal)
+        waitMs = 0
         continue
       }
       const startedAtMs = clock.readMonotonicMs()
       const longPollAbort = this.longPollAbort
       const abort = (): void => longPollAbort.abort()
       signal.addEventListener('abort', abort, { once: true })
+      if (this.takeoverTopics.delete(topic)) waitMs = 0
       const succeeded = await read(waitMs, longPollAbort.signal)
       const wasRestarted = longPollAbort.signal.aborted
       waitMs = succeeded && !wasRestarted ? this.chooseWait(topic) : 0
@@ -248,14 +253,19 @@
   }
 
   private get isListener (): boolean {
-    return this.isSynced && this.findRole() === 'listener'
+    return this.updateRole() === 'listener' && this.isSynced
   }
 
-  private findRole (): StoreRole {
+  /** Returns the role now. A daemon that becomes the reader begins with a read of every topic, on new connections. */
+  private updateRole (): StoreRole {
     const role = this.options.findStoreRole()
-    if (role !== this.loggedRole) {
-      this.options.logger.info('store role changed', { role, previous: this.loggedRole, ...this.describeTopics() })
-      this.loggedRole = role
+    if (role === this.role) return role
+    this.options.logger.info('store role changed', { role, previous: this.role, ...this.describeTopics() })
+    const isTakeover = role === 'reader' && this.role !== undefined
+    this.role = role
+    if (isTakeover) {
+      for (const topic of STORE_TOPICS) this.takeoverTopics.add(topic)
+      this.restartReads()
     }
     return role
   }
@@ -268,7 +278,7 @@
   /** Age of each topic by this daemon's own reads, for logs. */
   private describeTopics (): Record<string, number | undefined> {
     const describeAge = (topic: StoreTopic): number | undefined => Number.isFinite(this.measureTopicAge(topic)) ? Math.round(this.measureTopicAge(topic)) : undefined
-    return { storeAgeMs: Number.isFinite(this.storeAgeMs) ? Math.round(this.storeAgeMs) : undefined, configurationAgeMs: describeAge('configuration'), sharedAgeMs: describeAge('shared'), runnersAgeMs: describeAge('runners') }
+    return { storeAgeMs: Number.isFinite(this.newestRead.ageMs) ? Math.round(this.newestRead.ageMs) : undefined, configurationAgeMs: describeAge('configuration'), sharedAgeMs: describeAge('shared'), runnersAgeMs: describeAge('runners') }
   }
 
   private async readConfiguration (waitMs: number, signal: AbortSignal): Promise<boolean> {
@@ -331,20 +341,21 @@
 
   private async watchRunners (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.isListener) {
-        await this.waitWhileListener(signal)
+      const isTakeover = this.takeoverTopics.delete('runners')
+      if (this.isListener && !isTakeover) {
+        await this.waitForRestart(signal)
         continue
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
-      const isReader = this.findRole() === 'reader' || !this.hasReadRunners
-      const longPollMs = isReader ? RUNNERS_LONG_POLL_MS : 0
+      const isReader = this.updateRole() === 'reader' || !this.hasReadRunners
+      const longPollMs = isReader && !isTakeover ? this.options.computeTiming().runnersWaitMs : 0
       const reading = await this.options.store.readRunners(this.options.table.position, longPollMs, signal)
       if (this.noteRead('runners', reading, startedAtMs)) {
         const nowMs = this.options.clock.readMonotonicMs()
         if (!this.isReachable || nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS) this.storeRecoveredAtMs = nowMs
         this.noteEra(readEra(reading.value.position), 'store')
         this.applyRunnerChanges(reading.value)
-        this.runnersReadAtMs = this.options.clock.readMonotonicMs()
+        this.noteOwnRead()
         this.updateReachability(true)
       } else if (!signal.aborted) {
         this.updateReachability(false)
@@ -356,25 +367,17 @@
     }
   }
 
-  /** Waits until the next poll is due or the reader has been silent for too long. */
+  /** Waits until the next poll of a looker is due. */
   private async waitForNextPoll (lastPollAtMs: number, signal: AbortSignal): Promise<void> {
-    const { clock, table, findStoreRole } = this.options
-    const silenceMs = READER_SILENCE_MS + READER_SILENCE_JITTER_MS * Math.random()
-    let knownPosition = table.position
-    let advancedAtMs = clock.readMonotonicMs()
-    while (!signal.aborted && findStoreRole() === 'looker') {
-      await clock.waitFor(READER_SILENCE_CHECK_MS, signal)
-      const nowMs = clock.readMonotonicMs()
-      if (table.position !== knownPosition) {
-        knownPosition = table.position
-        advancedAtMs = nowMs
-      }
-      if (nowMs - advancedAtMs >= silenceMs || nowMs - lastPollAtMs >= LOOKER_POLL_INTERVAL_MS) return
-    }
+    const { clock } = this.options
+    while (!signal.aborted && this.updateRole() === 'looker' && clock.readMonotonicMs() - lastPollAtMs < LOOKER_POLL_INTERVAL_MS) await this.waitForRestart(signal)
   }
 
-  private async waitWhileListener (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && this.isListener) await this.options.clock.waitFor(LISTENER_CHECK_MS, signal)
+  /** Reads are told to peers only while those of all topics succeed. */
+  private noteOwnRead (): void {
+    if ([...this.topicReads.values()].some(({ failingSinceMs }) => failingSinceMs !== undefined)) return
+    this.readCount += 1
+    this.newestRead.noteReport({ storeAgeMs: 0, storeRead: `${this.options.bootId}/${this.readCount}` })
   }
 
   private applyRunnerChanges (reading: RunnerRegistryUpdate): void {
@@ -442,7 +445,7 @@
       if (this.peerAhead === peer) this.laggingSinceMs = undefined
       return
     }
-    const toleranceMs = this.findRole() === 'reader' ? LAG_TOLERANCE_MS : 0
+    const toleranceMs = this.updateRole() === 'reader' ? LAG_TOLERANCE_MS : 0
     if (this.laggingSinceMs === undefined) {
       this.laggingSinceMs = nowMs
       this.peerAhead = peer
@@ -467,10 +470,10 @@
 
   /** Applies the snapshot of a peer. */
   applySnapshot (snapshot: FleetSnapshot): void {
-    const { table, clock } = this.options
+    const { table } = this.options
     const position = decodePosition(snapshot)
     if (applyRunnerSnapshot(table, snapshot, this.hasReadRunners ? EXPIRY_GRACE_MS : undefined)) {
-      this.runnersReadAtMs = Math.max(this.runnersReadAtMs, clock.readMonotonicMs() - snapshot.storeAgeMs)
+      this.newestRead.noteReport(snapshot)
     }
     if (position !== BEFORE_LOG) {
       this.noteEra(readEra(position), 'snapshot')
--- a/packages/figquay-serving/src/FigquayServingTopology.ts
+++ b/packages/figquay-serving/src/FigquayServingTopology.ts
@@ -17,6 +17,8 @@
   readonly neighbours: readonly string[]
   /** Parent in the daemon's own data centre; undefined for a root. */
   readonly parent: string | undefined
+  /** Whether the root is the only daemon above this one that it reaches, so that it is the first to stand in for the root. */
+  readonly isDeputy: boolean
   /** Reachable roots of the other data centres; empty unless this daemon is a root. */
   readonly otherRoots: readonly string[]
   /** Whether this daemon is a root and reaches no root of a data centre whose name hash sorts before its own. */
@@ -57,6 +59,7 @@
   return {
     neighbours: [...higherRanked.slice(0, searchDepth), ...otherZones.flatMap(({ daemons }) => daemons)],
     parent: reachable[0],
+    isDeputy: reachable.length === 1,
     otherRoots: otherZones.flatMap(({ daemons }) => daemons.find(isConnected) ?? []),
     isPrimaryRoot: isRoot && !earlierZones.some(({ daemons }) => daemons.some(isConnected))
   }
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -1,11 +1,14 @@
 /** Daemons of one fleet in one process, on virtual time, with a store and links between them that take time for each byte. */
 import { JsonLogger, makeFailure, makeSuccess, type CallFailure, type Logger, type Outcome } from 'figquay'
-import { FleetStore, makeLogPosition, readEra, readOffset, type FleetConfiguration, type LogPosition, type Route, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
+import { FleetStore, makeLogPosition, readEra, readOffset, STORE_SILENCE_MS, type FleetConfiguration, type LogPosition, type Route, type Runner, type RunnerChange, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
 import { rankDaemons, ServingDaemon, type ChangeBounds, type RunnerExchangeClient } from '../../index.js'
 import { SimulatedClock } from './SimulatedClock.js'
 import { SimulatedNetwork } from './SimulatedNetwork.js'
 
+/** Interval at which the runners of a simulated fleet write to the list, in milliseconds. */
+const RUNNER_HEARTBEAT_MS = 400
 const UNAVAILABLE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'the store did not respond in time' }
+const CANCELLED: CallFailure = { sent: 'maybe', reason: 'cancelled', message: 'the read was cancelled' }
 /** Timeout of a read beyond its long poll, in milliseconds: that of the daemons' client of the store. */
 const STORE_CALL_TIMEOUT_MS = 1_000
 const STORE_LATENCY_MS = 4
@@ -16,10 +19,13 @@
   readonly shared: number
 }
 
+type RunnerRecord = { readonly type: 'announced', readonly runner: Runner } | { readonly type: 'removed', readonly id: string }
+
 /** Records of the store, and how fast it responds. */
 class StoreState {
   readonly configurations: FleetConfiguration[] = []
   readonly shared: Array<{ readonly key: string, readonly value: string | undefined }> = []
+  readonly runners: RunnerRecord[] = []
   readonly waiters = new Set<() => void>()
   latencyMs = STORE_LATENCY_MS
   /** Positions of an older era are invalid: their offsets may have been given out again. */
@@ -43,6 +49,10 @@
 
 /** The store as one daemon reads it: a response takes its latency and the time of its bytes on the daemon's link. */
 class SimulatedStore extends FleetStore {
+  private isCut = false
+  /** Number of times that the connections of reads have gone silent. */
+  private silences = 0
+
   constructor (private readonly state: StoreState, private readonly clock: SimulatedClock, private readonly bytesPerMs: number) {
     super()
   }
@@ -56,8 +66,13 @@
 
   override async readRunners (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
     const { state } = this
-    const hasNew = (): boolean => readEra(after) !== state.era
-    return await this.read(waitMs, signal, hasNew, () => ({ changes: [], isComplete: hasNew(), position: state.makeEnd(0) }), () => 0)
+    const hasNew = (): boolean => readEra(after) !== state.era || state.runners.length > state.findNextOffset(after)
+    const readNew = (): RunnerRegistryUpdate => {
+      const from = state.findNextOffset(after)
+      const changes = state.runners.slice(from).map((record, index): RunnerChange => ({ ...record, position: makeLogPosition(state.era, from + index) }))
+      return { changes, isComplete: readEra(after) !== state.era, position: state.makeEnd(state.runners.length) - 1 }
+    }
+    return await this.read(waitMs, signal, hasNew, readNew, () => 0)
   }
 
   override async readShared (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>> {
@@ -72,7 +87,7 @@
   override async writeShared (key: string, value: string, expectedEnd: LogPosition | undefined): Promise<Outcome<WriteResult, CallFailure>> {
     this.state.calls += 1
     await this.clock.waitFor(this.state.latencyMs)
-    if (this.state.isDown) return makeFailure(UNAVAILABLE)
+    if (this.state.isDown || this.isCut) return makeFailure(UNAVAILABLE)
     const position = this.state.makeEnd(this.state.shared.length)
     if (expectedEnd !== undefined && expectedEnd !== position) return makeSuccess({ type: 'overtaken' })
     this.state.shared.push({ key, value })
@@ -83,7 +98,7 @@
   override async writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>> {
     this.state.calls += 1
     await this.clock.waitFor(this.state.latencyMs)
-    if (this.state.isDown) return makeFailure(UNAVAILABLE)
+    if (this.state.isDown || this.isCut) return makeFailure(UNAVAILABLE)
     this.state.shared.push(...records)
     this.state.wakeReaders()
     return makeSuccess(undefined)
@@ -93,10 +108,43 @@
 
   override close (): void {}
 
-  /** Waits until there is something to read, then for the time that the response takes. */
+  /** Cuts the daemon off: its calls get no answer, those in progress included. */
+  cut (): void {
+    this.isCut = true
+    this.silenceReads()
+  }
+
+  /** Ends the cut; reads from before stay without an answer. */
+  heal (): void {
+    this.isCut = false
+  }
+
+  /** The connections of the reads that wait go silent; new ones work. */
+  silenceReads (): void {
+    this.silences += 1
+    this.state.wakeReaders()
+  }
+
+  /** As the daemons' client of the store does, repeats a read on a new connection when the open one gives no sign of an answer. */
   private async read<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number): Promise<Outcome<T, CallFailure>> {
     const { state, clock } = this
     state.calls += 1
+    const { silences } = this
+    const startedAtMs = clock.readMonotonicMs()
+    const first = this.isCut ? undefined : await this.readOnce(waitMs, signal, hasNew, take, countBytes, () => this.silences !== silences)
+    if (first !== undefined) return first
+    await clock.waitFor(startedAtMs + waitMs + STORE_SILENCE_MS - clock.readMonotonicMs(), signal)
+    if (signal.aborted) return makeFailure(CANCELLED)
+    state.calls += 1
+    const second = this.isCut ? undefined : await this.readOnce(0, signal, hasNew, take, countBytes, () => this.isCut)
+    if (second !== undefined) return second
+    await clock.waitFor(STORE_CALL_TIMEOUT_MS, signal)
+    return makeFailure(signal.aborted ? CANCELLED : UNAVAILABLE)
+  }
+
+  /** Waits until there is something to read, then for the time that the response takes; undefined if the connection went silent. */
+  private async readOnce<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number, isSilent: () => boolean): Promise<Outcome<T, CallFailure> | undefined> {
+    const { state, clock } = this
     if (state.isDown) {
       await clock.waitFor(state.latencyMs, signal)
       return makeFailure(UNAVAILABLE)
@@ -104,7 +152,7 @@
     const { era } = state
     const startedAtMs = clock.readMonotonicMs()
     const untilMs = startedAtMs + waitMs
-    while (!hasNew() && state.era === era && !state.isDown && clock.readMonotonicMs() < untilMs && !signal.aborted) {
+    while (!isSilent() && !hasNew() && state.era === era && !state.isDown && clock.readMonotonicMs() < untilMs && !signal.aborted) {
       const end = new AbortController()
       const wake = (): void => end.abort()
       state.waiters.add(wake)
@@ -113,12 +161,15 @@
       signal.removeEventListener('abort', wake)
       state.waiters.delete(wake)
     }
+    if (isSilent()) return undefined
     if (state.isDown) return makeFailure(UNAVAILABLE)
     const result = take()
     const responseMs = state.latencyMs + countBytes(result) / this.bytesPerMs
     const leftMs = startedAtMs + waitMs + STORE_CALL_TIMEOUT_MS - clock.readMonotonicMs()
     await clock.waitFor(Math.min(responseMs, leftMs), signal)
-    return responseMs > leftMs || signal.aborted ? makeFailure(UNAVAILABLE) : makeSuccess(result)
+    if (isSilent()) return undefined
+    if (signal.aborted) return makeFailure(CANCELLED)
+    return responseMs > leftMs ? makeFailure(UNAVAILABLE) : makeSuccess(result)
   }
 }
 
@@ -142,6 +193,9 @@
   readonly daemons = new Map<string, ServingDaemon>()
   readonly network: SimulatedNetwork
   private readonly store = new StoreState()
+  private readonly removedRunners = new Set<string>()
+  private isClosed = false
+  private readonly storeClients = new Map<string, SimulatedStore>()
 
   private constructor (private readonly options: SimulatedFleetOptions) {
     this.network = SimulatedNetwork.create(this.clock, { bytesPerMs: options.bytesPerMs, latencyMs: NETWORK_LATENCY_MS })
@@ -169,6 +223,55 @@
     this.store.wakeReaders()
   }
 
+  /** Adds plain runners, which write to the list in turn until the fleet is closed. */
+  addRunners (count: number): void {
+    const runners = Array.from({ length: count }, (_, index): Runner => ({ id: `runner-${index}`, service: 'ledger', address: `10.100.0.${index}:80`, zone: this.options.zones[0]!, slots: 6, isLeaving: false, bornMs: 1, holdings: undefined }))
+    const writeInTurn = async (): Promise<void> => {
+      for (let turn = 0; !this.isClosed; turn += 1) {
+        const runner = runners[turn % count]!
+        if (!this.removedRunners.has(runner.id)) this.appendRunner({ type: 'announced', runner })
+        await this.clock.waitFor(RUNNER_HEARTBEAT_MS / count)
+      }
+    }
+    writeInTurn().catch((error: unknown) => process.stderr.write(`${String(error)}\n`))
+  }
+
+  /** Removes a runner from the list. */
+  removeRunner (id: string): void {
+    this.removedRunners.add(id)
+    this.appendRunner({ type: 'removed', id })
+  }
+
+  private appendRunner (record: RunnerRecord): void {
+    this.store.runners.push(record)
+    this.store.wakeReaders()
+  }
+
+  /** Daemons that still list a runner, those that are cut off excluded. */
+  listDaemonsWithRunner (id: string, cut: readonly string[]): string[] {
+    return [...this.daemons].filter(([address, daemon]) => !cut.includes(address) && daemon.listRunners('ledger').includes(id)).map(([address]) => address)
+  }
+
+  /** Cuts daemons off from the store. */
+  cutFromStore (addresses: readonly string[]): void {
+    for (const address of addresses) this.storeClients.get(address)!.cut()
+  }
+
+  /** Ends the cut. */
+  healStoreLinks (addresses: readonly string[]): void {
+    for (const address of addresses) this.storeClients.get(address)!.heal()
+  }
+
+  /** The connections on which daemons wait for the store go silent. */
+  silenceStoreReads (): void {
+    for (const client of this.storeClients.values()) client.silenceReads()
+  }
+
+  /** Daemons that read the store for the others now. */
+  listStoreReaders (): string[] {
+    return [...this.daemons].filter(([, daemon]) => daemon.storeRole !== 'listener').map(([address]) => address)
+  }
+
   /** Number of calls to the store by all daemons. */
   get storeCallCount (): number {
     return this.store.calls
@@ -232,6 +335,7 @@
 
   /** Stops all daemons. */
   async close (): Promise<void> {
+    this.isClosed = true
     const stopped = Promise.all([...this.daemons.values()].map((daemon) => daemon.stop()))
     await this.clock.runFor(SETTLE_MS)
     await stopped
@@ -239,6 +343,8 @@
 
   private async addDaemon (address: string, zone: string, seeds: readonly string[]): Promise<void> {
     const { clock, network } = this
+    const storeClient = new SimulatedStore(this.store, clock, this.options.bytesPerMs)
+    this.storeClients.set(address, storeClient)
     const daemon = ServingDaemon.create({
       address,
       zone,
@@ -249,7 +355,7 @@
       bounds: this.options.bounds ?? { drainWithinMs: 3_000, applyWithinMs: 3_000 },
       clock,
       logger: this.options.createLogger?.(address) ?? JsonLogger.create(address, 'silent'),
-      store: new SimulatedStore(this.store, clock, this.options.bytesPerMs),
+      store: storeClient,
       orderClient: {} as RunnerOrderClient,
       exchanges: {} as RunnerExchangeClient,
       createMesh: (options) => network.createMesh(options)
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -8,6 +8,8 @@
 import { SimulatedClock } from '../standins/SimulatedClock.js'
 import { makeConfiguration } from '../standins/SimulatedFleet.js'
 
+/** Time that peers get before the store is read, in milliseconds. */
+const FALLBACK_MS = 1_200
 const MODEL = { name: 'm', weightsMb: 1, storeLoadMs: 1, diskLoadMs: 1, memoryLoadMs: 1, adapterCount: 0, adapterMb: 0 }
 /** Longest time in which a daemon that knows of a newer version and can get it nowhere reads the store, in milliseconds. */
 const STORE_READ_LIMIT_MS = 2_000
@@ -34,7 +36,7 @@
     await clock.waitFor(1)
     return JSON.parse(JSON.stringify(respond(peer, request as ConfigurationRequest))) as Outcome<T, string>
   }
-  const sync = ConfigurationSync.create({ self: 'self', clock, logger, tasks, configurations, callPeer, listConnected: () => ['a', 'b'], readFromStore: async () => stored })
+  const sync = ConfigurationSync.create({ self: 'self', clock, logger, tasks, configurations, callPeer, listConnected: () => ['a', 'b'], computeFallbackMs: () => FALLBACK_MS, readFromStore: async () => stored })
   return { sync, configurations, calls, tasks }
 }
 
--- a/packages/figquay-serving/src/__tests__/unit/DaemonCount.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/DaemonCount.test.ts
@@ -4,7 +4,7 @@
 import { JsonLogger, SystemClock, TaskGroup } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetRunnerTable, type FleetHints, type FleetStore } from 'figquay-fleet'
 import { PeerMesh } from 'figquay-peers'
-import { ServingPeers, type FleetSnapshot, type PeerProgress } from '../../index.js'
+import { type FleetSnapshot, NewestStoreRead, type PeerProgress, ServingPeers } from '../../index.js'
 
 const SELF = { id: '127.0.0.1:28481', zone: 'z', address: '127.0.0.1:28481' }
 const PEER = { id: '127.0.0.1:28482', zone: 'z', address: '127.0.0.1:28482' }
@@ -20,7 +20,7 @@
   const table = FleetRunnerTable.create(clock)
   const leadership = FleetLeadership.create({ self: SELF.id, bootId: 'b', store: {} as FleetStore, clock, logger, listConnected: () => [], isEligible: () => false })
   const peers = ServingPeers.create({
-    self: SELF, bootId: 'b', seeds: [], secrets: SECRETS, clock, logger, tasks, table, leadership, demand: FleetDemand.create(clock), configurations: ConfigurationHolder.create(), facts: FleetFacts.create(clock), listNeeds: () => [], noteAdapterUse: () => {}, streamOrigins: () => ({ handleRemember: () => true, handleFind: () => ({ isSynced: true, softwareVersion: undefined, versions: [] }) }), makeSnapshot: () => ({}) as FleetSnapshot, serveConfiguration: () => ({ type: 'none' }), findNewestVersion: () => -1, comparePeerProgress: () => {}, measureStoreAge: () => 0, countDaemons: () => DAEMON_COUNT, schedulePlanning: () => {}
+    self: SELF, bootId: 'b', seeds: [], secrets: SECRETS, clock, logger, tasks, table, leadership, demand: FleetDemand.create(clock), configurations: ConfigurationHolder.create(), facts: FleetFacts.create(clock), listNeeds: () => [], noteAdapterUse: () => {}, streamOrigins: () => ({ handleRemember: () => true, handleFind: () => ({ isSynced: true, softwareVersion: undefined, versions: [] }) }), makeSnapshot: () => ({}) as FleetSnapshot, serveConfiguration: () => ({ type: 'none' }), findNewestVersion: () => -1, comparePeerProgress: () => {}, findOwnRead: () => NewestStoreRead.create(clock), bounds: { drainWithinMs: 2_000, applyWithinMs: 2_000 }, countDaemons: () => DAEMON_COUNT, schedulePlanning: () => {}
   })
   const peer = PeerMesh.create({ self: PEER, secrets: SECRETS, clock, logger, methods: { 'fleet.reading': ({ reading }: { readonly reading: PeerProgress }) => corrections.push(reading) } })
   cleanups.push(() => peer.close(), () => peers.close())
--- a/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
@@ -4,7 +4,7 @@
 import { JsonLogger, makeSuccess, TaskGroup, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetRunnerTable, type FleetHints, type FleetStore, type Holdings, type ModelNeed, type RunnerUpdate } from 'figquay-fleet'
 import type { PeerMeshOptions } from 'figquay-peers'
-import { ServingPeers, type FleetSnapshot, type ServingMesh } from '../../index.js'
+import { type FleetSnapshot, NewestStoreRead, type ServingMesh, ServingPeers } from '../../index.js'
 import { SimulatedClock } from '../standins/SimulatedClock.js'
 
 const LEADER = { id: 'leader', zone: 'z', address: 'leader' }
@@ -69,7 +69,8 @@
     serveConfiguration: () => ({ type: 'none' }),
     findNewestVersion: () => -1,
     comparePeerProgress: () => {},
-    measureStoreAge: () => 0,
+    findOwnRead: () => NewestStoreRead.create(clock),
+    bounds: { drainWithinMs: 2_000, applyWithinMs: 2_000 },
     countDaemons: () => DAEMON_COUNT,
     schedulePlanning: () => {},
     createMesh: (options) => {
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -5,7 +5,7 @@
 import { JsonLogger, SystemClock, TaskGroup } from 'figquay'
 import { ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetRunnerTable, type FleetStore } from 'figquay-fleet'
 import { PeerMesh } from 'figquay-peers'
-import { ConfigurationSource, ServingPeers, type FleetSnapshot } from '../../index.js'
+import { ConfigurationSource, type FleetSnapshot, NewestStoreRead, ServingPeers } from '../../index.js'
 
 const SELF = { id: '127.0.0.1:28471', zone: 'z', address: '127.0.0.1:28471' }
 const OTHER = { id: '127.0.0.1:28472', zone: 'z', address: '127.0.0.1:28472' }
@@ -41,7 +41,8 @@
     serveConfiguration: (request) => source.serveRequest(request),
     findNewestVersion: () => -1,
     comparePeerProgress: () => {},
-    measureStoreAge: () => 0,
+    findOwnRead: () => NewestStoreRead.create(clock),
+    bounds: { drainWithinMs: 2_000, applyWithinMs: 2_000 },
     countDaemons: () => 1,
     schedulePlanning: () => {}
   })
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, TaskGroup, type Clock, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetLeadership, RunnerUpdateBuffer, FleetRunnerTable, type FleetStore, type Holdings, type Runner } from 'figquay-fleet'
-import { FleetRelay, type RelayMesh, type RelayMessage } from '../../index.js'
+import { computeStoreTiming, FleetRelay, NewestStoreRead, type RelayMesh, type RelayMessage } from '../../index.js'
 
 const HOLDINGS: Holdings = { models: [{ name: 'm', adapters: [] }], coming: [], isBusy: false, inMemory: [], onDisk: [] }
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'a', slots: 8, isLeaving: false, bornMs: 0, holdings: undefined }
@@ -60,7 +60,8 @@
       news,
       configurations: ConfigurationHolder.create(),
       mesh: new TestMesh(self, nodes, lost, garbled),
-      measureStoreAge: () => 0,
+      findOwnRead: () => NewestStoreRead.create(clock),
+      computeTiming: () => computeStoreTiming({ drainWithinMs: 3_000, applyWithinMs: 3_000 }, { spreadMs: 550, reportIntervalMs: 200 }),
       countDaemons: () => count,
       readFacts: () => ({ revision: 0, digest: 0 }),
       reconcileFacts: () => {},
--- a/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { STORE_SILENCE_MS } from 'figquay-fleet'
-import { computeStoreTiming } from '../../index.js'
+import { computeStoreTiming, ROLE_CHECK_MS } from '../../index.js'
 
 /** Time of a read on a new connection, in milliseconds. */
 const READ_MS = 100
@@ -11,7 +11,7 @@
 /** Bounds from those of small fleets on, and spreads up to half of them, in milliseconds. */
 const limits = fc.integer({ min: 2_000, max: 10_000 }).chain((boundMs) => fc.record({
   bounds: fc.record({ drainWithinMs: fc.integer({ min: boundMs, max: 12_000 }), applyWithinMs: fc.constant(boundMs) }),
-  spread: fc.record({ spreadMs: fc.integer({ min: 100, max: Math.round(boundMs / 3) }) })
+  spread: fc.record({ spreadMs: fc.integer({ min: 100, max: Math.round(boundMs / 3) }), reportIntervalMs: fc.integer({ min: 50, max: 300 }) })
 }))
 
 describe('time limits of reads of the store', () => {
@@ -21,4 +21,23 @@
       expect(configurationWaitMs + STORE_SILENCE_MS + READ_MS + spread.spreadMs <= bounds.applyWithinMs).toEqual(true)
     }))
   })
+
+  it('have every daemon read for itself within the bound once the reads of others are no longer heard of', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { maxAgeMs, lookerAgeMs } = computeStoreTiming(bounds, spread)
+      expect([maxAgeMs + ROLE_CHECK_MS + READ_MS <= Math.min(bounds.drainWithinMs, bounds.applyWithinMs), lookerAgeMs < maxAgeMs]).toEqual([true, true])
+    }))
+  })
+
+  it('keep the age of the last read, as others hear it while nothing changes, below the age at which they read themselves', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { runnersWaitMs, lookerAgeMs } = computeStoreTiming(bounds, spread)
+      expect(runnersWaitMs + READ_MS + spread.reportIntervalMs <= lookerAgeMs).toEqual(true)
+    }))
+  })
+
+  it('have the second daemon that stands by wait until it would have heard of the first one', () => {
+    const { lookerAgeMs, takeoverStaggerMs, maxAgeMs } = computeStoreTiming({ drainWithinMs: 2_000, applyWithinMs: 2_000 }, { spreadMs: 300, reportIntervalMs: 200 })
+    expect([takeoverStaggerMs >= ROLE_CHECK_MS + READ_MS + 200, lookerAgeMs + takeoverStaggerMs < maxAgeMs]).toEqual([true, true])
+  })
 })
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
 import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, makeLogPosition, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
-import { computeStoreTiming, ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
+import { chooseStoreRole, computeStoreTiming, ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -13,6 +13,7 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 const BOUNDS = { drainWithinMs: 2_000, applyWithinMs: 2_000 }
+const TIMING = computeStoreTiming(BOUNDS, { spreadMs: 300, reportIntervalMs: 200 })
 const EVERYTHING: SnapshotRequest = { position: -1, needsFacts: true }
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
@@ -34,7 +35,7 @@
   } as unknown as FleetStore
 }
 
-function makeWatcher (isUp: boolean, requestSnapshot: () => Promise<FleetSnapshot | undefined>, role: StoreRole = 'reader', isSeed = true, peerConfigurations = ConfigurationHolder.create()) {
+function makeWatcher (isUp: boolean, requestSnapshot: () => Promise<FleetSnapshot | undefined>, role: StoreRole | (() => StoreRole) = 'reader', isSeed = true, peerConfigurations = ConfigurationHolder.create()) {
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
   const readings: Array<Outcome<RunnerRegistryUpdate, CallFailure>> = []
@@ -49,9 +50,9 @@
   const tasks = TaskGroup.create(clock, logger)
   const source = ConfigurationSource.create({ clock, configurations: peerConfigurations, listPeersWith: () => [] })
   const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
-  const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], readFromStore: async () => undefined })
+  const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], computeFallbackMs: () => 1_000, readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
-    isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => role, computeTiming: () => computeStoreTiming(BOUNDS, { spreadMs: 300 }), noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
+    bootId: 'b', isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => typeof role === 'function' ? role() : role, computeTiming: () => TIMING, noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
   return { configurationReads, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
@@ -119,18 +120,44 @@
     expect(watcher.makeSnapshot({ position: 4, needsFacts: false }).facts).toEqual(undefined)
   })
 
-  it('polls as a looker soon after the reader has become silent', async () => {
-    const { watcher, tasks, readings, configurations } = makeWatcher(true, async () => undefined, 'looker')
+  it('reads all topics as a looker soon after the reader has become silent', async () => {
+    const clock = SystemClock.create()
+    let silentSinceMs = Number.POSITIVE_INFINITY
+    // By the hashes of the addresses, the first peer is the reader and this daemon stands by first.
+    const findRole = (): StoreRole => chooseStoreRole('10.0.0.0:80', ['10.0.0.2:80', '10.0.0.5:80'], { reportedAgeMs: Math.max(0, clock.readMonotonicMs() - silentSinceMs), storeAgeMs: 0 }, TIMING)
+    const { watcher, tasks, readings, configurations, configurationReads } = makeWatcher(true, async () => undefined, findRole)
+    expect(findRole()).toEqual('looker')
     configurations.adoptConfiguration(CONFIGURATION)
     readings.push(...[4, 5, 6, 7].map((position) => makeSuccess<RunnerRegistryUpdate>({ changes: [], isComplete: true, position })))
     watcher.startTasks(tasks)
-    const clock = SystemClock.create()
     while (readings.length > 3) await clock.waitFor(10)
-    const firstAtMs = clock.readMonotonicMs()
+    silentSinceMs = clock.readMonotonicMs()
+    const configurationReadsBefore = configurationReads.length
     while (readings.length > 2) await clock.waitFor(10)
+    const tookMs = clock.readMonotonicMs() - silentSinceMs
+    while (configurationReads.length === configurationReadsBefore) await clock.waitFor(10)
+    const tookForAllMs = clock.readMonotonicMs() - silentSinceMs
     await tasks.stop()
     // All daemons must know a leaving runner within 2 s, which leaves 1.8 s after one interval for the exchange between peers.
-    expect(clock.readMonotonicMs() - firstAtMs < 1_800).toEqual(true)
+    expect([tookMs < 1_800, tookForAllMs < 1_800]).toEqual([true, true])
+  })
+
+  it('reads all topics as a listener that takes over, though a peer reads again before', async () => {
+    const clock = SystemClock.create()
+    let role: StoreRole = 'listener'
+    const { watcher, tasks, configurations, configurationReads, readings } = makeWatcher(true, async () => undefined, () => role)
+    configurations.adoptConfiguration(CONFIGURATION)
+    watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
+    readings.push(...[4, 5].map((position) => makeSuccess<RunnerRegistryUpdate>({ changes: [], isComplete: true, position })))
+    watcher.startTasks(tasks)
+    await clock.waitFor(300)
+    expect([configurationReads.length, readings.length]).toEqual([0, 2])
+    role = 'reader'
+    while (readings.length === 2) await clock.waitFor(1)
+    role = 'listener'
+    await clock.waitFor(300)
+    await tasks.stop()
+    expect([configurationReads.length, readings.length]).toEqual([1, 1])
   })
 
   it('pauses between reads that the store answers at once without anything new', async () => {
