Keep the reads of the list of runners close enough that nobody takes over in calm

Cause: the limit on the reader's wait left out the 400 ms between its reads. Runners that were started together write together; a read that their writes ended was followed by a pause and a whole wait, so the last read was up to 950 ms old instead of 550.

Change: the time since the read before counts into the wait. An age that stands for "no read known" is no longer noted as one.

Tests: StoreReaders.test.ts, 'are one of 8 daemons, however the runners' writes are spread over time' failed with the old wait in place (one or two readers), passes; NewestStoreRead.test.ts.

--- a/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
+++ b/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
@@ -9,6 +9,9 @@
   readonly storeRead?: string
 }
 
+/** Age that daemons report while they know of no read, in milliseconds: JSON can't represent infinity. */
+const UNKNOWN_AGE_MS = Number.MAX_SAFE_INTEGER
+
 /**
  * Keeps the newest read. A report doesn't say how long it was under way, so a read that daemons tell each other in circles
  * would seem ever newer; each read is identified, and dated by the oldest report of it.
@@ -32,9 +35,9 @@
     return this.clock.readMonotonicMs() - this.atMs
   }
 
-  /** The read as other daemons are told of it. JSON can't represent infinity. */
+  /** The read as other daemons are told of it. */
   get report (): StoreReadReport {
-    return { storeAgeMs: Math.min(Math.round(this.ageMs), Number.MAX_SAFE_INTEGER), storeRead: this.id }
+    return { storeAgeMs: Math.min(Math.round(this.ageMs), UNKNOWN_AGE_MS), storeRead: this.id }
   }
 
   /**
@@ -44,7 +47,7 @@
    * newest.noteReport({ storeAgeMs: 120, storeRead: 'boot-1/17' })
    */
   noteReport ({ storeAgeMs, storeRead }: StoreReadReport): void {
-    if (!Number.isFinite(storeAgeMs)) return
+    if (!Number.isFinite(storeAgeMs) || storeAgeMs >= UNKNOWN_AGE_MS) return
     const atMs = this.clock.readMonotonicMs() - Math.max(0, storeAgeMs)
     const isSameRead = storeRead !== undefined && storeRead === this.id
     if (isSameRead) this.atMs = Math.min(this.atMs, atMs)
--- a/packages/figquay-serving/src/FigquayServingStoreTiming.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreTiming.ts
@@ -28,8 +28,11 @@
   readonly configurationWaitMs: number
   /** The same for the shared records, which daemons also tell each other. */
   readonly sharedWaitMs: number
-  /** The same for the list of runners: short enough that its age, as the others hear it, stays below `lookerAgeMs` while nothing changes. */
-  readonly runnersWaitMs: number
+  /**
+   * Longest time between two reads of the list of runners by that daemon: short enough that the age of the last one, as the
+   * others hear it, stays below `lookerAgeMs` while nothing changes.
+   */
+  readonly runnersIntervalMs: number
   /** Age of the last read that a daemon hears of from which it reads in place of the reader, if it is the first to do so. */
   readonly lookerAgeMs: number
   /** Addition to that age for each daemon that is to do so before this one: until its reads are heard of. */
@@ -72,7 +75,7 @@
   return {
     configurationWaitMs: Math.max(MIN_WAIT_MS, boundMs - STORE_SILENCE_MS - NEW_CONNECTION_READ_MS - spreadMs - EVENT_LOOP_MARGIN_MS),
     sharedWaitMs: boundMs * SHARED_WAIT_BOUNDS,
-    runnersWaitMs: Math.max(MIN_WAIT_MS, lookerAgeMs - NEW_CONNECTION_READ_MS - reportIntervalMs),
+    runnersIntervalMs: Math.max(MIN_WAIT_MS, lookerAgeMs - NEW_CONNECTION_READ_MS - reportIntervalMs),
     lookerAgeMs,
     takeoverStaggerMs: takeoverMs + reportIntervalMs,
     maxAgeMs,
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -50,6 +50,8 @@
  * within the time in which requests to a leaving runner must stop.
  */
 const RUNNERS_INTERVAL_MS = 400
+/** Shortest wait of a read of the list of runners, in milliseconds. */
+const MIN_RUNNERS_WAIT_MS = 50
 /** A reader that lags behind a peer for this long requests its snapshot, in milliseconds: longer than its own reads take. */
 const LAG_TOLERANCE_MS = 1_200
 /** Interval at which a looker polls the list of runners although it hears from the reader, in milliseconds. */
@@ -348,7 +350,7 @@
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
       const isReader = this.updateRole() === 'reader' || !this.hasReadRunners
-      const longPollMs = isReader && !isTakeover ? this.options.computeTiming().runnersWaitMs : 0
+      const longPollMs = isReader && !isTakeover ? this.chooseRunnersWait() : 0
       const reading = await this.options.store.readRunners(this.options.table.position, longPollMs, signal)
       if (this.noteRead('runners', reading, startedAtMs)) {
         const nowMs = this.options.clock.readMonotonicMs()
@@ -367,6 +369,11 @@
     }
   }
 
+  /** Wait of a read of the list of runners, in milliseconds: the time since the read before counts. */
+  private chooseRunnersWait (): number {
+    return Math.max(MIN_RUNNERS_WAIT_MS, this.options.computeTiming().runnersIntervalMs - this.measureTopicAge('runners'))
+  }
+
   /** Waits until the next poll of a looker is due. */
   private async waitForNextPoll (lastPollAtMs: number, signal: AbortSignal): Promise<void> {
     const { clock } = this.options
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -6,7 +6,7 @@
 import { SimulatedNetwork } from './SimulatedNetwork.js'
 
 /** Interval at which the runners of a simulated fleet write to the list, in milliseconds. */
-const RUNNER_HEARTBEAT_MS = 400
+const RUNNER_HEARTBEAT_MS = 1_200
 const UNAVAILABLE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'the store did not respond in time' }
 const CANCELLED: CallFailure = { sent: 'maybe', reason: 'cancelled', message: 'the read was cancelled' }
 /** Timeout of a read beyond its long poll, in milliseconds: that of the daemons' client of the store. */
@@ -223,14 +223,19 @@
     this.store.wakeReaders()
   }
 
-  /** Adds plain runners, which write to the list in turn until the fleet is closed. */
-  addRunners (count: number): void {
+  /**
+   * Adds plain runners, which write to the list until the fleet is closed.
+   *
+   * @param spreadMs Time over which the writes of one round are spread, in milliseconds.
+   */
+  addRunners (count: number, spreadMs = RUNNER_HEARTBEAT_MS): void {
     const runners = Array.from({ length: count }, (_, index): Runner => ({ id: `runner-${index}`, service: 'ledger', address: `10.100.0.${index}:80`, zone: this.options.zones[0]!, slots: 6, isLeaving: false, bornMs: 1, holdings: undefined }))
     const writeInTurn = async (): Promise<void> => {
       for (let turn = 0; !this.isClosed; turn += 1) {
         const runner = runners[turn % count]!
         if (!this.removedRunners.has(runner.id)) this.appendRunner({ type: 'announced', runner })
-        await this.clock.waitFor(RUNNER_HEARTBEAT_MS / count)
+        const isLast = turn % count === count - 1
+        await this.clock.waitFor(spreadMs / count + (isLast ? RUNNER_HEARTBEAT_MS - spreadMs : 0))
       }
     }
     writeInTurn().catch((error: unknown) => process.stderr.write(`${String(error)}\n`))
--- a/packages/figquay-serving/src/__tests__/unit/StoreReaders.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreReaders.test.ts
@@ -59,6 +59,24 @@
   expect([missed, Math.max(...calls) <= MAX_CALLS_PER_SECOND]).toEqual([[], true])
 }
 
+describe('readers of the store in calm', () => {
+  for (const { boundMs, zones, daemonsPerZone } of FLEETS) {
+    it(`are one of ${zones.length * daemonsPerZone} daemons, however the runners' writes are spread over time`, async () => {
+      const fleet = await SimulatedFleet.create({ zones, daemonsPerZone, bytesPerMs: BYTES_PER_MS, bounds: { drainWithinMs: boundMs, applyWithinMs: boundMs } }, makeConfiguration(1, 49))
+      // The runners were started together: their writes come together, too.
+      fleet.addRunners(RUNNER_COUNT, 30)
+      await fleet.clock.runFor(3 * SECOND_MS)
+      const counts = new Set<number>()
+      for (let elapsedMs = 0; elapsedMs < CALM_SECONDS * SECOND_MS; elapsedMs += STEP_MS) {
+        await fleet.clock.runFor(STEP_MS)
+        counts.add([...fleet.daemons.values()].filter(({ storeRole }) => storeRole === 'reader').length)
+      }
+      expect([...counts]).toEqual([1])
+      await fleet.close()
+    })
+  }
+})
+
 describe('changes in the store', () => {
   for (const { boundMs, delays, ...size } of FLEETS) {
     const limits = { boundMs, delays }
--- a/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
@@ -31,8 +31,8 @@
 
   it('keep the age of the last read, as others hear it while nothing changes, below the age at which they read themselves', () => {
     fc.assert(fc.property(limits, ({ bounds, spread }) => {
-      const { runnersWaitMs, lookerAgeMs } = computeStoreTiming(bounds, spread)
-      expect(runnersWaitMs + READ_MS + spread.reportIntervalMs <= lookerAgeMs).toEqual(true)
+      const { runnersIntervalMs, lookerAgeMs } = computeStoreTiming(bounds, spread)
+      expect(runnersIntervalMs + READ_MS + spread.reportIntervalMs <= lookerAgeMs).toEqual(true)
     }))
   })
 
