--- a/packages/figquay/src/FigquayJsonClient.ts
+++ b/packages/figquay/src/FigquayJsonClient.ts
@@ -14,13 +14,15 @@
 export interface JsonCallOptions {
   readonly signal?: AbortSignal
   readonly headers?: Readonly<Record<string, string>>
+  /** Limit on the response body, in bytes: a small multiple of the largest one that is expected. */
+  readonly maxResponseBytes?: number
 }
 
 /** Why a call failed, and whether the request may have been sent. */
 export interface CallFailure {
   /** `never`: nothing was sent. `maybe`: the server may have received the request and may act on it. */
   readonly sent: 'never' | 'maybe'
-  readonly reason: 'connect' | 'timeout' | 'reset' | 'malformed' | 'cancelled'
+  readonly reason: 'connect' | 'timeout' | 'reset' | 'malformed' | 'oversized' | 'cancelled'
   readonly message: string
 }
 
@@ -39,25 +41,38 @@
   const code = String((error as { code?: unknown }).code ?? '')
   const name = (error as { name?: string }).name ?? ''
   const message = describeError(error)
+  if (error instanceof OversizedBodyError) return { sent: 'maybe', reason: 'oversized', message }
   if (CONNECT_ERROR_CODES.has(code)) return { sent: 'never', reason: 'connect', message }
   if (name === 'TimeoutError' || code.includes('TIMEOUT')) return { sent: 'maybe', reason: 'timeout', message }
   if (name === 'AbortError') return { sent: 'maybe', reason: 'cancelled', message }
   return { sent: 'maybe', reason: 'reset', message }
 }
 
-/** Limit on a response body: above the largest read of the log, and small compared with a daemon's memory. */
+/** Limit on a response body unless the call has its own: above the largest read of the log, and small compared with a daemon's memory. */
 const MAX_RESPONSE_BYTES = 33_554_432
 
-/** Reads a response body to its end; throws when it exceeds the limit, so that an endless one is abandoned. */
-async function readText (body: AsyncIterable<Buffer>): Promise<string> {
+/** A response body exceeds its limit. */
+class OversizedBodyError extends Error {
+  constructor (limitBytes: number) {
+    super(`response body exceeds ${limitBytes} bytes`)
+  }
+}
+
+/**
+ * Reads a response body to its end; throws when it exceeds the limit, so that an endless one is abandoned.
+ *
+ * @example
+ * const bytes = await readBody(response.body, 65_536)
+ */
+export async function readBody (body: AsyncIterable<Buffer>, limitBytes: number): Promise<Buffer> {
   const chunks: Buffer[] = []
   let size = 0
   for await (const chunk of body) {
     size += chunk.length
-    if (size > MAX_RESPONSE_BYTES) throw new Error(`response body exceeds ${MAX_RESPONSE_BYTES} bytes`)
+    if (size > limitBytes) throw new OversizedBodyError(limitBytes)
     chunks.push(chunk)
   }
-  return Buffer.concat(chunks).toString()
+  return Buffer.concat(chunks)
 }
 
 /** Client whose connection pool is replaced as a whole when a call times out. */
@@ -83,7 +98,7 @@
    * @example
    * const reply = await client.requestJson('GET', 'http://10.0.0.4:7000/vms', undefined, 1_000)
    */
-  async requestJson (method: 'GET' | 'POST', url: string, body: unknown, timeoutMs: number, { signal, headers }: JsonCallOptions = {}): Promise<Outcome<JsonReply, CallFailure>> {
+  async requestJson (method: 'GET' | 'POST', url: string, body: unknown, timeoutMs: number, { signal, headers, maxResponseBytes = MAX_RESPONSE_BYTES }: JsonCallOptions = {}): Promise<Outcome<JsonReply, CallFailure>> {
     const deadline = Deadline.create(timeoutMs, signal)
     const agent = this.agent
     try {
@@ -94,7 +109,7 @@
         headers: body === undefined ? { ...headers } : { 'content-type': 'application/json', ...headers },
         body: body === undefined ? null : JSON.stringify(body)
       })
-      const text = await readText(response.body)
+      const text = (await readBody(response.body, maxResponseBytes)).toString()
       return makeSuccess({ status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) })
     } catch (error) {
       if (error instanceof SyntaxError) return makeFailure({ sent: 'maybe', reason: 'malformed', message: error.message })
