--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -11,6 +11,7 @@
 import { ServingDispatcher } from './FigquayServingDispatcher.js'
 import { FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
+import type { DrainWindow } from './FigquayServingRouteDurations.js'
 import { ServingRouter } from './FigquayServingRouter.js'
 import { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { VersionHistory } from './FigquayServingVersionHistory.js'
@@ -241,15 +242,16 @@
   }
 
   /**
-   * Starts draining: the daemon is no longer ready for callers, and requests in flight continue.
+   * Starts draining: the daemon is no longer ready for callers, and requests in flight continue; those that can't end in time
+   * are refused.
    *
-   * @param deadlineAtMs Monotonic time by which requests must have ended, in milliseconds.
    * @example
-   * daemon.startDraining(clock.readMonotonicMs() + 7_000)
+   * daemon.startDraining({ deadlineAtMs: clock.readMonotonicMs() + 7_000, isChosenUntilMs: clock.readMonotonicMs() + 2_500 })
    */
-  startDraining (deadlineAtMs: number): void {
+  startDraining (drain: DrainWindow): void {
     this.stopping = true
-    this.dispatcher.setWaitDeadline(deadlineAtMs)
+    this.dispatcher.setWaitDeadline(drain.deadlineAtMs)
+    this.router.startDraining(drain)
   }
 
   /** Stops the tasks and closes the connections. */
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -7,6 +7,7 @@
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
+import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
@@ -96,6 +97,8 @@
 export class ServingRouter {
   private readonly openDeadlines = new Set<Deadline>()
   private readonly suspectGate: SuspectGate
+  private readonly durations = RouteDurations.create()
+  private drain: DrainWindow | undefined
   private isStopping = false
 
   private constructor (private readonly options: ServingRouterOptions) {
@@ -126,6 +129,7 @@
       const refusal = await this.prepareResumption(progress) ?? await this.runAttempts(progress)
       const result = this.finishRequest(progress, refusal, signal.aborted)
       this.options.telemetry.noteResult(request, result)
+      if (result === 'answered' && progress.forwardedStatus === OK) this.durations.noteDuration(request.route.name, this.options.clock.readMonotonicMs() - request.arrivedAtMs)
       return result
     } finally {
       this.openDeadlines.delete(deadline)
@@ -133,6 +137,16 @@
     }
   }
 
+  /**
+   * Refuses requests that are likely to last beyond the end of the drain from now on.
+   *
+   * @example
+   * router.startDraining({ deadlineAtMs: nowMs + 7_000, isChosenUntilMs: nowMs + 2_500 })
+   */
+  startDraining (drain: DrainWindow): void {
+    this.drain = drain
+  }
+
   /**
    * Ends every open request with a final response, as the daemon is about to exit.
    *
@@ -188,6 +202,8 @@
       const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal, progress.stream.softwareVersion)
       if (signal.aborted) break
       if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
+      const drainRefusal = this.refuseBeyondDrain(progress)
+      if (drainRefusal !== undefined) return drainRefusal
       if (!await this.acquireRequestPermit(request, choice)) continue
       const isolation = await this.suspectGate.isolateRequest(progress.gated, choice, signal)
       if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request with the same prompt part is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
@@ -205,6 +221,17 @@
     return this.makeTimeoutRefusal(progress)
   }
 
+  /** Refuses a request that hasn't been sent and would be cut off at the end of a planned stop. */
+  private refuseBeyondDrain ({ request, mayHaveRun, hasResponseStarted }: RequestProgress): Refusal | undefined {
+    if (this.drain === undefined || mayHaveRun || hasResponseStarted) return undefined
+    const { route, deadlineAtMs } = request
+    const typicalMs = this.durations.estimateTypical(route.name)
+    const decision = decideWhileDraining({ nowMs: this.options.clock.readMonotonicMs(), deadlineAtMs, mayRepeat: route.repeat === 'idempotent' || route.isResumable, typicalMs }, this.drain)
+    if (decision.type === 'serve') return undefined
+    const typical = typicalMs === undefined ? 'an unknown time' : `${Math.round(typicalMs)} ms`
+    return Refusal.create('draining', `the daemon is shutting down before the request can end: such requests take ${typical}`, { retryAfterMs: decision.retryAfterMs })
+  }
+
   private refuseQuarantined (progress: RequestProgress): Refusal {
     this.options.telemetry.noteQuarantined(progress.request)
     const partKey = this.suspectGate.findQuarantinedPart(progress.gated)
