--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -209,6 +209,7 @@
     this.hasLackedRecords = lacksRecords
   }
 
+  /** Reads of this daemon begin anew without a wait, on new connections. */
   private restartReads (): void {
     this.options.store.renewConnections()
     this.abortLongPolls()
@@ -221,35 +222,29 @@
     return topic === 'configuration' ? configurationWaitMs : sharedWaitMs
   }
 
-  /** Waits until this daemon has to read again, or for as long as a role is checked. */
-  private async waitForRestart (signal: AbortSignal): Promise<void> {
-    const { longPollAbort } = this
-    const abort = (): void => longPollAbort.abort()
-    signal.addEventListener('abort', abort, { once: true })
-    await this.options.clock.waitFor(ROLE_CHECK_MS, longPollAbort.signal)
-    signal.removeEventListener('abort', abort)
+  /** Waits until this daemon has to read again or stops, or for as long as a role is checked. */
+  private async waitForRestart (): Promise<void> {
+    await this.options.clock.waitFor(ROLE_CHECK_MS, this.longPollAbort.signal)
   }
 
   /** Repeats a long poll; `abortLongPolls` has it begin anew. */
   private async runLongPolls (signal: AbortSignal, topic: 'configuration' | 'shared', read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
     const { clock } = this.options
+    signal.addEventListener('abort', () => this.longPollAbort.abort(), { once: true })
     // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
     let waitMs = 0
     while (!signal.aborted) {
       if (this.isListener && !this.takeoverTopics.has(topic)) {
-        await this.waitForRestart(signal)
+        await this.waitForRestart()
         waitMs = 0
         continue
       }
       const startedAtMs = clock.readMonotonicMs()
-      const longPollAbort = this.longPollAbort
-      const abort = (): void => longPollAbort.abort()
-      signal.addEventListener('abort', abort, { once: true })
+      const { longPollAbort } = this
       if (this.takeoverTopics.delete(topic)) waitMs = 0
       const succeeded = await read(waitMs, longPollAbort.signal)
       const wasRestarted = longPollAbort.signal.aborted
       waitMs = succeeded && !wasRestarted ? this.chooseWait(topic) : 0
-      signal.removeEventListener('abort', abort)
       await clock.waitFor(succeeded || wasRestarted ? Math.max(0, startedAtMs + MIN_READ_INTERVAL_MS - clock.readMonotonicMs()) : RETRY_DELAY_MS, signal)
     }
   }
@@ -345,7 +340,7 @@
     while (!signal.aborted) {
       const isTakeover = this.takeoverTopics.delete('runners')
       if (this.isListener && !isTakeover) {
-        await this.waitForRestart(signal)
+        await this.waitForRestart()
         continue
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
@@ -377,7 +372,7 @@
   /** Waits until the next poll of a looker is due. */
   private async waitForNextPoll (lastPollAtMs: number, signal: AbortSignal): Promise<void> {
     const { clock } = this.options
-    while (!signal.aborted && this.updateRole() === 'looker' && clock.readMonotonicMs() - lastPollAtMs < LOOKER_POLL_INTERVAL_MS) await this.waitForRestart(signal)
+    while (!signal.aborted && this.updateRole() === 'looker' && clock.readMonotonicMs() - lastPollAtMs < LOOKER_POLL_INTERVAL_MS) await this.waitForRestart()
   }
 
   /** Reads are told to peers only while those of all topics succeed. */
