--- a/packages/figquay-fleet/src/FigquayFleetConfigurationUpdate.ts
+++ b/packages/figquay-fleet/src/FigquayFleetConfigurationUpdate.ts
@@ -88,11 +88,11 @@
 export function applyConfigurationUpdate (base: FleetConfiguration | undefined, update: ConfigurationUpdate): FleetConfiguration | undefined {
   const { version, limits, baseVersion } = update
   if (baseVersion === undefined) {
-    return update.services === undefined ? undefined : { version, limits, routes: update.changedRoutes.map(([, route]) => route), services: deserializeServices(update.services) }
+    return update.services === undefined ? undefined : { version, limits, customers: undefined, routes: update.changedRoutes.map(([, route]) => route), services: deserializeServices(update.services) }
   }
   if (base?.version !== baseVersion) return undefined
   const routes = indexRoutes(base.routes)
   for (const key of update.removedRoutes) routes.delete(key)
   for (const [key, route] of update.changedRoutes) routes.set(key, route)
-  return { version, limits, routes: [...routes.values()], services: update.services === undefined ? base.services : deserializeServices(update.services) }
+  return { version, limits, customers: base.customers, routes: [...routes.values()], services: update.services === undefined ? base.services : deserializeServices(update.services) }
 }
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -25,6 +25,8 @@
   readonly isHealthy: boolean
   /** Remaining time for which it has asked this daemon to send no requests, in milliseconds; 0 when it takes requests. */
   readonly backoffMs: number
+  /** How long its work takes at the moment, relative to the usual; 1 when nothing is known. */
+  readonly slowdown: number
 }
 
 /** A change of a runner that affects routing. */
@@ -411,7 +413,8 @@
       load: this.sumLoad(entry, nowMs),
       failureRate: entry.failureRate,
       isHealthy: nowMs >= entry.cooldownUntilMs && !this.isUnresponsive(entry, nowMs),
-      backoffMs: this.measureBackoffMs(entry.runner, nowMs)
+      backoffMs: this.measureBackoffMs(entry.runner, nowMs),
+      slowdown: entry.reported?.slowdown ?? 1
     }))
   }
 
--- a/packages/figquay-fleet/src/FigquayFleetTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetTypes.ts
@@ -26,6 +26,10 @@
   readonly objectiveMs: number
   /** Longest silence, before the first byte or between two, after which callers give up, in milliseconds. */
   readonly patienceMs: number
+  /** Longest pause between two events of a stream for which the response is still on time, in milliseconds; 0 if the route declares none. */
+  readonly maxPauseMs: number
+  /** Callers need no key, also where others do. */
+  readonly isPublic: boolean
   /** 0 is the highest priority. */
   readonly priority: number
   readonly targets: readonly RouteTarget[]
@@ -71,6 +75,27 @@
   readonly engine: EnginePool | undefined
 }
 
+/** Rate at which the requests of one customer may run, over all daemons together. */
+export interface CustomerQuota {
+  /** What `ratePerSecond` and `burst` count. A request counts its prompt tokens and its most output tokens. */
+  readonly unit: 'tokens' | 'requests'
+  readonly ratePerSecond: number
+  readonly burst: number
+  /** Tokens that a request counts which names none. */
+  readonly defaultTokens: number
+}
+
+/** A customer whose callers authenticate with keys. */
+export interface Customer {
+  readonly name: string
+  /** SHA-256 digests of its keys, in hexadecimal: the keys themselves are known to their callers only. */
+  readonly keyDigests: readonly string[]
+  /** Goes before the priority of the route; undefined if the route's applies. */
+  readonly priority: number | undefined
+  /** Undefined if there is no limit. */
+  readonly quota: CustomerQuota | undefined
+}
+
 /** Limits on what callers may send. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number
@@ -84,6 +109,8 @@
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, Service>
+  /** By name; undefined where callers need no keys. */
+  readonly customers: ReadonlyMap<string, Customer> | undefined
   readonly limits: CallerLimits
 }
 
@@ -132,6 +159,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** How long work takes at the moment, relative to the usual: 2 if it takes twice as long. Undefined if the runner doesn't say. */
+  readonly slowdown: number | undefined
 }
 
 /** A part of a prompt; requests that share it and all parts before it can reuse the same cached prefix. */
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -21,11 +21,11 @@
 }
 
 function makeRoute (name: string, pathPrefix: string): Route {
-  return { name, host: 'h', pathPrefix, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1, objectiveMs: 1, patienceMs: 1, priority: 0, targets: [], maxAttempts: 1 }
+  return { name, host: 'h', pathPrefix, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1, objectiveMs: 1, patienceMs: 1, maxPauseMs: 0, isPublic: false, priority: 0, targets: [], maxAttempts: 1 }
 }
 
 function makeConfiguration (version: number, routes: readonly Route[]): FleetConfiguration {
-  return { version, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+  return { version, routes, services: new Map(), customers: undefined, limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
 }
 
 const HOLDINGS: Holdings = { models: [{ name: 'm', adapters: [] }], coming: [], isBusy: false, inMemory: [], onDisk: [] }
--- a/packages/figquay-fleet/src/__tests__/unit/Placement.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/Placement.test.ts
@@ -51,7 +51,7 @@
   leadership.applyLeaderRecord(JSON.stringify({ daemon: 'd', boot: 'b' }), 4)
   const orders = OrderDispatcher.create({ self: 'd', client, table, leadership, clock, logger, announceHoldings: () => {}, announceLeaving: () => {} })
   const configurations = ConfigurationHolder.create()
-  configurations.adoptConfiguration({ version: 1, routes: [], services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: POOL }]]), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+  configurations.adoptConfiguration({ version: 1, routes: [], services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: POOL }]]), customers: undefined, limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
   const demand = FleetDemand.create(clock)
   return { client, demand, placement: FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => new Map() }) }
 }
--- a/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerChoice.test.ts
@@ -10,6 +10,7 @@
     failureRate: 0,
     isHealthy: true,
     backoffMs: 0,
+    slowdown: 1,
     ...changes
   }
 }
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -1,5 +1,6 @@
 export { findLoadSource, findLoadDurationMs, type LoadSource } from './FigquayFleetLoadSource.js'
-export { type CallerLimits, type EnginePool, type FleetConfiguration, type LoadedModel, type Holdings, makeAdapterKey, type ModelSpec, type PromptPart, type RetrySafety, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
+export { type ForecastReason, type ModelForecast } from './FigquayFleetForecast.js'
+export { type CallerLimits, type Customer, type CustomerQuota, type EnginePool, type FleetConfiguration, type LoadedModel, type Holdings, makeAdapterKey, type ModelSpec, type PromptPart, type RetrySafety, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
 export { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 export { applyConfigurationUpdate, computeConfigurationUpdate, shareUnchangedParts, type ConfigurationUpdate } from './FigquayFleetConfigurationUpdate.js'
 export { FleetRunnerTable, hasAdapter, type InFlightRequest, type RunnerTableChange, type RunnerView } from './FigquayFleetRunnerTable.js'
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -328,7 +328,7 @@
   private async runExchange (progress: RequestProgress, runner: Runner, silenceDeadline: Deadline, openRequest: InFlightRequest, attempt: TrackedAttempt): Promise<AttemptResult> {
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
-    const priority = Math.min(LOWEST_PRIORITY, request.route.priority)
+    const priority = Math.min(LOWEST_PRIORITY, request.priority)
     const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
     let namesLimit = false
     let areAnsweredPartsNoted = false
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -1,16 +1,24 @@
 /** Protocol-independent requests, responses and exchanges; data of the protocol's codec is opaque to this package. */
 import type { Refusal } from 'figquay'
-import type { PromptPart, ReportedLoad, Route, Runner } from 'figquay-fleet'
+import type { Customer, PromptPart, ReportedLoad, Route, Runner } from 'figquay-fleet'
 
 /** A caller's request, matched to a route. */
 export interface ServedRequest {
   readonly id: string
   readonly route: Route
+  /** Customer whose key the caller has sent; undefined where callers need none. */
+  readonly customer: Customer | undefined
+  /** SHA-256 digest of that key, in hexadecimal. */
+  readonly keyDigest: string | undefined
+  /** 0 is the highest. */
+  readonly priority: number
   /** Service drawn from the route's targets. */
   readonly service: string
   readonly model: string | undefined
   readonly adapter: string | undefined
   readonly promptTokens: number
+  /** Most tokens that the response may have; 0 if the request doesn't say. */
+  readonly maxOutputTokens: number
   readonly parts: readonly PromptPart[]
   /** Id of the last event that the caller has of a stream that it takes up; undefined for a new stream, and for other requests. */
   readonly resumeAfterEventId: string | undefined
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -376,9 +376,9 @@
 /** Makes a configuration with routes of random-looking names, as operators generate them. */
 export function makeConfiguration (version: number, routeCount: number): FleetConfiguration {
   const routes = Array.from({ length: routeCount }, (_, index): Route => ({
-    name: `r-${makeName(index)}`, host: `site-${index % 30}.example`, pathPrefix: `/${makeName(index + 7)}/`, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1_041, objectiveMs: 147, patienceMs: 1_041, priority: 1, targets: [{ service: 'ledger', weight: 1 }], maxAttempts: 2
+    name: `r-${makeName(index)}`, host: `site-${index % 30}.example`, pathPrefix: `/${makeName(index + 7)}/`, repeat: 'idempotent', isStream: false, isResumable: false, timeoutMs: 1_041, objectiveMs: 147, patienceMs: 1_041, maxPauseMs: 0, isPublic: false, priority: 1, targets: [{ service: 'ledger', weight: 1 }], maxAttempts: 2
   }))
-  return { version, routes, services: new Map([['ledger', { name: 'ledger', healthPath: '/health', maxConnections: 100, engine: undefined }]]), limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 } }
+  return { version, routes, services: new Map([['ledger', { name: 'ledger', healthPath: '/health', maxConnections: 100, engine: undefined }]]), customers: undefined, limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 } }
 }
 
 /** Spreads consecutive numbers over unlike names, which compress as little as generated names do. */
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -41,7 +41,7 @@
 }
 
 const routeArbitrary: fc.Arbitrary<Route> = fc.record({
-  name: fc.constant('r'), host: fc.constantFrom('x', 'y'), pathPrefix: fc.constantFrom('/', '/a/', '/a/b/'), repeat: fc.constant('idempotent' as const), isStream: fc.boolean(), isResumable: fc.constant(false), timeoutMs: fc.integer({ min: 1, max: 3 }), objectiveMs: fc.constant(1), patienceMs: fc.constant(1), priority: fc.constant(0), targets: fc.constant([]), maxAttempts: fc.constant(1)
+  name: fc.constant('r'), host: fc.constantFrom('x', 'y'), pathPrefix: fc.constantFrom('/', '/a/', '/a/b/'), repeat: fc.constant('idempotent' as const), isStream: fc.boolean(), isResumable: fc.constant(false), timeoutMs: fc.integer({ min: 1, max: 3 }), objectiveMs: fc.constant(1), patienceMs: fc.constant(1), maxPauseMs: fc.constant(0), isPublic: fc.constant(false), priority: fc.constant(0), targets: fc.constant([]), maxAttempts: fc.constant(1)
 }, { noNullPrototype: true })
 
 describe('changes between two configurations', () => {
--- a/packages/figquay-serving/src/__tests__/unit/Dispatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Dispatcher.test.ts
@@ -6,13 +6,14 @@
 import { ServingDispatcher, type RunnerExchangeClient, type ServedRequest } from '../../index.js'
 
 const ROUTE: Route = {
-  name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: true, isResumable: false, timeoutMs: 5_000, objectiveMs: 100, patienceMs: 5_000, priority: 0, targets: [], maxAttempts: 1
+  name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: true, isResumable: false, timeoutMs: 5_000, objectiveMs: 100, patienceMs: 5_000, maxPauseMs: 0, isPublic: false, priority: 0, targets: [], maxAttempts: 1
 }
 const SPEC: ModelSpec = { name: 'm', weightsMb: 1, storeLoadMs: 300, diskLoadMs: 50, memoryLoadMs: 50, adapterCount: 1, adapterMb: 0 }
 const CONFIGURATION: FleetConfiguration = {
   version: 1,
   routes: [],
   services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 8, kvTokens: 1, weightsMb: 1, adapterSlots: 1, loadsPerSecond: 1, models: new Map([['m', SPEC], ['n', { ...SPEC, name: 'n' }]]) } }]]),
+  customers: undefined,
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 
@@ -46,7 +47,7 @@
   })
   const find = (model: string): Promise<Runner | Refusal> => {
     const arrivedAtMs = clock.readMonotonicMs()
-    const request: ServedRequest = { id: 'a', route: ROUTE, service: 's', model, adapter: undefined, promptTokens: 0, parts: [], resumeAfterEventId: undefined, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + 5_000, payload: undefined }
+    const request: ServedRequest = { id: 'a', route: ROUTE, service: 's', model, adapter: undefined, customer: undefined, keyDigest: undefined, priority: 0, promptTokens: 0, maxOutputTokens: 0, parts: [], resumeAfterEventId: undefined, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + 5_000, payload: undefined }
     return dispatcher.findRunner(request, new Set(), new AbortController().signal)
   }
   return { clock, table, dispatcher, find, countAnnouncements: () => announcements }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -7,7 +7,7 @@
 import { ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest, type StreamOrigin } from '../../index.js'
 
 const ROUTE: Route = {
-  name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, priority: 0, targets: [], maxAttempts: 1
+  name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, maxPauseMs: 0, isPublic: false, priority: 0, targets: [], maxAttempts: 1
 }
 const IDEMPOTENT: Partial<Route> = { repeat: 'idempotent', maxAttempts: 2 }
 const RESUMABLE: Partial<Route> = { repeat: 'idempotent', isStream: true, isResumable: true, maxAttempts: 2 }
@@ -92,6 +92,7 @@
   version: 1,
   routes: [],
   services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 8, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map([['m', MODEL]]) } }]]),
+  customers: undefined,
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 
@@ -166,7 +167,7 @@
   })
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
-    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, promptTokens: 0, parts: deadlyPart === undefined ? [] : [{ id: deadlyPart, tokens: 1 }, { id: 'own', tokens: 1 }], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
+    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, customer: undefined, keyDigest: undefined, priority: 0, promptTokens: 0, maxOutputTokens: 0, parts: deadlyPart === undefined ? [] : [{ id: deadlyPart, tokens: 1 }, { id: 'own', tokens: 1 }], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
   const answers: RecordingSink[] = []
   let result = ''
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -10,6 +10,7 @@
   version: 7,
   routes: [],
   services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { slots: 1, kvTokens: 1, weightsMb: 1, adapterSlots: 0, loadsPerSecond: 1, models: new Map() } }]]),
+  customers: undefined,
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 const BOUNDS = { drainWithinMs: 2_000, applyWithinMs: 2_000 }
--- a/packages/figquay-serving/src/__tests__/unit/Waiting.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Waiting.test.ts
@@ -26,7 +26,7 @@
 })
 
 describe('capacity of a runner', () => {
-  const view: RunnerView = { runner: makeRunner([], []), load: { requests: 0, pendingTokens: 0, recentTokens: 0 }, failureRate: 0, isHealthy: true, backoffMs: 0 }
+  const view: RunnerView = { runner: makeRunner([], []), load: { requests: 0, pendingTokens: 0, recentTokens: 0 }, failureRate: 0, isHealthy: true, backoffMs: 0, slowdown: 1 }
 
   it('includes its queue', () => {
     expect(hasCapacity({ ...view, load: { ...view.load, requests: 7 } })).toEqual(true)
