Decode customers; find them by the digests of their keys; send daemons only what changed

Cause: two deployments give their callers keys. The configuration had types for customers, and nothing filled or carried them.

ConfigurationHolder.findCustomer compares digests; the index is changed by the keys that differ, and unchanged customers are shared with the version before. An update between daemons has the digests that were added and removed.

Ruled out: whole customers in updates; one of 20,000 keys has 1.3 MB of digests.

--- a/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
+++ b/packages/figquay-fleet/src/FigquayFleetConfiguration.ts
@@ -1,7 +1,8 @@
 /** The active configuration. Its version only increases, whichever source a configuration comes from. */
 import { setBounded } from 'figquay'
 import { shareUnchangedParts } from './FigquayFleetConfigurationUpdate.js'
-import type { FleetConfiguration, Route, Service } from './FigquayFleetTypes.js'
+import { CustomerIndex } from './FigquayFleetCustomerIndex.js'
+import type { Customer, FleetConfiguration, Route, Service } from './FigquayFleetTypes.js'
 
 /** Versions that are kept, so that a daemon that has one of them can be sent the difference alone. */
 const KEPT_VERSIONS = 32
@@ -26,6 +27,7 @@
   /** The newest versions, the active one included, by version. */
   private readonly kept = new Map<number, FleetConfiguration>()
   private routeIndex: RouteIndex = new Map()
+  private readonly customerIndex = CustomerIndex.create()
   private readonly listeners = new Set<(configuration: FleetConfiguration) => void>()
 
   private constructor () {}
@@ -60,6 +62,7 @@
     this.configuration = active
     setBounded(this.kept, active.version, active, KEPT_VERSIONS)
     this.routeIndex = makeRouteIndex(active.routes)
+    this.customerIndex.setCustomers(active.customers)
     for (const listener of [...this.listeners]) listener(active)
     return true
   }
@@ -87,6 +90,17 @@
     return this.routeIndex.get(host)?.find((route) => path.startsWith(route.pathPrefix))
   }
 
+  /**
+   * Finds the customer that holds a key.
+   *
+   * @param keyDigest SHA-256 digest of the key, in hexadecimal.
+   * @example
+   * configurations.findCustomer(hashText(key))
+   */
+  findCustomer (keyDigest: string): Customer | undefined {
+    return this.customerIndex.findCustomer(keyDigest)
+  }
+
   /** One of the newest versions; undefined when this daemon never had it or no longer keeps it. */
   findVersion (version: number): FleetConfiguration | undefined {
     return this.kept.get(version)
--- a/packages/figquay-fleet/src/FigquayFleetConfigurationUpdate.ts
+++ b/packages/figquay-fleet/src/FigquayFleetConfigurationUpdate.ts
@@ -1,4 +1,5 @@
 /** What changes from one configuration to a newer one, so that daemons send each other the difference instead of the document. */
+import { applyCustomersUpdate, computeCustomersUpdate, shareUnchangedCustomers, type CustomersUpdate } from './FigquayFleetCustomerUpdate.js'
 import type { CallerLimits, EnginePool, FleetConfiguration, ModelSpec, Route, Service } from './FigquayFleetTypes.js'
 
 type SerializedEngine = Omit<EnginePool, 'models'> & { readonly models: ReadonlyArray<readonly [string, ModelSpec]> }
@@ -15,6 +16,8 @@
   readonly changedRoutes: ReadonlyArray<readonly [key: string, route: Route]>
   /** All services, or undefined when none differs. */
   readonly services: readonly SerializedService[] | undefined
+  /** Daemons of an older release, which know no customers, send none. */
+  readonly customers?: CustomersUpdate
   readonly limits: CallerLimits
 }
 
@@ -42,7 +45,7 @@
 }
 
 /**
- * Returns a configuration that shares the routes and services that it has in common with an earlier one, so that the two
+ * Returns a configuration that shares the routes, services and customers that it has in common with an earlier one, so that the two
  * can be compared by reference.
  *
  * @example
@@ -55,7 +58,7 @@
     return earlierRoute !== undefined && isEqualJson(earlierRoute, route) ? earlierRoute : route
   })
   const hasSameServices = isEqualJson(serializeServices(earlier.services), serializeServices(later.services))
-  return { ...later, routes, services: hasSameServices ? earlier.services : later.services }
+  return { ...later, routes, services: hasSameServices ? earlier.services : later.services, customers: shareUnchangedCustomers(earlier.customers, later.customers) }
 }
 
 /**
@@ -66,7 +69,8 @@
  */
 export function computeConfigurationUpdate (base: FleetConfiguration | undefined, target: FleetConfiguration): ConfigurationUpdate {
   const { version, limits } = target
-  if (base === undefined) return { baseVersion: undefined, version, removedRoutes: [], changedRoutes: [...indexRoutes(target.routes)], services: serializeServices(target.services), limits }
+  const customers = computeCustomersUpdate(base?.customers, target.customers)
+  if (base === undefined) return { baseVersion: undefined, version, removedRoutes: [], changedRoutes: [...indexRoutes(target.routes)], services: serializeServices(target.services), customers, limits }
   const baseRoutes = indexRoutes(base.routes)
   const targetRoutes = indexRoutes(target.routes)
   return {
@@ -75,6 +79,7 @@
     removedRoutes: [...baseRoutes.keys()].filter((key) => !targetRoutes.has(key)),
     changedRoutes: [...targetRoutes].filter(([key, route]) => baseRoutes.get(key) !== route),
     services: base.services === target.services ? undefined : serializeServices(target.services),
+    customers,
     limits
   }
 }
@@ -87,12 +92,14 @@
  */
 export function applyConfigurationUpdate (base: FleetConfiguration | undefined, update: ConfigurationUpdate): FleetConfiguration | undefined {
   const { version, limits, baseVersion } = update
+  // A sender that knows no customers may have dropped those of the document: callers would need no keys any more.
+  if (update.customers === undefined) return undefined
   if (baseVersion === undefined) {
-    return update.services === undefined ? undefined : { version, limits, customers: undefined, routes: update.changedRoutes.map(([, route]) => route), services: deserializeServices(update.services) }
+    return update.services === undefined ? undefined : { version, limits, customers: applyCustomersUpdate(undefined, update.customers), routes: update.changedRoutes.map(([, route]) => route), services: deserializeServices(update.services) }
   }
   if (base?.version !== baseVersion) return undefined
   const routes = indexRoutes(base.routes)
   for (const key of update.removedRoutes) routes.delete(key)
   for (const [key, route] of update.changedRoutes) routes.set(key, route)
-  return { version, limits, customers: base.customers, routes: [...routes.values()], services: update.services === undefined ? base.services : deserializeServices(update.services) }
+  return { version, limits, customers: applyCustomersUpdate(base.customers, update.customers), routes: [...routes.values()], services: update.services === undefined ? base.services : deserializeServices(update.services) }
 }
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -3,6 +3,8 @@
 export { type CallerLimits, type Customer, type CustomerQuota, type EnginePool, type FleetConfiguration, type LoadedModel, type Holdings, makeAdapterKey, type ModelSpec, type PromptPart, type RetrySafety, type ReportedLoad, type Route, type RouteTarget, type Runner, type Service, type AdapterKey } from './FigquayFleetTypes.js'
 export { ConfigurationHolder } from './FigquayFleetConfiguration.js'
 export { applyConfigurationUpdate, computeConfigurationUpdate, shareUnchangedParts, type ConfigurationUpdate } from './FigquayFleetConfigurationUpdate.js'
+export { shortenDigest } from './FigquayFleetCustomerIndex.js'
+export { type CustomerChange, type Customers, type CustomersUpdate, type KeyChanges } from './FigquayFleetCustomerUpdate.js'
 export { FleetRunnerTable, hasAdapter, type InFlightRequest, type RunnerTableChange, type RunnerView } from './FigquayFleetRunnerTable.js'
 export { formatLoads, parseLoads, PeerLoads, type LoadRow, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 export { RunnerUpdateBuffer, isRunnerUpdate, type HoldingsUpdate, type LeavingUpdate, type RunnerUpdate } from './FigquayFleetRunnerUpdates.js'
--- a/scripts/check-platform-words.mjs
+++ b/scripts/check-platform-words.mjs
@@ -3,7 +3,7 @@
 import { join } from 'node:path'
 
 /** Names that are allowed in `platform/` only. */
-const PLATFORM_NAMES = /X-(?:Expect-Instance|Expect-Version|Token-Counts|Prompt-Prefix|Response-Signature|Not-Executed|Server-Load|Deadline-Ms|Request-Priority|Length-Hint|Pin-Ms|Hold|Kv-Backup|Instance-Id)\b|Kv-(?:From|Fetch)|figquay\/(?:order|report|ready|log-|kv-|hold-)|keyed\.(?:op|servers|status)|path-prefix|weights-mb|at-hand|adapter-slots|load-s\b|loads-per-s|slo-ms|timeout-ms|max-attempts|can-resume/i
+const PLATFORM_NAMES = /X-(?:Expect-Instance|Expect-Version|Token-Counts|Prompt-Prefix|Response-Signature|Not-Executed|Server-Load|Deadline-Ms|Request-Priority|Length-Hint|Pin-Ms|Hold|Kv-Backup|Instance-Id|Api-Key|Tenant)\b|Kv-(?:From|Fetch)|figquay\/(?:order|report|ready|log-|kv-|hold-)|keyed\.(?:op|servers|status)|path-prefix|weights-mb|at-hand|adapter-slots|load-s\b|loads-per-s|slo-ms|timeout-ms|max-attempts|can-resume|api-keys|plain-tokens|rate-per-s/i
 
 function listSources (directory) {
   return readdirSync(directory).flatMap((name) => {
