Decide on the access of requests by their keys: on arrival, before each attempt, and when the configuration changes

Cause: where a configuration has customers, only requests with a known key may run, and a key may be removed while its request waits or is retried.

AccessGate asks again before each attempt if the version has changed, and at each new version for all requests that no runner has: their wait ends at once with 401. An attempt that has begun is completed; there is no other one, and what may have run is refused with 502 or cut off, never as not run. The runner gets X-Tenant of the customer that holds the key then, and neither X-Api-Key nor X-Tenant of the caller; without customers all headers pass as before. The customer's priority precedes the route's. ServingRouter.admitRequest is the place for quotas.

Router.test.ts serves with a configuration in force, as every daemon does: without one a request gets 503.

--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -5,6 +5,7 @@
 import { gunzipSync } from 'node:zlib'
 import { describeError, Refusal, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { applyConfigurationUpdate, type ConfigurationHolder, type ConfigurationUpdate, type FleetConfiguration, type Route } from 'figquay-fleet'
+import { makeOutdatedRefusal } from './FigquayServingAccess.js'
 import type { ConfigurationReply, ConfigurationRequest } from './FigquayServingConfigurationSource.js'
 import { FALLBACK_JITTER_MS } from './FigquayServingStoreTiming.js'
 
@@ -50,8 +51,6 @@
  * peers have announced theirs: they do so every 200 ms.
  */
 const CONFIRM_TIMEOUT_MS = 700
-/** `Retry-After` of a request that only a newer configuration may have a route for, in milliseconds: most daemons fetch it within this time. */
-const OUTDATED_RETRY_AFTER_MS = 500
 /** Largest compressed update that is accepted, in bytes. */
 const MAX_ENCODED_BYTES = 8 * 2 ** 20
 /** Largest update after decompression, in bytes. */
@@ -93,6 +92,11 @@
     return version < 0 || this.newest.version > version
   }
 
+  /** Whether the active configuration is the newest that is known, and was compared with those of the peers. */
+  get isNewest (): boolean {
+    return !this.isBehind && this.confirmVersion()
+  }
+
   /**
    * Confirms that the active configuration is the newest, once it was compared with those of the peers; true from then on. A
    * daemon that starts can't rely on the store alone, which may have been restored from an older copy.
@@ -135,8 +139,7 @@
   resolveRoute (host: string, path: string): Route | Refusal {
     const route = this.options.configurations.findRoute(host, path)
     if (route !== undefined) return route
-    if (!this.isBehind && this.confirmVersion()) return Refusal.create('not_found', 'no route matches the host and path')
-    return Refusal.create('not_configured', 'a newer configuration has not been loaded yet', { retryAfterMs: OUTDATED_RETRY_AFTER_MS })
+    return this.isNewest ? Refusal.create('not_found', 'no route matches the host and path') : makeOutdatedRefusal()
   }
 
   /** Peers that are known to have a version. */
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -2,6 +2,7 @@
 import { makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
 import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Route, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
+import { AccessGate } from './FigquayServingAccessGate.js'
 import { AttemptTracker, PART_SUCCESS_WINDOW_MS } from './FigquayServingAttemptTracker.js'
 import { ConfigurationSource } from './FigquayServingConfigurationSource.js'
 import { ConfigurationSync } from './FigquayServingConfigurationSync.js'
@@ -58,6 +59,7 @@
 export class ServingDaemon {
   readonly configurations = ConfigurationHolder.create()
   readonly traces: ServingTelemetry
+  readonly accessGate: AccessGate
   readonly router: ServingRouter
   private readonly tasks: TaskGroup
   private readonly table: FleetRunnerTable
@@ -120,6 +122,7 @@
       readFromStore: (signal) => this.storeWatcher.readNewestConfiguration(signal)
     })
     const { configurationSync } = this
+    this.accessGate = AccessGate.create({ clock, configurations, isNewest: () => configurationSync.isNewest, telemetry: this.traces })
     const configurationSource = ConfigurationSource.create({ clock, configurations, listPeersWith: (version) => configurationSync.listPeersWith(version) })
     this.peers = ServingPeers.create({
       self: { id: address, zone, address },
@@ -174,6 +177,7 @@
     this.router = ServingRouter.create({
       clock,
       configurations,
+      accessGate: this.accessGate,
       table,
       memory,
       demand,
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -2,6 +2,7 @@
 import { Deadline, Refusal, type Clock } from 'figquay'
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
 import type { RetryBudget } from 'figquay-routing'
+import type { AccessGate, AccessSubject } from './FigquayServingAccessGate.js'
 import type { AttemptTracker, TrackedAttempt } from './FigquayServingAttemptTracker.js'
 import { isPartKey, type CrashHistory } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
@@ -18,6 +19,7 @@
 export interface ServingRouterOptions {
   readonly clock: Clock
   readonly configurations: ConfigurationHolder
+  readonly accessGate: AccessGate
   readonly table: FleetRunnerTable
   readonly memory: PromptCacheIndex
   readonly demand: FleetDemand
@@ -42,8 +44,7 @@
 }
 
 /** State of a request across its attempts. */
-interface RequestProgress {
-  readonly request: ServedRequest
+interface RequestProgress extends AccessSubject {
   /** What the gate for suspects knows of the request. */
   readonly gated: GatedRequest
   /** Replaced once the version that began a stream is known, which its caller resumes. */
@@ -123,15 +124,17 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
+    const progress: RequestProgress = { request, access: undefined, accessRefusal: undefined, isAttempting: false, endWait: () => deadline.cancel(), gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
+    const unregisterSubject = this.options.accessGate.registerSubject(progress)
     try {
-      const refusal = await this.prepareResumption(progress) ?? await this.runAttempts(progress)
+      const refusal = this.admitRequest(progress) ?? await this.prepareResumption(progress) ?? await this.runAttempts(progress)
       const result = this.finishRequest(progress, refusal, signal.aborted)
       this.options.telemetry.noteResult(request, result)
       if (result === 'answered' && progress.forwardedStatus === OK) this.durations.noteDuration(request.route.name, this.options.clock.readMonotonicMs() - request.arrivedAtMs)
       return result
     } finally {
+      unregisterSubject()
       this.openDeadlines.delete(deadline)
       deadline.dispose()
     }
@@ -175,6 +178,14 @@
     return 'refused'
   }
 
+  /**
+   * Returns the refusal of a request that may not run. A customer's quota is to be acquired here, once access is granted: it
+   * counts each request once, whatever the number of attempts.
+   */
+  private admitRequest (progress: RequestProgress): Refusal | undefined {
+    return this.options.accessGate.checkAccess(progress)
+  }
+
   /** Finds the software version that may go on with a stream that its caller resumes; returns the refusal if it can't be told. */
   private async prepareResumption (progress: RequestProgress): Promise<Refusal | undefined> {
     const { request } = progress
@@ -195,9 +206,12 @@
 
   /** Returns the refusal that ended the request; undefined if it was answered. */
   private async runAttempts (progress: RequestProgress): Promise<Refusal | undefined> {
-    const { request, signal } = progress
+    const { signal } = progress
     let occupiedRunners: ReadonlySet<string> = new Set()
     while (!signal.aborted) {
+      const refusalBeforeWait = this.refuseWithoutAccess(progress)
+      if (refusalBeforeWait !== undefined) return refusalBeforeWait
+      const { request } = progress
       if (this.suspectGate.classifyRequest(progress.gated) === 'quarantined') return this.refuseQuarantined(progress)
       const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal, progress.stream.softwareVersion)
       if (signal.aborted) break
@@ -212,6 +226,8 @@
         await this.options.clock.waitFor(ISOLATION_RETRY_DELAY_MS, signal)
         continue
       }
+      const refusalAfterWait = this.refuseWithoutAccess(progress)
+      if (refusalAfterWait !== undefined) return refusalAfterWait
       const result = await this.runAttempt(progress, choice, isolation)
       if (result.type === 'done') return undefined
       if (signal.aborted) break
@@ -221,6 +237,14 @@
     return this.makeTimeoutRefusal(progress)
   }
 
+  /** Refuses a request whose key was removed since the last decision. */
+  private refuseWithoutAccess (progress: RequestProgress): Refusal | undefined {
+    const refusal = this.options.accessGate.checkAccess(progress)
+    if (refusal === undefined) return undefined
+    this.suspectGate.releasePermits(progress.gated)
+    return this.adjustExecution(progress, refusal)
+  }
+
   /** Refuses a request that hasn't been sent and would be cut off at the end of a planned stop. */
   private refuseBeyondDrain ({ request, mayHaveRun, hasResponseStarted }: RequestProgress): Refusal | undefined {
     if (this.drain === undefined || mayHaveRun || hasResponseStarted) return undefined
@@ -250,6 +274,7 @@
   }
 
   private makeTimeoutRefusal (progress: RequestProgress): Refusal {
+    if (progress.accessRefusal !== undefined) return this.adjustExecution(progress, progress.accessRefusal)
     if (progress.mayHaveRun) return Refusal.create('outcome_unknown', this.isStopping ? 'the daemon is shutting down' : 'no response in time', { execution: 'unknown' })
     if (this.isStopping) return Refusal.create('draining', 'the daemon is shutting down', { retryAfterMs: 0 })
     return Refusal.create('deadline_unreachable', 'no runner accepted the request in time', { retryAfterMs: FAILED_RETRY_AFTER_MS })
@@ -265,6 +290,7 @@
     const { request } = progress
     const { table, clock, memory, attemptTracker } = this.options
     progress.triedRunners.add(runner.id)
+    progress.isAttempting = true
     const weightsKey = request.adapter === undefined ? request.model ?? '' : makeAdapterKey(request.model!, request.adapter)
     const openRequest = {
       requestId: request.id,
@@ -289,6 +315,7 @@
       this.noteAttempt(progress, runner, result)
       return result
     } finally {
+      progress.isAttempting = false
       silenceDeadline.dispose()
       release()
       // After an error in this daemon, the state of the runner is unknown.
@@ -329,7 +356,7 @@
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const priority = Math.min(LOWEST_PRIORITY, request.priority)
-    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
+    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, areKeysNeeded: progress.access?.areKeysNeeded === true, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
     let namesLimit = false
     let areAnsweredPartsNoted = false
     for await (const event of events) {
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -9,12 +9,16 @@
 /** Upper bounds of the latency histogram, in seconds, around the objectives of interactive and batch work. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15]
 
+/** What a log line says of a request. */
+export type LoggedRequest = Pick<ServedRequest, 'id' | 'route' | 'model' | 'adapter' | 'arrivedAtMs'>
+
 /** Logs and metrics of requests and runner probes. */
 export class ServingTelemetry {
   readonly registry = new Registry()
   private readonly results: Counter<'route' | 'result'>
   private readonly attempts: Counter<'service' | 'outcome'>
   private readonly firstByteSeconds: Histogram<'route'>
+  private readonly accessRefusals: Counter<'route' | 'reason'>
   private readonly quarantined: Counter<'route'>
   private readonly resumptions: Counter<'route' | 'origin'>
   private readonly storeReads: Counter<'topic' | 'outcome'>
@@ -27,6 +31,7 @@
     this.results = new Counter({ name: 'figquay_requests_total', help: 'Requests by route and result', labelNames: ['route', 'result'], registers })
     this.attempts = new Counter({ name: 'figquay_attempts_total', help: 'Exchanges with runners by service and outcome', labelNames: ['service', 'outcome'], registers })
     this.quarantined = new Counter({ name: 'figquay_quarantined_total', help: 'Requests refused because they have crashed runners, by route', labelNames: ['route'], registers })
+    this.accessRefusals = new Counter({ name: 'figquay_access_refusals_total', help: 'Requests refused for their keys, by route and reason', labelNames: ['route', 'reason'], registers })
     this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers resume, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
     this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
@@ -84,6 +89,11 @@
     })
   }
 
+  /** Counts a request that was refused for its key, or for the lack of one. */
+  noteAccessRefusal (request: LoggedRequest, reason: string): void {
+    this.accessRefusals.inc({ route: request.route.name, reason })
+  }
+
   /** Counts a request that was refused because it has crashed runners. */
   noteQuarantined (request: ServedRequest): void {
     this.quarantined.inc({ route: request.route.name })
@@ -105,7 +115,7 @@
    * @example
    * telemetry.recordDecision('attempt failed', request, { runner: runner.id, reason: 'reset' })
    */
-  recordDecision (decision: string, request: ServedRequest, fields: LogFields): void {
+  recordDecision (decision: string, request: LoggedRequest, fields: LogFields): void {
     const nowMs = this.clock.readMonotonicMs()
     if (nowMs - this.windowStartMs >= MS_PER_SECOND) {
       this.windowStartMs = nowMs
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -6,11 +6,11 @@
 export interface ServedRequest {
   readonly id: string
   readonly route: Route
-  /** Customer whose key the caller has sent; undefined where callers need none. */
+  /** Customer whose key the caller has sent; undefined where callers need none, and for callers of public routes without a known key. */
   readonly customer: Customer | undefined
-  /** SHA-256 digest of that key, in hexadecimal. */
+  /** SHA-256 digest of the key that the caller has sent, in hexadecimal, whether or not it is known; undefined if there is none. */
   readonly keyDigest: string | undefined
-  /** 0 is the highest. */
+  /** The customer's, or else the route's; 0 is the highest. */
   readonly priority: number
   /** Service drawn from the route's targets. */
   readonly service: string
@@ -90,6 +90,8 @@
   readonly resumeAfterEventId: string | undefined
   /** Priority at the runner; lower values are served first. */
   readonly priority: number
+  /** Whether callers need keys: the runner then gets the customer's name, and neither the key nor a name from the caller. */
+  readonly areKeysNeeded: boolean
   /** Longest idle time of a connection that may be reused, in milliseconds. */
   readonly maxIdleMs: number
 }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -2,9 +2,9 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, SystemClock, type Refusal } from 'figquay'
-import { ConfigurationHolder, FleetDemand, FleetRunnerTable, PromptCacheIndex, type Fact, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
+import { ConfigurationHolder, type Customer, FleetDemand, FleetRunnerTable, PromptCacheIndex, type Fact, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
-import { ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest, type StreamOrigin } from '../../index.js'
+import { AccessGate, ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest, type StreamOrigin } from '../../index.js'
 
 const ROUTE: Route = {
   name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, maxPauseMs: 0, isPublic: false, priority: 0, targets: [], maxAttempts: 1
@@ -16,14 +16,17 @@
 
 class ScriptedExchanges extends RunnerExchangeClient {
   readonly sent: string[] = []
+  /** Customer and priority of each attempt. */
+  readonly callers: unknown[] = []
   /** Runners whose processes have ended, so that probes of them are refused. */
   readonly deadRunners = new Set<string>()
   constructor (private readonly scripts: Script[]) {
     super()
   }
 
-  override runExchange (runner: Runner, _request: ServedRequest, options: ExchangeOptions, signal: AbortSignal): AsyncGenerator<ExchangeEvent, void, void> {
+  override runExchange (runner: Runner, request: ServedRequest, options: ExchangeOptions, signal: AbortSignal): AsyncGenerator<ExchangeEvent, void, void> {
     this.sent.push(options.resumeAfterEventId === undefined ? runner.id : `${runner.id} after ${options.resumeAfterEventId}`)
+    this.callers.push([options.areKeysNeeded, request.customer?.name, options.priority])
     return this.scripts.shift()!(runner.id, options, signal)
   }
 
@@ -96,6 +99,14 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 
+const KEY = 'digest'
+const CUSTOMER: Customer = { name: 'desk', keyDigests: [KEY], priority: undefined, quota: undefined }
+const CUSTOMERS = new Map([['desk', CUSTOMER]])
+
+function makeCaller (customers: FleetConfiguration['customers']): Pick<ServedRequest, 'customer' | 'keyDigest'> {
+  return customers === undefined ? { customer: undefined, keyDigest: undefined } : { customer: customers.get('desk'), keyDigest: KEY }
+}
+
 interface ServeOptions {
   readonly burst?: number
   /** Software versions of the three runners. */
@@ -115,13 +126,15 @@
   readonly noteSuccessfulParts?: () => void
   /** Receives the attempt tracker, which outlives the request. */
   readonly noteTracker?: (tracker: AttemptTracker) => void
+  /** Customers in force as the request arrives with the key `KEY`; by default callers need none. */
+  readonly customers?: FleetConfiguration['customers']
   /** Called while the request is being served. */
-  readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
+  readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher, configurations: ConfigurationHolder) => void
 }
 
 const NO_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {} }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, customers, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly callers: readonly unknown[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number }> {
   const clock = SystemClock.create()
   const { noteTracker, noteSuccessfulParts } = { ...NO_CALLBACKS, ...callbacks }
   const leaving: string[] = []
@@ -131,7 +144,7 @@
     table.putRunner({ id, service: 's', softwareVersion: versions[index], address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
   }
   const configurations = ConfigurationHolder.create()
-  if (model !== undefined) configurations.adoptConfiguration(CONFIGURATION)
+  configurations.adoptConfiguration({ ...CONFIGURATION, customers })
   const memory = PromptCacheIndex.create(clock)
   const exchanges = new ScriptedExchanges(scripts)
   const requestLimiter = RequestLimiter.create({ self: 'a', clock, findLeader: () => 'a', callPeer: async () => ({ ok: false, error: 'timeout' }), notifyPeer: () => {} })
@@ -144,9 +157,11 @@
   })
   noteTracker(attemptTracker)
   const budget = RetryBudget.create({ perRequest: 0, maxBalance: burst, initialBalance: burst })
+  const telemetry = ServingTelemetry.create(clock, JsonLogger.create('test', 'silent'))
   const router = ServingRouter.create({
     clock,
     configurations,
+    accessGate: AccessGate.create({ clock, configurations, isNewest: () => true, telemetry }),
     table,
     memory,
     exchanges,
@@ -163,11 +178,11 @@
     noteAdapterUse: () => {},
     streamOrigins: { findOrigin: async () => origin, noteBegin: (_request, { softwareVersion }) => begun.push(softwareVersion) },
     announceLeaving: (runner) => leaving.push(runner),
-    telemetry: ServingTelemetry.create(clock, JsonLogger.create('test', 'silent'))
+    telemetry
   })
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
-    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, customer: undefined, keyDigest: undefined, priority: 0, promptTokens: 0, maxOutputTokens: 0, parts: deadlyPart === undefined ? [] : [{ id: deadlyPart, tokens: 1 }, { id: 'own', tokens: 1 }], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
+    id: 'a', route: { ...ROUTE, ...changes }, service: 's', model, adapter: undefined, ...makeCaller(customers), priority: 0, promptTokens: 0, maxOutputTokens: 0, parts: deadlyPart === undefined ? [] : [{ id: deadlyPart, tokens: 1 }, { id: 'own', tokens: 1 }], resumeAfterEventId, fingerprint: 'f', arrivedAtMs, deadlineAtMs: arrivedAtMs + deadlineMs, payload: undefined
   }
   const answers: RecordingSink[] = []
   let result = ''
@@ -175,10 +190,10 @@
     const sink = new RecordingSink()
     answers.push(sink)
     const serving = router.serveRequest(request, sink, new AbortController().signal)
-    if (whileServing !== undefined) await clock.waitFor(100).then(() => whileServing(router, dispatcher))
+    if (whileServing !== undefined) await clock.waitFor(100).then(() => whileServing(router, dispatcher, configurations))
     result = await serving
   }
-  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
+  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, callers: exchanges.callers, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
 }
 
 describe('routing of a stream that its caller resumes', () => {
@@ -195,6 +210,49 @@
   })
 })
 
+describe('routing of a request whose key is removed or moved', () => {
+  const publish = (configurations: ConfigurationHolder, customers: readonly Customer[]): void => {
+    configurations.adoptConfiguration({ ...configurations.current!, version: configurations.version + 1, customers: new Map(customers.map((customer) => [customer.name, customer])) })
+  }
+  const revoke = (_router: unknown, _dispatcher: unknown, configurations: ConfigurationHolder): void => publish(configurations, [{ ...CUSTOMER, keyDigests: [] }])
+  const failLate = (reason: ExchangeFailure['reason'], execution: ExchangeFailure['execution'], ...before: readonly ExchangeEvent[]): Script => async function * () {
+    yield * before
+    await SystemClock.create().waitFor(200)
+    yield makeFailure(reason, execution)
+  }
+
+  it('is refused as not run at once while it waits for its model, however long it would have waited', async () => {
+    const { sink, sent, tookMs } = await serve([], { patienceMs: 5_000 }, { model: 'm', customers: CUSTOMERS, deadlineMs: 5_000, whileServing: revoke })
+    expect([sink.ending, sent.length, tookMs < 1_000]).toEqual(['refused 401 not-run', 0, true])
+  })
+
+  it('is delivered if a runner has it', async () => {
+    const stream: Script = async function * () {
+      yield HEAD
+      yield makeData('one ', '1')
+      await SystemClock.create().waitFor(200)
+      yield makeData('two', '2')
+      yield END
+    }
+    const { sink } = await serve([stream], RESUMABLE, { customers: CUSTOMERS, deadlineMs: 2_000, whileServing: revoke })
+    expect([sink.text, sink.ending]).toEqual(['200 one two', 'finished'])
+  })
+
+  it('is sent to no other runner, and not refused as not run if the first may have run it', async () => {
+    const declined = await serve([failLate('declined', 'not-run')], IDEMPOTENT, { customers: CUSTOMERS, deadlineMs: 2_000, whileServing: revoke })
+    const broken = await serve([failLate('reset', 'unknown')], IDEMPOTENT, { customers: CUSTOMERS, deadlineMs: 2_000, whileServing: revoke })
+    const stream = await serve([failLate('reset', 'unknown', HEAD, makeData('one', '1'))], RESUMABLE, { customers: CUSTOMERS, deadlineMs: 2_000, whileServing: revoke })
+    expect([declined, broken, stream].map(({ sink, sent }) => [sink.ending, sent.length])).toEqual([['refused 401 not-run', 1], ['refused 502 unknown', 1], ['abandoned', 1]])
+  })
+
+  it('is sent on for the customer that holds the key then, with its priority', async () => {
+    const { sink, callers } = await serve([failLate('declined', 'not-run'), makeScript(HEAD, END)], IDEMPOTENT, {
+      customers: CUSTOMERS, deadlineMs: 2_000, whileServing: (_router, _dispatcher, configurations) => publish(configurations, [{ ...CUSTOMER, keyDigests: [] }, { ...CUSTOMER, name: 'atlas', priority: 3 }])
+    })
+    expect([sink.ending, callers]).toEqual(['finished', [[true, 'desk', 0], [true, 'atlas', 3]]])
+  })
+})
+
 describe('routing of a request', () => {
   it('forwards a response', async () => {
     const { sink } = await serve([makeScript(HEAD, makeData('ok'), END)])
