Let few daemons read a store that forgets, resets connections and answers slowly

Cause, found with the simulated fleet: beyond those that stand by, what a daemon did on hearing of no read depended on its age alone, so the daemons of whole data centres read at once (27 of 27; 257 calls in the worst second). Their roots had become readers, which fetch from a peer only after 1.2 s, so the reader's success reached nobody below them; takeovers began reads anew that were about to succeed; and daemons that took over heard their own reads back as those of others.

Ruled out: the dropped history alone (a second call per topic).

Change: listeners read in turn, by age and rank; a takeover tries one topic first; of failing topics the first one is retried often; a reader whose reads fail fetches from peers at once; only daemons that have tried all above them take the first places.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -292,6 +292,11 @@
     return this.table.listViews(service).map(({ runner }) => runner.id)
   }
 
+  /** Ids of those of them that take new requests. */
+  listCandidates (service: string): string[] {
+    return this.table.listCandidates(service).map(({ runner }) => runner.id)
+  }
+
   /** How this daemon follows the store now. */
   get storeRole (): StoreRole {
     return this.findStoreRole()
--- a/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
+++ b/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
@@ -9,6 +9,16 @@
   readonly storeRead?: string
 }
 
+/** Makes the name of a read by a daemon's process. */
+export function makeReadName (bootId: string, serial: number): string {
+  return `${bootId}/${serial}`
+}
+
+/** Whether a read was made by a daemon's process. */
+export function isReadBy (storeRead: string | undefined, bootId: string): boolean {
+  return storeRead?.startsWith(`${bootId}/`) ?? false
+}
+
 /** Age that daemons report while they know of no read, in milliseconds: JSON can't represent infinity. */
 const UNKNOWN_AGE_MS = Number.MAX_SAFE_INTEGER
 
@@ -35,6 +45,11 @@
     return this.clock.readMonotonicMs() - this.atMs
   }
 
+  /** Whether the read is one of a daemon's process. */
+  isBy (bootId: string): boolean {
+    return isReadBy(this.id, bootId)
+  }
+
   /** The read as other daemons are told of it. */
   get report (): StoreReadReport {
     return { storeAgeMs: Math.min(Math.round(this.ageMs), UNKNOWN_AGE_MS), storeRead: this.id }
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -2,11 +2,11 @@
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { decodePosition, encodePosition, formatLoads, readEra, readOffset, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
-import { NewestStoreRead, type StoreReadReport } from './FigquayServingNewestStoreRead.js'
+import { isReadBy, NewestStoreRead, type StoreReadReport } from './FigquayServingNewestStoreRead.js'
 import { decodeProgress, type PeerProgress } from './FigquayServingSnapshot.js'
-import type { StoreAges, StoreRole } from './FigquayServingStoreRole.js'
+import { findTurn, isOnlyKnownReader, type StoreAges, type StoreRole } from './FigquayServingStoreRole.js'
 import type { FleetSpread, StoreTiming } from './FigquayServingStoreTiming.js'
-import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
+import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, rankZones, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
 /** Request and response of one exchange between two daemons; its read of the store is the sender's or one that its peers have reported. */
 export interface RelayMessage extends StoreReadReport {
@@ -85,7 +85,9 @@
 const FAILED_PEER_BACKOFF_MS = 1_000
 /** The search depth is recomputed at this interval, in milliseconds: longer than connecting takes. */
 const SEARCH_DEPTH_INTERVAL_MS = 500
-/** Shortest time without an exchange with its parent after which a daemon reads the store itself, in milliseconds. */
+/** Ranks between the daemons of two data centres that have the same turn: the loss of a few of the first ranks everywhere doesn't lose a whole turn. */
+const TURN_RANK_STEP = 5
+/** Shortest time without an exchange with its parent after which a daemon no longer relies on being told, in milliseconds. */
 const MIN_PARENT_SILENCE_MS = 1_000
 
 /** Exchanges that a change takes to every daemon: between the roots, then down. */
@@ -98,6 +100,8 @@
   private ranked: RankedDaemons = new Map()
   private treeRole: TreeRole = { neighbours: [], parent: undefined, isDeputy: false, otherRoots: [], isPrimaryRoot: true }
   private searchDepth = CANDIDATES_PER_ZONE
+  /** Search depth of the interval before: there has been time to connect to these daemons. */
+  private triedDepth = CANDIDATES_PER_ZONE
   private searchDepthAtMs = Number.NEGATIVE_INFINITY
   private daemonCount = 1
   private parentHeardAtMs = Number.NEGATIVE_INFINITY
@@ -123,24 +127,41 @@
 
   /**
    * How this daemon follows the store: the primary root is a reader, the roots of the other data centres are lookers and all
-   * others are listeners. Lookers and the deputies of roots become readers when they no longer hear of another daemon's
-   * reads, any listener when its parent is silent or the last read that it knows of is too old.
+   * others are listeners. Lookers and the deputy of the root in the first data centre become readers when they no longer hear
+   * of another daemon's reads; after them, the other daemons of each data centre take turns. Only a daemon that nobody can tell of a read, as it
+   * hears of no parent, reads regardless of its turn.
    */
   get storeRole (): StoreRole {
-    const { treeRole } = this
-    const { lookerAgeMs, maxAgeMs } = this.options.computeTiming()
-    const { reportedAgeMs, storeAgeMs } = this.storeAges
-    if (treeRole.parent === undefined) return treeRole.isPrimaryRoot || reportedAgeMs > lookerAgeMs ? 'reader' : 'looker'
-    const parentSilenceMs = this.options.clock.readMonotonicMs() - this.parentHeardAtMs
-    const maxParentSilenceMs = Math.min(maxAgeMs, Math.max(MIN_PARENT_SILENCE_MS, 2 * this.intervalMs + EXCHANGE_TIMEOUT_MS))
-    const isOutdated = parentSilenceMs > maxParentSilenceMs || storeAgeMs > maxAgeMs || (treeRole.isDeputy && reportedAgeMs > lookerAgeMs)
-    return isOutdated ? 'reader' : 'listener'
+    const { treeRole, storeAges } = this
+    const timing = this.options.computeTiming()
+    const { reportedAgeMs, storeAgeMs } = storeAges
+    const isUnheard = reportedAgeMs > timing.lookerAgeMs
+    if (treeRole.parent === undefined && !this.hasUntried) return treeRole.isPrimaryRoot || isUnheard ? 'reader' : 'looker'
+    const ranking = this.ranked.get(this.options.zone) ?? []
+    const zoneRank = rankZones(this.ranked).indexOf(this.options.zone)
+    if (isUnheard && ((treeRole.isDeputy && !this.hasUntried && zoneRank === 0) || isOnlyKnownReader(storeAges, timing))) return 'reader'
+    if (storeAgeMs > timing.maxAgeMs && this.isParentSilent(timing)) return 'reader'
+    const turn = findTurn(storeAgeMs, ranking.length, timing)
+    // Turn 0 is that of the daemons that stand by: in the first data centre the root and its deputy.
+    return turn > 0 && ranking[(turn + 1 + zoneRank * TURN_RANK_STEP) % ranking.length] === this.options.self ? 'reader' : 'listener'
+  }
+
+  /** Whether there are daemons above this one that it hasn't tried to reach, so that it can't tell how many of them it reaches. */
+  private get hasUntried (): boolean {
+    const ranking = this.ranked.get(this.options.zone) ?? []
+    return ranking.indexOf(this.options.self) > this.triedDepth
+  }
+
+  private isParentSilent ({ maxAgeMs }: StoreTiming): boolean {
+    const silenceMs = this.options.clock.readMonotonicMs() - this.parentHeardAtMs
+    return silenceMs > Math.min(maxAgeMs, Math.max(MIN_PARENT_SILENCE_MS, 2 * this.intervalMs + EXCHANGE_TIMEOUT_MS))
   }
 
   /** How long ago the store was last read, as far as this daemon knows. */
   get storeAges (): StoreAges {
     const reportedAgeMs = this.reportedRead.ageMs
-    return { reportedAgeMs, storeAgeMs: Math.min(this.options.findOwnRead().ageMs, reportedAgeMs) }
+    const ownRead = this.options.findOwnRead()
+    return { reportedAgeMs, storeAgeMs: Math.min(ownRead.ageMs, reportedAgeMs), ownAgeMs: ownRead.isBy(this.options.bootId) ? ownRead.ageMs : Number.POSITIVE_INFINITY }
   }
 
   /** How fast the daemons tell each other what they have read. */
@@ -154,10 +175,12 @@
 
   /**
    * Records a read that a peer has reported. It says nothing of this daemon's copy while that lacks what the peer has: then
-   * the age grows until the copy is complete, or this daemon reads the store itself.
+   * the age grows until the copy is complete, or this daemon reads the store itself. A read of this daemon that comes back
+   * from its peers isn't one of another daemon.
    */
   recordStoreRead ({ era, position, changedAt, ...report }: StoreReadReport & Pick<RelayMessage, 'era' | 'position' | 'changedAt'>): void {
-    const { table } = this.options
+    const { table, bootId } = this.options
+    if (isReadBy(report.storeRead, bootId)) return
     const isOfOlderEra = readEra(decodePosition({ era, position })) < readEra(table.position)
     if (isOfOlderEra || decodePosition({ era, position: changedAt }) > table.position) return
     this.reportedRead.noteReport(report)
@@ -213,7 +236,10 @@
     const nowMs = clock.readMonotonicMs()
     const isAvailable = (daemon: string): boolean => mesh.isConnected(daemon) && nowMs >= (this.retryAtMs.get(daemon) ?? 0)
     if (nowMs - this.searchDepthAtMs >= SEARCH_DEPTH_INTERVAL_MS) {
-      this.searchDepth = computeSearchDepth(self, zone, this.ranked, this.searchDepth, (daemon) => mesh.isConnected(daemon))
+      this.triedDepth = this.searchDepth
+      // A daemon whose exchanges with all above it have failed tries others before their connections count as silent.
+      const isCutOff = this.treeRole.parent === undefined && this.ranked.get(zone)?.some((daemon) => mesh.isConnected(daemon))
+      this.searchDepth = computeSearchDepth(self, zone, this.ranked, this.searchDepth, isCutOff ? isAvailable : (daemon) => mesh.isConnected(daemon))
       this.searchDepthAtMs = nowMs
     }
     const previous = this.treeRole
--- a/packages/figquay-serving/src/FigquayServingStoreTiming.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreTiming.ts
@@ -37,7 +37,11 @@
   readonly lookerAgeMs: number
   /** Addition to that age for each daemon that is to do so before this one: until its reads are heard of. */
   readonly takeoverStaggerMs: number
-  /** Age of the last read that a daemon knows of from which it reads for itself, whoever it may be. */
+  /** Age of the last read from which daemons that neither read nor stand by read in turn: early enough for the others to have what the first one reads within the bound. */
+  readonly standInAgeMs: number
+  /** Length of such a turn: until every other daemon has heard of its reads. */
+  readonly turnMs: number
+  /** Age of the last read from which what a daemon knows may be older than the bound allows. */
   readonly maxAgeMs: number
   /** Time that a daemon which is behind the newest configuration may spend on asking peers before it reads the store. */
   readonly configurationFallbackMs: number
@@ -72,12 +76,15 @@
   const maxAgeMs = boundMs - takeoverMs - EVENT_LOOP_MARGIN_MS
   // A fleet that is slow at telling has no time for it: there, the daemons that aren't told in time read for themselves.
   const lookerAgeMs = Math.max(maxAgeMs - takeoverMs - spreadMs, MIN_WAIT_MS + NEW_CONNECTION_READ_MS + reportIntervalMs)
+  const takeoverStaggerMs = takeoverMs + reportIntervalMs
   return {
     configurationWaitMs: Math.max(MIN_WAIT_MS, boundMs - STORE_SILENCE_MS - NEW_CONNECTION_READ_MS - spreadMs - EVENT_LOOP_MARGIN_MS),
     sharedWaitMs: boundMs * SHARED_WAIT_BOUNDS,
     runnersIntervalMs: Math.max(MIN_WAIT_MS, lookerAgeMs - NEW_CONNECTION_READ_MS - reportIntervalMs),
     lookerAgeMs,
-    takeoverStaggerMs: takeoverMs + reportIntervalMs,
+    takeoverStaggerMs,
+    standInAgeMs: Math.max(lookerAgeMs, Math.min(lookerAgeMs + takeoverStaggerMs, boundMs - takeoverMs - spreadMs)),
+    turnMs: takeoverMs + spreadMs,
     maxAgeMs,
     configurationFallbackMs: Math.max(0, applyWithinMs - spreadMs - NEW_CONNECTION_READ_MS - EVENT_LOOP_MARGIN_MS - FALLBACK_JITTER_MS)
   }
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -4,10 +4,11 @@
 
 import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
-import { NewestStoreRead } from './FigquayServingNewestStoreRead.js'
+import { makeReadName, NewestStoreRead } from './FigquayServingNewestStoreRead.js'
 import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
 import { ROLE_CHECK_MS, type StoreTiming } from './FigquayServingStoreTiming.js'
+import { RETRY_DELAY_MS, TopicReads } from './FigquayServingTopicReads.js'
 import { STORE_TOPICS, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Options of the store watcher. */
@@ -56,8 +57,6 @@
 const LAG_TOLERANCE_MS = 1_200
 /** Interval at which a looker polls the list of runners although it hears from the reader, in milliseconds. */
 const LOOKER_POLL_INTERVAL_MS = 15_000
-/** Delay before a failed read or write is retried, in milliseconds. */
-const RETRY_DELAY_MS = 250
 /** Shortest interval between two reads of a topic, in milliseconds, whatever the store answers: a small part of the time in which a change must apply. */
 const MIN_READ_INTERVAL_MS = 100
 /** Delay between two reads of the shared records, in milliseconds, so that changes are read in batches. */
@@ -74,17 +73,9 @@
 /** A read that exceeds its long-poll timeout by this much has met an outage of the store, in milliseconds. */
 const OUTAGE_OVERRUN_MS = 500
 
-/** What a daemon's own reads of one topic have shown. */
-interface TopicReads {
-  /** Monotonic time of the last successful read, in milliseconds. */
-  confirmedAtMs: number
-  /** Monotonic time since which reads fail, in milliseconds; undefined while they succeed. */
-  failingSinceMs: number | undefined
-}
-
 /** Watches the store, or syncs from peers that do. */
 export class StoreWatcher {
-  private readonly topicReads = new Map<StoreTopic, TopicReads>(STORE_TOPICS.map((topic) => [topic, { confirmedAtMs: Number.NEGATIVE_INFINITY, failingSinceMs: undefined }]))
+  private readonly topicReads = TopicReads.create()
   /** Role at the last check. */
   private role: StoreRole | undefined
   /** Whether this daemon lacked shared records at the last check, so that its read of them may be waiting in vain. */
@@ -98,6 +89,10 @@
   private hasFacts = false
   private isReachable = true
   private longPollAbort = new AbortController()
+  /** Ends the delays of all topics before their retries, once a read succeeds again. */
+  private retryAbort = new AbortController()
+  /** Whether this daemon is about to read in place of others and tries the store with one topic first. */
+  private isProbing = false
   private laggingSinceMs: number | undefined
   private peerAhead: string | undefined
   private isFetching = false
@@ -230,11 +225,11 @@
   /** Repeats a long poll; `abortLongPolls` has it begin anew. */
   private async runLongPolls (signal: AbortSignal, topic: 'configuration' | 'shared', read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
     const { clock } = this.options
-    signal.addEventListener('abort', () => this.longPollAbort.abort(), { once: true })
+    signal.addEventListener('abort', () => this.abortWaits(), { once: true })
     // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
     let waitMs = 0
     while (!signal.aborted) {
-      if (this.isListener && !this.takeoverTopics.has(topic)) {
+      if (this.isProbing || (this.isListener && !this.takeoverTopics.has(topic))) {
         await this.waitForRestart()
         waitMs = 0
         continue
@@ -242,18 +237,37 @@
       const startedAtMs = clock.readMonotonicMs()
       const { longPollAbort } = this
       if (this.takeoverTopics.delete(topic)) waitMs = 0
-      const succeeded = await read(waitMs, longPollAbort.signal)
-      const wasRestarted = longPollAbort.signal.aborted
+      const succeeded = waitMs > 0 ? await read(waitMs, longPollAbort.signal) : await this.readImmediately(topic, () => read(0, signal))
+      const wasRestarted = waitMs > 0 && longPollAbort.signal.aborted
       waitMs = succeeded && !wasRestarted ? this.chooseWait(topic) : 0
-      await clock.waitFor(succeeded || wasRestarted ? Math.max(0, startedAtMs + MIN_READ_INTERVAL_MS - clock.readMonotonicMs()) : RETRY_DELAY_MS, signal)
+      if (succeeded || wasRestarted) await clock.waitFor(Math.max(0, startedAtMs + MIN_READ_INTERVAL_MS - clock.readMonotonicMs()), signal)
+      else await this.waitForRetry(topic)
+    }
+  }
+
+  /** Runs a read that doesn't wait at the store: it isn't begun anew when others are. */
+  private async readImmediately <T> (topic: StoreTopic, read: () => Promise<T>): Promise<T> {
+    this.topicReads.noteImmediate(topic)
+    try {
+      return await read()
+    } finally {
+      this.topicReads.noteEnd(topic)
     }
   }
 
+  /** Waits until a failed read is to be repeated, or reads succeed again. */
+  private async waitForRetry (topic: StoreTopic): Promise<void> {
+    await this.options.clock.waitFor(this.topicReads.chooseRetryDelay(topic), this.retryAbort.signal)
+  }
+
   private get isListener (): boolean {
     return this.updateRole() === 'listener' && this.isSynced
   }
 
-  /** Returns the role now. A daemon that becomes the reader begins with a read of every topic, on new connections. */
+  /**
+   * Returns the role now. A daemon that becomes the reader tries the store with a read of the list of runners, on a new
+   * connection. Once that has succeeded, it reads every topic, also if another one's reads are heard of by then.
+   */
   private updateRole (): StoreRole {
     const role = this.options.findStoreRole()
     if (role === this.role) return role
@@ -261,15 +275,31 @@
     const isTakeover = role === 'reader' && this.role !== undefined
     this.role = role
     if (isTakeover) {
-      for (const topic of STORE_TOPICS) this.takeoverTopics.add(topic)
-      this.restartReads()
-    }
+      this.isProbing = true
+      this.takeoverTopics.add('runners')
+      this.options.store.renewConnections()
+      this.abortWaits()
+    } else if (!this.takeoverTopics.has('runners') && !this.topicReads.isImmediate('runners')) this.isProbing = false
     return role
   }
 
+  /** Ends the trial of the store, after which the other topics are read, too. */
+  private finishProbe (): void {
+    if (!this.isProbing) return
+    this.isProbing = false
+    for (const topic of STORE_TOPICS) if (topic !== 'runners' && !this.topicReads.isImmediate(topic)) this.takeoverTopics.add(topic)
+    this.abortLongPolls()
+  }
+
+  /** An answer that makes no sense says nothing of the other topics; a trial that has failed ends with the daemon's turn. */
+  private noteFailedProbe ({ reason }: CallFailure): void {
+    if (reason === 'malformed') this.finishProbe()
+    else if (this.updateRole() !== 'reader') this.isProbing = false
+  }
+
   /** Time since this daemon last read a topic itself, in milliseconds; infinite if it never has. */
   measureTopicAge (topic: StoreTopic): number {
-    return this.options.clock.readMonotonicMs() - this.topicReads.get(topic)!.confirmedAtMs
+    return this.topicReads.measureAge(topic, this.options.clock.readMonotonicMs())
   }
 
   /** Age of each topic by this daemon's own reads, for logs. */
@@ -286,6 +316,7 @@
     this.configurationPosition = reading.value.position
     this.noteEra(readEra(reading.value.position), 'store')
     if (reading.value.configuration !== undefined) adoptConfiguration(reading.value.configuration)
+    this.noteOwnRead()
     return true
   }
 
@@ -307,6 +338,7 @@
     this.hasReadShared = true
     this.hasFacts = true
     leadership.updateRecordsEnd(reading.value.end)
+    this.noteOwnRead()
     await clock.waitFor(SHARED_RECORDS_INTERVAL_MS, signal)
     return true
   }
@@ -345,25 +377,33 @@
       }
       const startedAtMs = this.options.clock.readMonotonicMs()
       const isReader = this.updateRole() === 'reader' || !this.hasReadRunners
-      const longPollMs = isReader && !isTakeover ? this.chooseRunnersWait() : 0
-      const reading = await this.options.store.readRunners(this.options.table.position, longPollMs, signal)
+      const longPollMs = isReader && !isTakeover && !this.topicReads.isFailing('runners') ? this.chooseRunnersWait() : 0
+      const reading = await this.readRunners(longPollMs, signal)
       if (this.noteRead('runners', reading, startedAtMs)) {
         const nowMs = this.options.clock.readMonotonicMs()
         if (!this.isReachable || nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS) this.storeRecoveredAtMs = nowMs
         this.noteEra(readEra(reading.value.position), 'store')
         this.applyRunnerChanges(reading.value)
+        this.finishProbe()
         this.noteOwnRead()
         this.updateReachability(true)
       } else if (!signal.aborted) {
+        this.noteFailedProbe(reading.error)
         this.updateReachability(false)
         await this.fetchFromPeer()
       }
       const elapsedMs = this.options.clock.readMonotonicMs() - startedAtMs
-      if (isReader || !reading.ok) await this.options.clock.waitFor(Math.max(reading.ok ? 0 : RETRY_DELAY_MS, RUNNERS_INTERVAL_MS - elapsedMs), signal)
+      if (!reading.ok) await this.waitForRetry('runners')
+      else if (isReader) await this.options.clock.waitFor(Math.max(0, RUNNERS_INTERVAL_MS - elapsedMs), signal)
       else await this.waitForNextPoll(startedAtMs, signal)
     }
   }
 
+  private async readRunners (waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
+    const read = () => this.options.store.readRunners(this.options.table.position, waitMs, signal)
+    return waitMs > 0 ? await read() : await this.readImmediately('runners', read)
+  }
+
   /** Wait of a read of the list of runners, in milliseconds: the time since the read before counts. */
   private chooseRunnersWait (): number {
     return Math.max(MIN_RUNNERS_WAIT_MS, this.options.computeTiming().runnersIntervalMs - this.measureTopicAge('runners'))
@@ -375,11 +415,11 @@
     while (!signal.aborted && this.updateRole() === 'looker' && clock.readMonotonicMs() - lastPollAtMs < LOOKER_POLL_INTERVAL_MS) await this.waitForRestart()
   }
 
-  /** Reads are told to peers only while those of all topics succeed. */
+  /** Reads of the list of runners are told to peers only while those of all topics succeed and none is missing. */
   private noteOwnRead (): void {
-    if ([...this.topicReads.values()].some(({ failingSinceMs }) => failingSinceMs !== undefined)) return
+    if (this.isProbing || this.takeoverTopics.size > 0 || this.topicReads.isIncomplete) return
     this.readCount += 1
-    this.newestRead.noteReport({ storeAgeMs: 0, storeRead: `${this.options.bootId}/${this.readCount}` })
+    this.newestRead.noteReport({ storeAgeMs: this.measureTopicAge('runners'), storeRead: makeReadName(this.options.bootId, this.readCount) })
   }
 
   private applyRunnerChanges (reading: RunnerRegistryUpdate): void {
@@ -425,6 +465,16 @@
     this.abortLongPolls()
   }
 
+  private abortRetryDelays (): void {
+    this.retryAbort.abort()
+    this.retryAbort = new AbortController()
+  }
+
+  private abortWaits (): void {
+    this.abortLongPolls()
+    this.abortRetryDelays()
+  }
+
   private abortLongPolls (): void {
     this.longPollAbort.abort()
     this.longPollAbort = new AbortController()
@@ -432,7 +482,7 @@
 
   /**
    * Compares a peer's progress with this daemon's, and requests a snapshot from the peer if this daemon lags behind. A reader
-   * does so only after `LAG_TOLERANCE_MS`: if it hasn't caught up by then, it can't reach the store.
+   * whose reads succeed does so only after `LAG_TOLERANCE_MS`: if it hasn't caught up by then, it can't reach the store.
    *
    * @example
    * watcher.comparePeerProgress('daemon-2', hints)
@@ -447,7 +497,8 @@
       if (this.peerAhead === peer) this.laggingSinceMs = undefined
       return
     }
-    const toleranceMs = this.updateRole() === 'reader' ? LAG_TOLERANCE_MS : 0
+    const isReading = this.updateRole() === 'reader' && !this.topicReads.isFailing('runners') && this.measureTopicAge('runners') <= this.options.computeTiming().lookerAgeMs
+    const toleranceMs = isReading ? LAG_TOLERANCE_MS : 0
     if (this.laggingSinceMs === undefined) {
       this.laggingSinceMs = nowMs
       this.peerAhead = peer
@@ -493,20 +544,20 @@
   private noteRead<T> (topic: StoreTopic, reading: Outcome<T, CallFailure>, startedAtMs: number): reading is Extract<Outcome<T, CallFailure>, { ok: true }> {
     const { clock, logger, noteStoreRead } = this.options
     const nowMs = clock.readMonotonicMs()
-    const reads = this.topicReads.get(topic)!
     if (reading.ok) {
-      if (reads.failingSinceMs !== undefined) logger.info('reads of the store succeed again', { topic, failedForMs: Math.round(nowMs - reads.failingSinceMs) })
-      reads.confirmedAtMs = nowMs
-      reads.failingSinceMs = undefined
+      const failingSinceMs = this.topicReads.noteSuccess(topic, nowMs)
+      if (failingSinceMs !== undefined) {
+        logger.info('reads of the store succeed again', { topic, failedForMs: Math.round(nowMs - failingSinceMs) })
+        this.abortRetryDelays()
+      }
       noteStoreRead(topic, 'ok')
       return true
     }
     if (reading.error.reason === 'cancelled') return false
     noteStoreRead(topic, 'failed')
     const fields = { topic, reason: reading.error.reason, error: describeError(reading.error.message), tookMs: Math.round(nowMs - startedAtMs), ...this.describeTopics() }
-    if (reads.failingSinceMs === undefined) logger.info('reads of the store fail', fields)
+    if (this.topicReads.noteFailure(topic, nowMs)) logger.info('reads of the store fail', fields)
     else logger.debug('store read failed', fields)
-    reads.failingSinceMs ??= nowMs
     return false
   }
 }
--- a/packages/figquay-serving/src/FigquayServingTopology.ts
+++ b/packages/figquay-serving/src/FigquayServingTopology.ts
@@ -42,6 +42,11 @@
   return ranked
 }
 
+/** Sorts the data centres by the hash of their name: the first one is that of the primary root, if it reaches any root. */
+export function rankZones (ranked: RankedDaemons): string[] {
+  return [...ranked.keys()].sort((a, b) => hashText(a) < hashText(b) ? -1 : 1)
+}
+
 /**
  * Selects a daemon's role in the tree.
  *
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -8,6 +8,7 @@
 /** Interval at which the runners of a simulated fleet write to the list, in milliseconds. */
 const RUNNER_HEARTBEAT_MS = 1_200
 const UNAVAILABLE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'the store did not respond in time' }
+const RESET: CallFailure = { sent: 'maybe', reason: 'reset', message: 'the connection was reset' }
 const CANCELLED: CallFailure = { sent: 'maybe', reason: 'cancelled', message: 'the read was cancelled' }
 /** Timeout of a read beyond its long poll, in milliseconds: that of the daemons' client of the store. */
 const STORE_CALL_TIMEOUT_MS = 1_000
@@ -19,6 +20,11 @@
   readonly shared: number
 }
 
+type StoreTopicName = 'configurations' | 'shared' | 'runners'
+
+/** First offset of each topic that can still be read. */
+type RetainedOffsets = Readonly<Record<StoreTopicName, number>>
+
 type RunnerRecord = { readonly type: 'announced', readonly runner: Runner } | { readonly type: 'removed', readonly id: string }
 
 /** Records of the store, and how fast it responds. */
@@ -31,13 +37,25 @@
   /** Positions of an older era are invalid: their offsets may have been given out again. */
   era = 1
   isDown = false
+  /** While true, new connections are reset. */
+  isResetting = false
+  /** Number of times that all open connections have been reset. */
+  resets = 0
   calls = 0
+  /** Number of reads that returned the latest record of each key. */
+  snapshotReads = 0
+  retainedFrom: RetainedOffsets = { configurations: 0, shared: 0, runners: 0 }
 
   /** Offset from which a read continues after a position. */
   findNextOffset (after: LogPosition): number {
     return readEra(after) === this.era ? readOffset(after) + 1 : 0
   }
 
+  /** Whether the records after a position are no longer retained, so that the latest record of each key is read instead. */
+  isGone (topic: StoreTopicName, after: LogPosition): boolean {
+    return this.findNextOffset(after) < this.retainedFrom[topic]
+  }
+
   makeEnd (recordCount: number): LogPosition {
     return makeLogPosition(this.era, recordCount)
   }
@@ -59,34 +77,37 @@
 
   override async readConfiguration (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<{ readonly configuration: FleetConfiguration | undefined, readonly position: LogPosition }, CallFailure>> {
     const { state } = this
-    const hasNew = (): boolean => state.configurations.length > state.findNextOffset(after)
+    const hasNew = (): boolean => state.isGone('configurations', after) || state.configurations.length > state.findNextOffset(after)
     const readNewest = () => ({ configuration: hasNew() ? state.configurations.at(-1) : undefined, position: state.makeEnd(state.configurations.length) - 1 })
-    return await this.read(waitMs, signal, hasNew, readNewest, ({ configuration }) => configuration === undefined ? 0 : JSON.stringify(configuration).length)
+    return await this.read('configurations', after, waitMs, signal, hasNew, readNewest, ({ configuration }) => configuration === undefined ? 0 : JSON.stringify(configuration).length)
   }
 
   override async readRunners (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
     const { state } = this
-    const hasNew = (): boolean => readEra(after) !== state.era || state.runners.length > state.findNextOffset(after)
+    const isWhole = (): boolean => readEra(after) !== state.era || state.isGone('runners', after)
+    const hasNew = (): boolean => isWhole() || state.runners.length > state.findNextOffset(after)
     const readNew = (): RunnerRegistryUpdate => {
       const from = state.findNextOffset(after)
       const changes = state.runners.slice(from).map((record, index): RunnerChange => ({ ...record, position: makeLogPosition(state.era, from + index) }))
-      return { changes, isComplete: readEra(after) !== state.era, position: state.makeEnd(state.runners.length) - 1 }
+      const latest = new Map(changes.map((change) => [change.type === 'announced' ? change.runner.id : change.id, change]))
+      return { changes: isWhole() ? [...latest.values()].filter(({ type }) => type === 'announced') : changes, isComplete: isWhole(), position: state.makeEnd(state.runners.length) - 1 }
     }
-    return await this.read(waitMs, signal, hasNew, readNew, () => 0)
+    return await this.read('runners', after, waitMs, signal, hasNew, readNew, () => 0)
   }
 
   override async readShared (after: LogPosition, waitMs: number, signal: AbortSignal): Promise<Outcome<SharedRecordBatch, CallFailure>> {
     const { state } = this
     const readNew = (): SharedRecordBatch => {
       const from = state.findNextOffset(after)
-      return { records: state.shared.slice(from).map((record, index) => ({ ...record, position: makeLogPosition(state.era, from + index) })), isComplete: from === 0, end: state.makeEnd(state.shared.length) }
+      return { records: state.shared.slice(from).map((record, index) => ({ ...record, position: makeLogPosition(state.era, from + index) })), isComplete: from === 0 || state.isGone('shared', after), end: state.makeEnd(state.shared.length) }
     }
-    return await this.read(waitMs, signal, () => state.shared.length > state.findNextOffset(after), readNew, ({ records }) => JSON.stringify(records).length)
+    return await this.read('shared', after, waitMs, signal, () => state.isGone('shared', after) || state.shared.length > state.findNextOffset(after), readNew, ({ records }) => JSON.stringify(records).length)
   }
 
   override async writeShared (key: string, value: string, expectedEnd: LogPosition | undefined): Promise<Outcome<WriteResult, CallFailure>> {
     this.state.calls += 1
     await this.clock.waitFor(this.state.latencyMs)
+    if (this.state.isResetting) return makeFailure(RESET)
     if (this.state.isDown || this.isCut) return makeFailure(UNAVAILABLE)
     const position = this.state.makeEnd(this.state.shared.length)
     if (expectedEnd !== undefined && expectedEnd !== position) return makeSuccess({ type: 'overtaken' })
@@ -98,6 +119,7 @@
   override async writeRecords (records: readonly SharedWrite[]): Promise<Outcome<void, CallFailure>> {
     this.state.calls += 1
     await this.clock.waitFor(this.state.latencyMs)
+    if (this.state.isResetting) return makeFailure(RESET)
     if (this.state.isDown || this.isCut) return makeFailure(UNAVAILABLE)
     this.state.shared.push(...records)
     this.state.wakeReaders()
@@ -126,11 +148,20 @@
   }
 
   /** As the daemons' client of the store does, repeats a read on a new connection when the open one gives no sign of an answer. */
-  private async read<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number): Promise<Outcome<T, CallFailure>> {
+  private async read<T> (topic: StoreTopicName, after: LogPosition, waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number): Promise<Outcome<T, CallFailure>> {
     const { state, clock } = this
     state.calls += 1
     const { silences } = this
     const startedAtMs = clock.readMonotonicMs()
+    if (!this.isCut && state.isGone(topic, after)) {
+      state.snapshotReads += 1
+      // The answer that the offset is gone, before the read of the latest records.
+      if (after >= 0) {
+        state.calls += 1
+        const gone = await this.readOnce(0, signal, () => true, () => undefined, () => 0, () => this.silences !== silences)
+        if (gone !== undefined && !gone.ok) return gone
+      }
+    }
     const first = this.isCut ? undefined : await this.readOnce(waitMs, signal, hasNew, take, countBytes, () => this.silences !== silences)
     if (first !== undefined) return first
     await clock.waitFor(startedAtMs + waitMs + STORE_SILENCE_MS - clock.readMonotonicMs(), signal)
@@ -142,17 +173,20 @@
     return makeFailure(signal.aborted ? CANCELLED : UNAVAILABLE)
   }
 
-  /** Waits until there is something to read, then for the time that the response takes; undefined if the connection went silent. */
-  private async readOnce<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number, isSilent: () => boolean): Promise<Outcome<T, CallFailure> | undefined> {
+  /** Answer of a store that is down or resets connections. */
+  private async refuseCall (signal: AbortSignal): Promise<Outcome<never, CallFailure> | undefined> {
     const { state, clock } = this
-    if (state.isDown) {
-      await clock.waitFor(state.latencyMs, signal)
-      return makeFailure(UNAVAILABLE)
-    }
-    const { era } = state
-    const startedAtMs = clock.readMonotonicMs()
-    const untilMs = startedAtMs + waitMs
-    while (!isSilent() && !hasNew() && state.era === era && !state.isDown && clock.readMonotonicMs() < untilMs && !signal.aborted) {
+    if (!state.isDown && !state.isResetting) return undefined
+    const failure = state.isDown ? UNAVAILABLE : RESET
+    await clock.waitFor(state.isDown ? state.latencyMs : STORE_LATENCY_MS, signal)
+    return makeFailure(signal.aborted ? CANCELLED : failure)
+  }
+
+  /** Waits until there is something to read, or the store no longer keeps the connection. */
+  private async waitForRecords (untilMs: number, signal: AbortSignal, isDue: () => boolean): Promise<void> {
+    const { state, clock } = this
+    const { era, resets } = state
+    while (!isDue() && state.era === era && state.resets === resets && !state.isDown && clock.readMonotonicMs() < untilMs && !signal.aborted) {
       const end = new AbortController()
       const wake = (): void => end.abort()
       state.waiters.add(wake)
@@ -161,14 +195,26 @@
       signal.removeEventListener('abort', wake)
       state.waiters.delete(wake)
     }
+  }
+
+  /** Waits until there is something to read, then for the time that the response takes; undefined if the connection went silent. */
+  private async readOnce<T> (waitMs: number, signal: AbortSignal, hasNew: () => boolean, take: () => T, countBytes: (result: T) => number, isSilent: () => boolean): Promise<Outcome<T, CallFailure> | undefined> {
+    const { state, clock } = this
+    const refusal = await this.refuseCall(signal)
+    if (refusal !== undefined) return refusal
+    const { resets } = state
+    const startedAtMs = clock.readMonotonicMs()
+    await this.waitForRecords(startedAtMs + waitMs, signal, () => isSilent() || hasNew())
     if (isSilent()) return undefined
     if (state.isDown) return makeFailure(UNAVAILABLE)
+    if (state.resets !== resets) return makeFailure(signal.aborted ? CANCELLED : RESET)
     const result = take()
     const responseMs = state.latencyMs + countBytes(result) / this.bytesPerMs
     const leftMs = startedAtMs + waitMs + STORE_CALL_TIMEOUT_MS - clock.readMonotonicMs()
     await clock.waitFor(Math.min(responseMs, leftMs), signal)
     if (isSilent()) return undefined
     if (signal.aborted) return makeFailure(CANCELLED)
+    if (state.resets !== resets) return makeFailure(RESET)
     return responseMs > leftMs ? makeFailure(UNAVAILABLE) : makeSuccess(result)
   }
 }
@@ -177,6 +223,8 @@
 export interface SimulatedFleetOptions {
   readonly zones: readonly string[]
   readonly daemonsPerZone: number
+  /** Number of all daemons if the last data centre has fewer than the others. */
+  readonly daemonCount?: number
   /** Bandwidth of a daemon's link, in bytes per millisecond. */
   readonly bytesPerMs: number
   readonly createLogger?: (address: string) => Logger
@@ -194,6 +242,7 @@
   readonly network: SimulatedNetwork
   private readonly store = new StoreState()
   private readonly removedRunners = new Set<string>()
+  private readonly leavingRunners = new Set<string>()
   private isClosed = false
   private readonly storeClients = new Map<string, SimulatedStore>()
 
@@ -210,7 +259,7 @@
   static async create (options: SimulatedFleetOptions, configuration: FleetConfiguration): Promise<SimulatedFleet> {
     const fleet = new SimulatedFleet(options)
     fleet.publish(configuration)
-    const addresses = options.zones.flatMap((zone, zoneIndex) => Array.from({ length: options.daemonsPerZone }, (_, index) => ({ zone, address: `10.${zoneIndex}.0.${index}:80` })))
+    const addresses = options.zones.flatMap((zone, zoneIndex) => Array.from({ length: options.daemonsPerZone }, (_, index) => ({ zone, address: `10.${zoneIndex}.0.${index}:80` }))).slice(0, options.daemonCount)
     const seeds = options.zones.map((_, zoneIndex) => `10.${zoneIndex}.0.0:80`)
     for (const { zone, address } of addresses) await fleet.addDaemon(address, zone, seeds)
     await fleet.clock.runFor(SETTLE_MS)
@@ -229,11 +278,11 @@
    * @param spreadMs Time over which the writes of one round are spread, in milliseconds.
    */
   addRunners (count: number, spreadMs = RUNNER_HEARTBEAT_MS): void {
-    const runners = Array.from({ length: count }, (_, index): Runner => ({ id: `runner-${index}`, service: 'ledger', address: `10.100.0.${index}:80`, zone: this.options.zones[0]!, slots: 6, isLeaving: false, bornMs: 1, holdings: undefined }))
+    const runners = Array.from({ length: count }, (_, index) => this.makeRunner(`runner-${index}`))
     const writeInTurn = async (): Promise<void> => {
       for (let turn = 0; !this.isClosed; turn += 1) {
         const runner = runners[turn % count]!
-        if (!this.removedRunners.has(runner.id)) this.appendRunner({ type: 'announced', runner })
+        if (!this.removedRunners.has(runner.id)) this.appendRunner({ type: 'announced', runner: { ...runner, isLeaving: this.leavingRunners.has(runner.id) } })
         const isLast = turn % count === count - 1
         await this.clock.waitFor(spreadMs / count + (isLast ? RUNNER_HEARTBEAT_MS - spreadMs : 0))
       }
@@ -241,12 +290,27 @@
     writeInTurn().catch((error: unknown) => process.stderr.write(`${String(error)}\n`))
   }
 
+  private makeRunner (id: string): Runner {
+    return { id, service: 'ledger', address: `${id}.example:80`, zone: this.options.zones[0]!, slots: 6, isLeaving: false, bornMs: 1, holdings: undefined }
+  }
+
   /** Removes a runner from the list. */
   removeRunner (id: string): void {
     this.removedRunners.add(id)
     this.appendRunner({ type: 'removed', id })
   }
 
+  /** Has a runner announce that it is leaving. */
+  announceLeaving (id: string): void {
+    this.leavingRunners.add(id)
+    this.appendRunner({ type: 'announced', runner: { ...this.makeRunner(id), isLeaving: true } })
+  }
+
+  /** Daemons that still send new requests to a runner. */
+  listDaemonsUsingRunner (id: string): string[] {
+    return [...this.daemons].filter(([, daemon]) => daemon.listCandidates('ledger').includes(id)).map(([address]) => address)
+  }
+
   private appendRunner (record: RunnerRecord): void {
     this.store.runners.push(record)
     this.store.wakeReaders()
@@ -306,6 +370,25 @@
     this.store.isDown = false
   }
 
+  /** The store keeps only the latest record of each key; positions before its end are gone. */
+  dropStoreHistory (): void {
+    const { configurations, shared, runners } = this.store
+    this.store.retainedFrom = { configurations: configurations.length, shared: shared.length, runners: runners.length }
+    this.store.wakeReaders()
+  }
+
+  /** The store resets all connections, and new ones until `isResetting` is set to false. */
+  setStoreResetting (isResetting: boolean): void {
+    this.store.isResetting = isResetting
+    if (isResetting) this.store.resets += 1
+    this.store.wakeReaders()
+  }
+
+  /** Number of reads that returned the latest record of each key although an older position was known. */
+  get snapshotReadCount (): number {
+    return this.store.snapshotReads
+  }
+
   /** Sets the time that the store takes for a response, in milliseconds. */
   setStoreLatency (latencyMs: number = STORE_LATENCY_MS): void {
     this.store.latencyMs = latencyMs
@@ -338,6 +421,11 @@
     return [...this.daemons.keys()].reduce((sum, address) => sum + this.network.countSentBytes(address), 0)
   }
 
+  /** Bytes that daemons have sent to those of other data centres. */
+  countCrossZoneBytes (): number {
+    return this.network.countBytes((from, to) => from.split('.')[1] !== to.split('.')[1])
+  }
+
   /** Stops all daemons. */
   async close (): Promise<void> {
     this.isClosed = true
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
@@ -21,6 +21,7 @@
   private readonly queues = new Map<string, Transfer[]>()
   private isSending = false
   sentBytes = 0
+  readonly bytesByPeer = new Map<string, number>()
 
   constructor (private readonly clock: SimulatedClock, private readonly bytesPerMs: number) {}
 
@@ -42,6 +43,7 @@
         const segment = Math.min(SEGMENT_BYTES, transfer.remainingBytes)
         await this.clock.waitFor(segment / this.bytesPerMs)
         this.sentBytes += segment
+        this.bytesByPeer.set(connection, (this.bytesByPeer.get(connection) ?? 0) + segment)
         transfer.remainingBytes -= segment
         if (transfer.remainingBytes > 0) continue
         transfers.shift()
@@ -84,6 +86,11 @@
     return this.links.get(id)?.sentBytes ?? 0
   }
 
+  /** Bytes that have been sent between selected pairs of daemons. */
+  countBytes (isSelected: (from: string, to: string) => boolean): number {
+    return [...this.links].reduce((sum, [from, link]) => sum + [...link.bytesByPeer].reduce((bytes, [to, sent]) => bytes + (isSelected(from, to) ? sent : 0), 0), 0)
+  }
+
   /** Connects a daemon to the network. */
   createMesh (options: PeerMeshOptions): ServingMesh {
     const self = options.self.id
--- a/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
@@ -29,6 +29,14 @@
     }))
   })
 
+  it('have a daemon that reads in turn tell all others within the bound, where daemons are told fast enough', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { standInAgeMs, lookerAgeMs } = computeStoreTiming(bounds, spread)
+      const endMs = standInAgeMs + ROLE_CHECK_MS + READ_MS + spread.spreadMs
+      expect(standInAgeMs === lookerAgeMs || endMs <= Math.min(bounds.drainWithinMs, bounds.applyWithinMs)).toEqual(true)
+    }))
+  })
+
   it('keep the age of the last read, as others hear it while nothing changes, below the age at which they read themselves', () => {
     fc.assert(fc.property(limits, ({ bounds, spread }) => {
       const { runnersIntervalMs, lookerAgeMs } = computeStoreTiming(bounds, spread)
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -125,7 +125,7 @@
     const clock = SystemClock.create()
     let silentSinceMs = Number.POSITIVE_INFINITY
     // By the hashes of the addresses, the first peer is the reader and this daemon stands by first.
-    const findRole = (): StoreRole => chooseStoreRole('10.0.0.0:80', ['10.0.0.2:80', '10.0.0.5:80'], { reportedAgeMs: Math.max(0, clock.readMonotonicMs() - silentSinceMs), storeAgeMs: 0 }, TIMING)
+    const findRole = (): StoreRole => chooseStoreRole('10.0.0.0:80', ['10.0.0.2:80', '10.0.0.5:80'], { reportedAgeMs: Math.max(0, clock.readMonotonicMs() - silentSinceMs), storeAgeMs: 0, ownAgeMs: Number.POSITIVE_INFINITY }, TIMING)
     const { watcher, tasks, readings, configurations, configurationReads } = makeWatcher(true, async () => undefined, findRole)
     expect(findRole()).toEqual('looker')
     configurations.adoptConfiguration(CONFIGURATION)
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -22,6 +22,7 @@
 export { NewestStoreRead, type StoreReadReport } from './FigquayServingNewestStoreRead.js'
 export { chooseStoreRole, type StoreAges, type StoreRole } from './FigquayServingStoreRole.js'
 export { computeStoreTiming, ROLE_CHECK_MS, type ChangeBounds, type FleetSpread, type StoreTiming } from './FigquayServingStoreTiming.js'
+export { TopicReads, RETRY_DELAY_MS, FOLLOWING_RETRY_DELAY_MS } from './FigquayServingTopicReads.js'
 export { StoreWatcher, type StoreWatcherOptions } from './FigquayServingStoreWatcher.js'
 export { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 export { ServingPeers, type ServingMesh, type ServingPeersOptions } from './FigquayServingPeers.js'
