End an outage of the store with the newest read that a daemon knows of

Ruled out there: that the turn came late (it read 0.1 s after its age limit by its log). StoreWatcher.test.ts has the case and fails without the change.

--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -225,7 +225,8 @@
   /** Repeats a long poll; `abortLongPolls` has it begin anew. */
   private async runLongPolls (signal: AbortSignal, topic: 'configuration' | 'shared', read: (waitMs: number, signal: AbortSignal) => Promise<boolean>): Promise<void> {
     const { clock } = this.options
-    signal.addEventListener('abort', () => this.abortWaits(), { once: true })
+    signal.addEventListener('abort', () => this.abortLongPolls(), { once: true })
+    signal.addEventListener('abort', () => this.abortRetryDelays(), { once: true })
     // The first read after a failure doesn't wait, as its answer tells whether the store was restored meanwhile.
     let waitMs = 0
     while (!signal.aborted) {
@@ -278,7 +279,8 @@
       this.isProbing = true
       this.takeoverTopics.add('runners')
       this.options.store.renewConnections()
-      this.abortWaits()
+      this.abortLongPolls()
+      this.abortRetryDelays()
     } else if (!this.takeoverTopics.has('runners') && !this.topicReads.isImmediate('runners')) this.isProbing = false
     return role
   }
@@ -381,7 +383,7 @@
       const reading = await this.readRunners(longPollMs, signal)
       if (this.noteRead('runners', reading, startedAtMs)) {
         const nowMs = this.options.clock.readMonotonicMs()
-        if (!this.isReachable || nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS) this.storeRecoveredAtMs = nowMs
+        this.noteRecovery(nowMs, nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS)
         this.noteEra(readEra(reading.value.position), 'store')
         this.applyRunnerChanges(reading.value)
         this.finishProbe()
@@ -399,6 +401,10 @@
     }
   }
 
+  private noteRecovery (nowMs: number, hasOverrun: boolean): void {
+    if (hasOverrun || !this.isReachable) this.storeRecoveredAtMs = hasOverrun ? nowMs : Math.max(this.storeRecoveredAtMs, this.topicReads.estimateRecovery('runners', nowMs, this.newestRead.ageMs))
+  }
+
   private async readRunners (waitMs: number, signal: AbortSignal): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
     const read = () => this.options.store.readRunners(this.options.table.position, waitMs, signal)
     return waitMs > 0 ? await read() : await this.readImmediately('runners', read)
@@ -470,11 +476,6 @@
     this.retryAbort = new AbortController()
   }
 
-  private abortWaits (): void {
-    this.abortLongPolls()
-    this.abortRetryDelays()
-  }
-
   private abortLongPolls (): void {
     this.longPollAbort.abort()
     this.longPollAbort = new AbortController()
--- a/packages/figquay-serving/src/FigquayServingTopicReads.ts
+++ b/packages/figquay-serving/src/FigquayServingTopicReads.ts
@@ -20,13 +20,15 @@
   confirmedAtMs: number
   /** Time since which reads fail, in milliseconds; undefined while they succeed. */
   failingSinceMs: number | undefined
+  /** Time of the last failed read, in milliseconds. */
+  failedAtMs: number
   /** Whether a read that doesn't wait at the store is in progress. */
   isImmediate: boolean
 }
 
 /** Outcomes of a daemon's reads of each topic. */
 export class TopicReads {
-  private readonly states = new Map<StoreTopic, TopicState>(STORE_TOPICS.map((topic) => [topic, { confirmedAtMs: Number.NEGATIVE_INFINITY, failingSinceMs: undefined, isImmediate: false }]))
+  private readonly states = new Map<StoreTopic, TopicState>(STORE_TOPICS.map((topic) => [topic, { confirmedAtMs: Number.NEGATIVE_INFINITY, failingSinceMs: undefined, failedAtMs: Number.NEGATIVE_INFINITY, isImmediate: false }]))
 
   private constructor () {}
 
@@ -57,6 +59,15 @@
     return nowMs - this.states.get(topic)!.confirmedAtMs
   }
 
+  /**
+   * Estimates when the outage ended in which the reads of a topic failed: with the newest read that is known of, by whichever
+   * daemon, if it is newer than this daemon's last failure, and now otherwise.
+   */
+  estimateRecovery (topic: StoreTopic, nowMs: number, newestReadAgeMs: number): number {
+    const readAtMs = nowMs - newestReadAgeMs
+    return readAtMs > this.states.get(topic)!.failedAtMs ? readAtMs : nowMs
+  }
+
   /** Notes that a read that doesn't wait begins. */
   noteImmediate (topic: StoreTopic): void {
     this.states.get(topic)!.isImmediate = true
@@ -79,7 +90,7 @@
   noteFailure (topic: StoreTopic, nowMs: number): boolean {
     const state = this.states.get(topic)!
     const isFirst = state.failingSinceMs === undefined
-    Object.assign(state, { failingSinceMs: state.failingSinceMs ?? nowMs, isImmediate: false })
+    Object.assign(state, { failingSinceMs: state.failingSinceMs ?? nowMs, failedAtMs: nowMs, isImmediate: false })
     return isFirst
   }
 
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -209,6 +209,28 @@
     expect(asked).toEqual(2)
   })
 
+  // Guards against requests to a removed runner from a daemon that takes over long after an outage which it has seen itself.
+  it('applies a removal at once if another daemon has read the store since the outage', async () => {
+    let role: StoreRole = 'reader'
+    const { watcher, table, tasks, readings, configurations } = makeWatcher(true, async () => undefined, () => role)
+    configurations.adoptConfiguration(CONFIGURATION)
+    watcher.applySnapshot({ runners: [{ runner: { ...RUNNER, id: 'gone' }, position: 4 }], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0 })
+    readings.push(makeFailure(FAILURE))
+    watcher.startTasks(tasks)
+    const clock = SystemClock.create()
+    while (readings.length > 0) await clock.waitFor(5)
+    role = 'listener'
+    await clock.waitFor(400)
+    watcher.applySnapshot({ runners: [], removals: [], position: 4, daemons: [], facts: [], storeAgeMs: 0, storeRead: 'peer/1' })
+    await clock.waitFor(2_200)
+    readings.push(makeSuccess<RunnerRegistryUpdate>({ changes: [{ type: 'removed', id: 'gone', position: 5 }], isComplete: false, position: 5 }))
+    role = 'reader'
+    while (readings.length > 0) await clock.waitFor(5)
+    await clock.waitFor(20)
+    await tasks.stop()
+    expect(table.findRunner('gone')).toEqual(undefined)
+  })
+
   it('keeps runners whose entries expired during a store outage for two seconds and applies other removals at once', async () => {
     const { watcher, table, tasks, readings } = makeWatcher(true, async () => undefined)
     const remove = (id: string, position: number): RunnerRegistryUpdate => ({ changes: [{ type: 'removed', id, position }], isComplete: false, position })
--- a/packages/figquay-serving/src/__tests__/unit/TopicReads.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/TopicReads.test.ts
@@ -26,4 +26,10 @@
     expect([reads.isIncomplete, reads.measureAge('configuration', 8), reads.measureAge('shared', 8)]).toEqual([false, 3, Number.POSITIVE_INFINITY])
     expect([reads.noteFailure('shared', 9), reads.noteFailure('shared', 10), reads.isIncomplete]).toEqual([true, false, true])
   })
+
+  it('date the end of an outage by the newest read that is known of, unless this daemon has failed since', () => {
+    const reads = TopicReads.create()
+    reads.noteFailure('runners', 1_000)
+    expect([reads.estimateRecovery('runners', 5_000, 3_000), reads.estimateRecovery('runners', 5_000, 4_500)]).toEqual([2_000, 5_000])
+  })
 })
