--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -292,7 +292,7 @@
     if (!configurations.adoptConfiguration(configuration)) return
     const nowMs = clock.readMonotonicMs()
     const isAnnounced = this.newest.version === configuration.version
-    logger.info('configuration in force', { version: configuration.version, source, routes: configuration.routes.length, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.newest.sinceMs) : undefined, ...details })
+    logger.info('configuration in force', { version: configuration.version, source, routes: configuration.routes.length, customers: configuration.customers?.size, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.newest.sinceMs) : undefined, ...details })
   }
 }
 
