Test that daemons get 20,000 keys from their peers, and a removed one in a single chunk

Guards against updates that carry whole customers, and against customers that get lost between daemons.

--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import { JsonLogger, makeFailure, makeSuccess, Refusal, TaskGroup, type Outcome } from 'figquay'
+import { hashText, JsonLogger, makeFailure, makeSuccess, Refusal, TaskGroup, type Outcome } from 'figquay'
 import { applyConfigurationUpdate, computeConfigurationUpdate, ConfigurationHolder, type FleetConfiguration, type Route } from 'figquay-fleet'
 import { ConfigurationSource, ConfigurationSync, type ConfigurationReply, type ConfigurationRequest } from '../../index.js'
 import { SimulatedClock } from '../standins/SimulatedClock.js'
@@ -89,6 +89,22 @@
     expect([configurations.current?.routes.length, callsForWhole > 1, calls.length - callsForWhole]).toEqual([2_001, true, 1])
   })
 
+  it('fetches 20,000 keys of a customer, and later one that is removed in a single chunk', async () => {
+    const clock = SimulatedClock.create()
+    const keyDigests = Array.from({ length: 20_000 }, (_, index) => hashText(`key-${index}`))
+    const addCustomer = (version: number, firstKey: number): FleetConfiguration => ({ ...makeConfiguration(version, 1), customers: new Map([['desk', { name: 'desk', keyDigests: keyDigests.slice(firstKey), priority: 0, quota: undefined }]]) })
+    const { holder, source } = makePeer(clock, addCustomer(1, 0))
+    const { sync, configurations, calls } = makeReceiver(clock, (_peer, request) => makeSuccess(source.serveRequest(request)))
+    sync.start()
+    await clock.runFor(1_000)
+    expect([configurations.findCustomer(keyDigests[0]!)?.priority, configurations.findCustomer(keyDigests.at(-1)!)?.name]).toEqual([0, 'desk'])
+    const callsForWhole = calls.length
+    holder.adoptConfiguration(addCustomer(2, 1))
+    sync.noteAnnouncement('a', { version: 2, newestVersion: 2 })
+    await clock.runFor(100)
+    expect([configurations.version, configurations.findCustomer(keyDigests[0]!), configurations.findCustomer(keyDigests[1]!)?.name, calls.length - callsForWhole]).toEqual([2, undefined, 'desk', 1])
+  })
+
   it('asks another peer at once when one is busy or fails', async () => {
     const clock = SimulatedClock.create()
     const { source } = makePeer(clock, makeConfiguration(1, 10))
