Plan further replicas by the requests that would come late

Cause: replicas were added by 14,000 prompt tokens per second (cached ones included) or 0.4 x slots open requests each, whatever the speed of the runner and whatever else runs there, and only where an idle victim cost at most the model's request rate. Prefetches without any request could evict surplus replicas and occupied runners. Victims were taken one at a time even if one didn't leave enough memory, and two steps of one plan could each take one of two replicas for a surplus one.

Change: replicas are valued in requests that come late or fail within 8 s (prefill work against the speed of the runners, pauses, slots). Another one is added if it saves more than its load and the eviction cost, on fast runners with little work first. Free memory is used as before, by uncached tokens. Prefetches never evict, and use runners without open requests. A step names all its victims. Demand has the prompt tokens that runners processed, bounded by the time to the first output, and a rate over a minute. Runner speed is averaged over 8 s of the reported slowdown until the runner table has the usual one.

--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -4,6 +4,8 @@
 
 /** Time constant of the exponential decay of arrival rates, in milliseconds: demand shifts within seconds. */
 const RATE_DECAY_MS = 4_000
+/** Time constant of the long-term request rate, in milliseconds: it tells rarely used models from those that nobody uses. */
+const LONG_TERM_DECAY_MS = 60_000
 /** A need that is not reported again within this time expires, in milliseconds: several hint intervals. */
 const NEED_TTL_MS = 700
 /** Rates are not extrapolated from a shorter observation than this, in milliseconds. */
@@ -17,6 +19,10 @@
   requests: number
   /** Prompt tokens per second. */
   tokens: number
+  /** Prompt tokens per second that runners process, as they haven't cached them. */
+  uncachedTokens: number
+  /** Requests per second over the last minute. */
+  longTermRequests: number
   /** Monotonic time from which the rate decays, in milliseconds. */
   updatedAtMs: number
 }
@@ -25,6 +31,17 @@
 export interface Arrivals {
   readonly requests: number
   readonly promptTokens: number
+  /** Prompt tokens that runners have processed, as they hadn't cached them; missing from a daemon that doesn't count them. */
+  readonly uncachedTokens?: number
+}
+
+/** Arrivals per second. */
+export interface DemandRate {
+  readonly requests: number
+  readonly promptTokens: number
+  readonly uncachedTokens: number
+  /** Requests per second over the last minute. */
+  readonly longTermRequests: number
 }
 
 /** A model or adapter that queued requests wait for. */
@@ -72,10 +89,23 @@
 
   /** Counts a request that arrived at this daemon. */
   noteArrival (model: string, promptTokens: number): void {
-    const known = this.unsentArrivals.get(model) ?? { requests: 0, promptTokens: 0 }
-    this.unsentArrivals.set(model, { requests: known.requests + 1, promptTokens: known.promptTokens + promptTokens })
-    this.addArrivals(model, { requests: 1, promptTokens })
-    this.addToRates(this.localRates, model, { requests: 1, promptTokens })
+    this.addOwnArrivals(model, { requests: 1, promptTokens, uncachedTokens: 0 })
+  }
+
+  /** Counts the prompt tokens of a request that a runner has processed: those that it had not cached. */
+  noteProcessedPrompt (model: string, uncachedTokens: number): void {
+    this.addOwnArrivals(model, { requests: 0, promptTokens: 0, uncachedTokens })
+  }
+
+  private addOwnArrivals (model: string, arrivals: Required<Arrivals>): void {
+    const known = this.unsentArrivals.get(model)
+    this.unsentArrivals.set(model, {
+      requests: (known?.requests ?? 0) + arrivals.requests,
+      promptTokens: (known?.promptTokens ?? 0) + arrivals.promptTokens,
+      uncachedTokens: (known?.uncachedTokens ?? 0) + arrivals.uncachedTokens
+    })
+    this.addArrivals(model, arrivals)
+    this.addToRates(this.localRates, model, arrivals)
   }
 
   /**
@@ -88,9 +118,10 @@
   listDecayedArrivals (): Map<string, Arrivals> {
     const history = new Map<string, Arrivals>()
     for (const model of this.localRates.keys()) {
-      const { requests, promptTokens } = this.measureDecayedRate(this.localRates, model)
+      const { requests, promptTokens, uncachedTokens } = this.measureDecayedRate(this.localRates, model)
+      const seconds = RATE_DECAY_MS / MS_PER_SECOND
       if (requests < MIN_REQUESTS_PER_SECOND) this.localRates.delete(model)
-      else history.set(model, { requests: requests * RATE_DECAY_MS / MS_PER_SECOND, promptTokens: promptTokens * RATE_DECAY_MS / MS_PER_SECOND })
+      else history.set(model, { requests: requests * seconds, promptTokens: promptTokens * seconds, uncachedTokens: uncachedTokens * seconds })
     }
     return history
   }
@@ -113,27 +144,41 @@
   }
 
   private addToRates (rates: Map<string, DecayedRate>, model: string, arrivals: Arrivals): void {
-    const { requests, promptTokens } = this.measureDecayedRate(rates, model)
+    const { requests, promptTokens, uncachedTokens, longTermRequests } = this.measureDecayedRate(rates, model)
+    const perSecond = MS_PER_SECOND / RATE_DECAY_MS
     rates.set(model, {
-      requests: requests + arrivals.requests * MS_PER_SECOND / RATE_DECAY_MS,
-      tokens: promptTokens + arrivals.promptTokens * MS_PER_SECOND / RATE_DECAY_MS,
+      requests: requests + arrivals.requests * perSecond,
+      tokens: promptTokens + arrivals.promptTokens * perSecond,
+      uncachedTokens: uncachedTokens + (arrivals.uncachedTokens ?? arrivals.promptTokens) * perSecond,
+      longTermRequests: longTermRequests + arrivals.requests * MS_PER_SECOND / LONG_TERM_DECAY_MS,
       updatedAtMs: this.clock.readMonotonicMs()
     })
   }
 
-  /** Requests and prompt tokens per second for a model, corrected for the short observation of a daemon that has just started. */
-  measureRate (model: string): Arrivals {
-    const { requests, promptTokens } = this.measureDecayedRate(this.rates, model)
+  /** Demand for a model per second, corrected for the short observation of a daemon that has just started. */
+  measureRate (model: string): DemandRate {
+    const { requests, promptTokens, uncachedTokens, longTermRequests } = this.measureDecayedRate(this.rates, model)
     const observedMs = Math.max(MIN_OBSERVATION_MS, this.clock.readMonotonicMs() - this.startedAtMs)
     const observedFraction = 1 - Math.exp(-observedMs / RATE_DECAY_MS)
-    return { requests: requests / observedFraction, promptTokens: promptTokens / observedFraction }
+    return {
+      requests: requests / observedFraction,
+      promptTokens: promptTokens / observedFraction,
+      uncachedTokens: uncachedTokens / observedFraction,
+      longTermRequests: longTermRequests / (1 - Math.exp(-observedMs / LONG_TERM_DECAY_MS))
+    }
   }
 
-  private measureDecayedRate (rates: ReadonlyMap<string, DecayedRate>, model: string): Arrivals {
+  private measureDecayedRate (rates: ReadonlyMap<string, DecayedRate>, model: string): DemandRate {
     const rate = rates.get(model)
-    if (rate === undefined) return { requests: 0, promptTokens: 0 }
-    const decayFactor = Math.exp((rate.updatedAtMs - this.clock.readMonotonicMs()) / RATE_DECAY_MS)
-    return { requests: rate.requests * decayFactor, promptTokens: rate.tokens * decayFactor }
+    if (rate === undefined) return { requests: 0, promptTokens: 0, uncachedTokens: 0, longTermRequests: 0 }
+    const elapsedMs = this.clock.readMonotonicMs() - rate.updatedAtMs
+    const decayFactor = Math.exp(-elapsedMs / RATE_DECAY_MS)
+    return {
+      requests: rate.requests * decayFactor,
+      promptTokens: rate.tokens * decayFactor,
+      uncachedTokens: rate.uncachedTokens * decayFactor,
+      longTermRequests: rate.longTermRequests * Math.exp(-elapsedMs / LONG_TERM_DECAY_MS)
+    }
   }
 
   /**
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -5,13 +5,15 @@
 import type { FleetLeadership } from './FigquayFleetLeadership.js'
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
 import { StoreLoadLimiter } from './FigquayFleetStoreLoadLimiter.js'
+import { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
 import { planAdapter, type AdapterCandidate } from './FigquayFleetAdapterPlan.js'
-import { planModels, type ModelPlanStep, type ModelPlanInput, type PlannerModel, type PlannerRunner, type UnplacedReason } from './FigquayFleetModelPlan.js'
+import { planModels } from './FigquayFleetModelPlan.js'
+import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
 import { countUsedAdapterSlots, measureUsedMb } from './FigquayFleetOrderCheck.js'
 import type { OrderDispatcher } from './FigquayFleetOrderDispatcher.js'
 import { makeRunnerModelKey } from './FigquayFleetHints.js'
 import { findLoadSource, findLoadDurationMs, type LoadSource } from './FigquayFleetLoadSource.js'
-import { makeAdapterKey, type EnginePool, type ModelSpec, type Service } from './FigquayFleetTypes.js'
+import { makeAdapterKey, type EnginePool, type FleetConfiguration, type ModelSpec, type Route, type Service } from './FigquayFleetTypes.js'
 
 /** Options of the placement. */
 export interface FleetPlacementOptions {
@@ -59,6 +61,7 @@
 /** Plans and runs loads and unloads while this daemon is the leader. */
 export class FleetPlacement {
   private readonly storeLoadLimiter = StoreLoadLimiter.create()
+  private readonly slowdowns: SlowdownAverages
   private readonly pendingLoads = new Set<PendingLoad>()
   /** Time at which this daemon finished loading a model, by runner and model. */
   private readonly loadedAtMs = new Map<string, number>()
@@ -67,10 +70,13 @@
   private readonly loadingAdapters = new Set<string>()
   /** Models, and adapters by key, that requests wait for and no runner has loaded. */
   private readonly unavailableModels = new Map<string, { readonly sinceMs: number, lastRequestedAtMs: number, loggedAtMs: number }>()
+  private routeTerms: { readonly configuration: FleetConfiguration | undefined, readonly terms: ReadonlyMap<string, RouteTerms> } | undefined
   /** Fencing token of the last plan; a different one means that leadership was taken over since. */
   private lastPlanFencingToken: number | undefined
 
-  private constructor (private readonly options: FleetPlacementOptions) {}
+  private constructor (private readonly options: FleetPlacementOptions) {
+    this.slowdowns = SlowdownAverages.create(options.clock)
+  }
 
   /**
    * @example
@@ -166,13 +172,14 @@
     const nowMs = clock.readMonotonicMs()
     const loadedModels = new Set(views.flatMap(({ runner }) => runner.isLeaving ? [] : (runner.holdings?.models ?? []).map(({ name }) => name)))
     const models = [...pool.models.values()].map((spec): PlannerModel => {
-      const { requests, promptTokens } = demand.measureRate(spec.name)
+      const rate = demand.measureRate(spec.name)
       const waitingRequests = waitingByModel.get(spec.name) ?? 0
       const unavailableMs = this.trackUnavailability(spec.name, waitingRequests > 0 && !loadedModels.has(spec.name), nowMs)
-      return { spec, requestsPerSecond: requests, promptTokensPerSecond: promptTokens, waitingRequests, unavailableMs, ...this.summarizePendingLoads(pendingLoads.byModel.get(spec.name) ?? []) }
+      return { spec, requestsPerSecond: rate.requests, uncachedTokensPerSecond: rate.uncachedTokens, longTermRequestsPerSecond: rate.longTermRequests, waitingRequests, unavailableMs, ...this.summarizePendingLoads(pendingLoads.byModel.get(spec.name) ?? []) }
     })
     return {
       slotsPerRunner: pool.slots,
+      ...this.findRouteTerms(service.name),
       runners: views.map((view) => this.makePlannerRunner(view, pool, orders, pendingLoads, openRequests)),
       models,
       activeStoreLoads: [...this.pendingLoads].filter((pendingLoad) => pendingLoad.isFromStore).length,
@@ -180,6 +187,13 @@
     }
   }
 
+  /** Strictest terms of the routes to a service, computed once per configuration, which may have many routes. */
+  private findRouteTerms (service: string): RouteTerms {
+    const { current } = this.options.configurations
+    if (current !== this.routeTerms?.configuration) this.routeTerms = { configuration: current, terms: indexRouteTerms(current?.routes ?? []) }
+    return this.routeTerms?.terms.get(service) ?? NO_TERMS
+  }
+
   private summarizePendingLoads (pendingLoads: readonly PendingLoad[]): { readonly readyInMs: number | undefined, readonly loadingReplicas: number } {
     const nowMs = this.options.clock.readMonotonicMs()
     const remainingMs = pendingLoads.map((pendingLoad) => Math.max(0, pendingLoad.expectedAtMs - nowMs))
@@ -212,7 +226,9 @@
       freeInMs: this.computeFreeInMs(view, orders, pendingLoads.byRunner.get(runner.id)),
       isServing: !runner.isLeaving,
       freeMb: pool.weightsMb - measureUsedMb(runner.holdings?.models ?? [], pool),
+      slowdown: this.slowdowns.measureUsual(runner.id, view.slowdown),
       replicas,
+      loading: pendingLoads.byRunner.get(runner.id)?.model,
       inMemory: holdings?.inMemory ?? [],
       onDisk: holdings?.onDisk ?? [],
       // A runner that refuses requests counts as full, whatever load the daemons know of.
@@ -241,17 +257,19 @@
     }
     this.pendingLoads.add(pendingLoad)
     try {
-      if (step.action === 'load' || await this.evictReplica(step, pool)) await this.loadModel(step, spec, source, pool)
+      if (step.action === 'load' || await this.evictReplicas(step, pool)) await this.loadModel(step, spec, source, pool)
     } finally {
       this.pendingLoads.delete(pendingLoad)
     }
   }
 
-  private async evictReplica (step: ModelPlanStep, pool: EnginePool): Promise<boolean> {
+  private async evictReplicas (step: ModelPlanStep, pool: EnginePool): Promise<boolean> {
     const reason = `makes room for ${step.beneficiary}: ${step.reason}`
-    const result = await this.options.orders.sendOrder({ runner: step.runner, action: 'unload', model: step.model, adapter: undefined, pool, reason })
-    if (result === 'failed') return false
-    await this.options.orders.waitForOrder(step.runner, IDLE_UNLOAD_MS, MAX_DRAIN_MS)
+    for (const model of [step.model, ...step.furtherVictims]) {
+      const result = await this.options.orders.sendOrder({ runner: step.runner, action: 'unload', model, adapter: undefined, pool, reason })
+      if (result === 'failed') return false
+      await this.options.orders.waitForOrder(step.runner, IDLE_UNLOAD_MS, MAX_DRAIN_MS)
+    }
     return true
   }
 
@@ -325,6 +343,26 @@
   }
 }
 
+/** Strictest terms of the routes to a service, in milliseconds; 0 where none declares any. */
+type RouteTerms = Pick<ModelPlanInput, 'objectiveMs' | 'maxPauseMs'>
+
+const NO_TERMS: RouteTerms = { objectiveMs: 0, maxPauseMs: 0 }
+
+function indexRouteTerms (routes: readonly Route[]): Map<string, RouteTerms> {
+  const terms = new Map<string, RouteTerms>()
+  for (const { targets, objectiveMs, maxPauseMs } of routes) {
+    for (const { service } of targets) {
+      const known = terms.get(service) ?? NO_TERMS
+      terms.set(service, { objectiveMs: chooseStricter(known.objectiveMs, objectiveMs), maxPauseMs: chooseStricter(known.maxPauseMs, maxPauseMs) })
+    }
+  }
+  return terms
+}
+
+function chooseStricter (a: number, b: number): number {
+  return a > 0 && b > 0 ? Math.min(a, b) : Math.max(a, b)
+}
+
 /** Runners that accept requests by loaded model, and the adapters that are loaded on any of them. */
 interface LoadedModelIndex {
   readonly runnersByModel: ReadonlyMap<string, readonly RunnerView[]>
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -468,6 +468,11 @@
     }
   }
 
+  /** How long a runner's work takes at the moment, relative to the usual; 1 when nothing is known. */
+  readSlowdown (id: string): number {
+    return this.entries.get(id)?.reported?.slowdown ?? 1
+  }
+
   /** This daemon's requests in flight at a runner. */
   listInFlight (id: string): InFlightRequest[] {
     return [...this.entries.get(id)?.inFlight.values() ?? []]
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -6,7 +6,7 @@
 const SPEC = { weightsMb: 70_000, storeLoadMs: 7_600, diskLoadMs: 1_500, memoryLoadMs: 570, adapterCount: 0, adapterMb: 12 }
 
 function makeModel (name: string, changes: Partial<PlannerModel> = {}): PlannerModel {
-  return { spec: { name, ...SPEC }, requestsPerSecond: 0, promptTokensPerSecond: 0, waitingRequests: 0, unavailableMs: 0, readyInMs: undefined, loadingReplicas: 0, ...changes }
+  return { spec: { name, ...SPEC }, requestsPerSecond: 0, uncachedTokensPerSecond: 0, longTermRequestsPerSecond: changes.requestsPerSecond ?? 0, waitingRequests: 0, unavailableMs: 0, readyInMs: undefined, loadingReplicas: 0, ...changes }
 }
 
 function makeReplica (model: string, changes: Partial<PlannerReplica> = {}): PlannerReplica {
@@ -14,11 +14,11 @@
 }
 
 function makeRunner (id: string, replicas: readonly PlannerReplica[], changes: Partial<PlannerRunner> = {}): PlannerRunner {
-  return { id, freeInMs: 0, isServing: true, freeMb: 230_000 - replicas.length * 70_000, replicas, inMemory: [], onDisk: [], openRequests: 0, pendingTokens: 0, ...changes }
+  return { id, freeInMs: 0, isServing: true, freeMb: 230_000 - replicas.length * 70_000, replicas, slowdown: 1, loading: undefined, inMemory: [], onDisk: [], openRequests: 0, pendingTokens: 0, ...changes }
 }
 
 function makeInput (runners: readonly PlannerRunner[], models: readonly PlannerModel[], canLoadFromStore = true): ModelPlanInput {
-  return { slotsPerRunner: 64, runners, models, canLoadFromStore, activeStoreLoads: 0 }
+  return { slotsPerRunner: 64, objectiveMs: 1_000, maxPauseMs: 0, runners, models, canLoadFromStore, activeStoreLoads: 0 }
 }
 
 /**
@@ -77,20 +77,20 @@
 
   it('adds replicas as soon as demand shifts to a model, away from busy runners', () => {
     const runners = [makeRunner('r1', [makeReplica('hot', { openRequests: 4 })], { openRequests: 6 }), makeRunner('r2', [], { openRequests: 9 }), makeRunner('r3', [])]
-    const steps = planModels(makeInput(runners, [makeModel('hot', { requestsPerSecond: 5, promptTokensPerSecond: 30_000 })]))
+    const steps = planModels(makeInput(runners, [makeModel('hot', { requestsPerSecond: 5, uncachedTokensPerSecond: 30_000 })]))
     expect(steps.map(({ action, runner }) => `${action} on ${runner}`)).toEqual(['load on r3'])
   })
 
   it('adds no replica for many short prompts that fit into one batch, but does for as many long ones', () => {
     const runners = [makeRunner('r1', [makeReplica('hot', { openRequests: 20 })], { openRequests: 20 }), makeRunner('r2', [])]
-    expect(planModels(makeInput(runners, [makeModel('hot', { requestsPerSecond: 10, promptTokensPerSecond: 6_000 })]))).toEqual([])
-    const longPrompts = makeModel('hot', { requestsPerSecond: 1.4, promptTokensPerSecond: 13_000 })
+    expect(planModels(makeInput(runners, [makeModel('hot', { requestsPerSecond: 10, uncachedTokensPerSecond: 6_000 })]))).toEqual([])
+    const longPrompts = makeModel('hot', { requestsPerSecond: 1.4, uncachedTokensPerSecond: 13_000 })
     expect(planModels(makeInput(runners, [longPrompts])).map((step) => step.runner)).toEqual(['r2'])
   })
 
   it('adds several replicas at once on a steep rise, but no more than the store allows and not on all runners', () => {
     const runners = [makeRunner('r1', [makeReplica('hot', { openRequests: 40 })]), ...['r2', 'r3', 'r4', 'r5'].map((id) => makeRunner(id, [], { inMemory: ['hot'] }))]
-    const hot = makeModel('hot', { requestsPerSecond: 20, promptTokensPerSecond: 60_000 })
+    const hot = makeModel('hot', { requestsPerSecond: 20, uncachedTokensPerSecond: 60_000 })
     expect(planModels(makeInput(runners, [hot])).length).toEqual(2)
     expect(planModels(makeInput(runners, [{ ...hot, readyInMs: 400, loadingReplicas: 1 }])).length).toEqual(1)
     const fromStore = runners.map((runner) => ({ ...runner, inMemory: [] }))
@@ -98,7 +98,7 @@
   })
 
   it('loads no model where it is loaded already, and none that is being loaded', () => {
-    expect(planModels(makeInput([makeRunner('r1', [makeReplica('hot')])], [makeModel('hot', { promptTokensPerSecond: 90_000 })]))).toEqual([])
+    expect(planModels(makeInput([makeRunner('r1', [makeReplica('hot')])], [makeModel('hot', { uncachedTokensPerSecond: 90_000 })]))).toEqual([])
     expect(planModels(makeInput([makeRunner('r1', [])], [makeModel('rare', { waitingRequests: 3, readyInMs: 500, loadingReplicas: 1 })]))).toEqual([])
   })
 
--- /dev/null
+++ b/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
@@ -0,0 +1,82 @@
+/** Replays of uneven runners and shifting demand under the planner, and under a policy with thresholds per replica. */
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { planModels, type ModelPlanInput, type ModelPlanStep, type PlannerReplica, type PlannerRunner } from '../../index.js'
+import { makeRoomyScenario, makeScarceScenario, replayPlacement, type ReplayModel, type ReplayResult, type ReplayScenario } from './placementReplay.js'
+
+/** Late requests are few where there is plenty of room, so that it takes many seeds to compare them. */
+const SCARCE_SEEDS = 8
+const ROOMY_SEEDS = 40
+const TOKENS_PER_SECOND_PER_REPLICA = 14_000
+const SLOT_FRACTION = 0.4
+const MIN_AGE_MS = 4_000
+
+/**
+ * Counts demand in requests and prompt tokens against a constant per replica, whatever the runner's speed; evicts idle
+ * replicas for it, those of models with the fewest requests first, and also for models that nobody asks for.
+ */
+function planByThresholds (input: ModelPlanInput): ModelPlanStep[] {
+  const models = new Map(input.models.map((model) => [model.spec.name, model as ReplayModel]))
+  const counts = new Map<string, number>()
+  const open = new Map<string, number>()
+  for (const { model, openRequests } of input.runners.flatMap(({ replicas }) => replicas)) {
+    counts.set(model, (counts.get(model) ?? 0) + 1)
+    open.set(model, (open.get(model) ?? 0) + openRequests)
+  }
+  const used = new Set<string>()
+  const computeCost = (name: string): number => {
+    const { requestsPerSecond, spec } = models.get(name)!
+    const count = counts.get(name) ?? 0
+    return count > 1 ? 0.05 + requestsPerSecond / count : 0.5 + requestsPerSecond * (1 + spec.storeLoadMs / 1_000)
+  }
+  const findVictim = ({ replicas }: PlannerRunner): PlannerReplica | undefined => replicas.filter(({ model, openRequests, ageMs }) => openRequests === 0 && ageMs >= MIN_AGE_MS && models.get(model)!.waitingRequests === 0).sort((a, b) => computeCost(a.model) - computeCost(b.model))[0]
+  let canLoadFromStore = input.canLoadFromStore
+  const planLoad = ({ spec }: ReplayModel, maxCost: number): ModelPlanStep[] => {
+    const options = input.runners.flatMap((runner) => {
+      const isCached = runner.onDisk.includes(spec.name)
+      if (runner.freeInMs > 0 || used.has(runner.id) || runner.replicas.some(({ model }) => model === spec.name) || !(canLoadFromStore || isCached)) return []
+      const victim = runner.freeMb >= spec.weightsMb ? undefined : findVictim(runner)
+      const evictionCost = victim === undefined ? 0 : computeCost(victim.model)
+      if ((runner.freeMb < spec.weightsMb && victim === undefined) || evictionCost > maxCost) return []
+      return [{ runner, victim, isCached, cost: (isCached ? spec.diskLoadMs : spec.storeLoadMs) / 1_000 + runner.openRequests / 8 + runner.pendingTokens / 10_000 + evictionCost }]
+    })
+    const [best] = options.sort((a, b) => a.cost - b.cost)
+    if (best === undefined) return []
+    used.add(best.runner.id)
+    canLoadFromStore &&= best.isCached
+    return [{ action: best.victim === undefined ? 'load' : 'unload', runner: best.runner.id, model: best.victim?.model ?? spec.name, furtherVictims: [], beneficiary: spec.name, fromStore: !best.isCached, reason: '' }]
+  }
+  const all = [...models.values()].sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
+  const missing = all.filter(({ spec, loadingReplicas }) => !counts.has(spec.name) && loadingReplicas === 0)
+  const overloaded = all.filter(({ spec, promptTokensPerSecond, loadingReplicas }) => counts.has(spec.name) && Math.max(1 + Math.floor(promptTokensPerSecond / TOKENS_PER_SECOND_PER_REPLICA), open.get(spec.name)! / SLOT_FRACTION / input.slotsPerRunner) > counts.get(spec.name)! + loadingReplicas)
+  return [
+    ...missing.filter(({ waitingRequests }) => waitingRequests > 0).flatMap((model) => planLoad(model, Number.POSITIVE_INFINITY)),
+    ...overloaded.flatMap((model) => planLoad(model, model.requestsPerSecond)),
+    ...missing.filter(({ waitingRequests }) => waitingRequests === 0).flatMap((model) => planLoad(model, 0.3))
+  ]
+}
+
+function sumReplays (seeds: number, makeScenario: (seed: number) => ReplayScenario, plan: (input: ModelPlanInput) => ModelPlanStep[]): ReplayResult {
+  const results = Array.from({ length: seeds }, (_, index) => replayPlacement(makeScenario(index + 1), plan))
+  const sum = (key: keyof ReplayResult): number => results.reduce((total, result) => total + result[key], 0)
+  return { requests: sum('requests'), lateOutputs: sum('lateOutputs'), withoutReplica: sum('withoutReplica'), refused: sum('refused'), paused: sum('paused'), loads: sum('loads'), prefetches: sum('prefetches'), starvedModels: sum('starvedModels') }
+}
+
+function countLate ({ lateOutputs, paused, refused }: ReplayResult): number {
+  return lateOutputs + paused + refused
+}
+
+describe('replay of demand that shifts over uneven runners', () => {
+  it('serves more in time with fewer loads than thresholds per replica, where memory is scarce', () => {
+    const planned = sumReplays(SCARCE_SEEDS, makeScarceScenario, planModels)
+    const naive = sumReplays(SCARCE_SEEDS, makeScarceScenario, planByThresholds)
+    expect([countLate(planned) < 0.75 * countLate(naive), planned.withoutReplica < 0.7 * naive.withoutReplica, planned.loads < 0.7 * naive.loads, planned.starvedModels]).toEqual([true, true, true, 0])
+  })
+
+  it('loads less where there is plenty of room, and saves more loads than requests come late for it', () => {
+    const planned = sumReplays(ROOMY_SEEDS, makeRoomyScenario, planModels)
+    const naive = sumReplays(ROOMY_SEEDS, makeRoomyScenario, planByThresholds)
+    // Owners count a load as one or two failed requests.
+    expect([planned.loads < naive.loads, countLate(planned) + planned.loads < countLate(naive) + naive.loads, countLate(planned) < 1.15 * countLate(naive), planned.withoutReplica]).toEqual([true, true, true, 0])
+  })
+})
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -1,6 +1,6 @@
 /** Serves a request from arrival to last byte: selects runners, sends attempts, retries them and resumes broken streams. */
 import { Deadline, Refusal, type Clock } from 'figquay'
-import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
+import { estimateProcessedTokens, makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
 import type { RetryBudget } from 'figquay-routing'
 import type { AttemptTracker, TrackedAttempt } from './FigquayServingAttemptTracker.js'
 import { isPartKey, type CrashHistory } from './FigquayServingCrashHistory.js'
@@ -395,9 +395,16 @@
     return undefined
   }
 
+  /** Reports the work that the prompt was, by which the leader measures demand. */
+  private noteProcessedPrompt ({ id }: Runner, { model, pendingTokens, sentAtMs }: InFlightRequest): void {
+    const { demand, table, clock } = this.options
+    if (model !== undefined) demand.noteProcessedPrompt(model, estimateProcessedTokens(pendingTokens, clock.readMonotonicMs() - sentAtMs, table.readSlowdown(id)))
+  }
+
   private async forwardData (progress: RequestProgress, runner: Runner, event: Extract<ExchangeEvent, { type: 'data' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (!openRequest.hasOutput) {
       this.noteFirstByte(progress, openRequest.sentAtMs)
+      this.noteProcessedPrompt(runner, openRequest)
       this.noteResumption(progress, event.firstEventId)
       if (!progress.stream.isNext(event)) return { type: 'failed', failure: MISPLACED_RESUMPTION }
     }
