Load further copies of adapters that are in demand

Cause: an adapter that any runner held never got another copy, so its requests stayed with that runner, also if the runner was full or daemons had no use of it; another replica of the model took none of them.

Change: after the adapters that requests wait for, those in use whose runners are all busy get a copy on a much less busy runner with their model. One that requests wait for although a runner has held it for 1.5 s gets another copy, too. Adapters with another copy, and those loaded ahead of demand and never used, are evicted first. The placement of adapters has its own module; preloading stays as it was.

--- /dev/null
+++ b/packages/figquay-fleet/src/FigquayFleetAdapterPlacement.ts
@@ -0,0 +1,193 @@
+/** Placement of adapters by the leader: those that requests wait for first, then further copies of those in demand, then free slots. */
+import type { Clock, Logger } from 'figquay'
+import { planAdapter, planAdapterCopy, type AdapterCandidate, type AdapterLoad, type AdapterPlanStep } from './FigquayFleetAdapterPlan.js'
+import { AdapterUse } from './FigquayFleetAdapterUse.js'
+import type { FleetDemand, ModelNeed } from './FigquayFleetDemand.js'
+import { countUsedAdapterSlots } from './FigquayFleetOrderCheck.js'
+import type { OrderDispatcher } from './FigquayFleetOrderDispatcher.js'
+import type { RunnerView } from './FigquayFleetRunnerTable.js'
+import { makeAdapterKey, type EnginePool, type Service } from './FigquayFleetTypes.js'
+
+/** Dependencies of the placement of adapters. */
+export interface AdapterPlacementOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly demand: FleetDemand
+  readonly orders: OrderDispatcher
+  /** Notes that requests wait for an adapter, and returns for how long they have, in milliseconds. */
+  readonly trackUnavailability: (key: string) => number
+}
+
+/** Adapters that one plan may load ahead of demand; more would delay the orders for adapters that requests wait for. */
+const MAX_PRELOADS_PER_PLAN = 4
+/** Further copies that one plan may load, for the same reason. */
+const MAX_COPIES_PER_PLAN = 2
+/** An adapter counts as in demand for this long after its last use, in milliseconds: several hint intervals. */
+const IN_DEMAND_MS = 1_000
+/** Requests that still wait for an adapter this long after a runner holds it get another copy, in milliseconds: needs that are met expire sooner. */
+const MAX_WAIT_DESPITE_COPY_MS = 1_500
+/** Prompt tokens that a runner of normal speed prefills per second. */
+const PREFILL_TOKENS_PER_SECOND = 38_000
+
+/** Plans adapters and sends the orders for them. */
+export class AdapterPlacement {
+  private readonly use: AdapterUse
+  private readonly loadingAdapters = new Set<string>()
+  /** Time since which requests have waited for an adapter although a runner holds it. */
+  private awaitedDespiteCopyAtMs: ReadonlyMap<string, number> = new Map()
+
+  private constructor (private readonly options: AdapterPlacementOptions) {
+    this.use = AdapterUse.create(options.clock)
+  }
+
+  /**
+   * @example
+   * const adapters = AdapterPlacement.create(options)
+   */
+  static create (options: AdapterPlacementOptions): AdapterPlacement {
+    return new AdapterPlacement(options)
+  }
+
+  /** Records that a request used an adapter on a runner. */
+  recordUse (runner: string, key: string): void {
+    this.use.noteUse(runner, key)
+  }
+
+  /** Whether an adapter is being loaded. */
+  isLoading (key: string): boolean {
+    return this.loadingAdapters.has(key)
+  }
+
+  /**
+   * Makes one plan for a service and starts its steps.
+   *
+   * @example
+   * adapters.planService(service, pool, table.listViews(service.name))
+   */
+  planService (service: Service, pool: EnginePool, views: readonly RunnerView[]): void {
+    const index = indexLoadedModels(views)
+    const needs = this.options.demand.listNeeds().filter((need) => need.service === service.name && need.adapter !== undefined)
+    // What has been asked for in vain for longest goes first, so that no adapter starves while others are in higher demand.
+    const byUnavailability = needs.map((need) => ({ need, unavailableMs: this.options.trackUnavailability(makeAdapterKey(need.model, need.adapter!)) }))
+      .sort((a, b) => b.unavailableMs - a.unavailableMs)
+    this.trackAwaitedDespiteCopy(needs, index)
+    for (const { need } of byUnavailability) this.startLoad(need.model, need.adapter!, pool, index, 'requests are waiting for it', true)
+    this.addCopies(pool, index)
+    this.preloadAdapters(pool, index)
+  }
+
+  private trackAwaitedDespiteCopy (needs: readonly ModelNeed[], { runnersByAdapter }: LoadedModelIndex): void {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const keys = needs.map(({ model, adapter }) => makeAdapterKey(model, adapter!)).filter((key) => runnersByAdapter.has(key))
+    this.awaitedDespiteCopyAtMs = new Map(keys.map((key) => [key, this.awaitedDespiteCopyAtMs.get(key) ?? nowMs]))
+  }
+
+  /** Loads further copies of adapters in demand whose runners are busy. */
+  private addCopies (pool: EnginePool, index: LoadedModelIndex): void {
+    let startedCount = 0
+    for (const key of this.use.listInUse(IN_DEMAND_MS)) {
+      if (startedCount >= MAX_COPIES_PER_PLAN || !this.options.orders.hasCapacity) return
+      const [model, adapter] = key.split('/') as [string, string]
+      const runners = index.runnersByModel.get(model) ?? []
+      const holders = index.runnersByAdapter.get(key) ?? []
+      if (holders.length === 0 || holders.length >= runners.length || this.loadingAdapters.has(key)) continue
+      const others = runners.filter((view) => !holders.includes(view))
+      const step = planAdapterCopy(holders.map(measureLoad), others.map((view) => ({ ...this.makeCandidate(view, index), ...measureLoad(view) })), pool.adapterSlots)
+      if (step === undefined) continue
+      this.startStep(step, model, adapter, pool, 'the runners that hold it are busy', true)
+      startedCount += 1
+    }
+  }
+
+  /** Loads adapters without requests into free adapter slots. */
+  private preloadAdapters (pool: EnginePool, index: LoadedModelIndex): void {
+    let startedCount = 0
+    for (const [model, runners] of index.runnersByModel) {
+      if (!this.options.orders.hasCapacity) return
+      const hasFreeSlot = runners.some(({ runner }) => countUsedAdapterSlots(runner.holdings!) < pool.adapterSlots)
+      const adapterCount = hasFreeSlot ? pool.models.get(model)?.adapterCount ?? 0 : 0
+      for (let number = 1; number <= adapterCount; number += 1) {
+        if (startedCount >= MAX_PRELOADS_PER_PLAN) return
+        if (this.startLoad(model, `a${number}`, pool, index, 'an adapter slot is free', false)) startedCount += 1
+      }
+    }
+  }
+
+  /** Whether requests go on waiting for an adapter that a runner holds, as daemons know of no runner that they can use. */
+  private isCopyUseless (key: string): boolean {
+    return this.options.clock.readMonotonicMs() - (this.awaitedDespiteCopyAtMs.get(key) ?? Number.POSITIVE_INFINITY) >= MAX_WAIT_DESPITE_COPY_MS
+  }
+
+  /** Loads an adapter that no runner holds, or none that requests reach. */
+  private startLoad (model: string, adapter: string, pool: EnginePool, index: LoadedModelIndex, reason: string, isRequested: boolean): boolean {
+    const key = makeAdapterKey(model, adapter)
+    if (!this.options.orders.hasCapacity || this.loadingAdapters.has(key)) return false
+    const holders = index.runnersByAdapter.get(key) ?? []
+    if (holders.length > 0 && !this.isCopyUseless(key)) return false
+    const candidates = index.runnersByModel.get(model)?.filter((view) => !holders.includes(view)) ?? []
+    const step = planAdapter(candidates.map((view) => this.makeCandidate(view, index)), pool.adapterSlots)
+    if (step === undefined || (step.evicted !== undefined && !isRequested)) return false
+    this.startStep(step, model, adapter, pool, reason, isRequested)
+    return true
+  }
+
+  private makeCandidate ({ runner, load, isHealthy }: RunnerView, { runnersByAdapter }: LoadedModelIndex): AdapterCandidate {
+    const loadedKeys = runner.holdings!.models.flatMap(({ name, adapters }) => adapters.map((adapter) => makeAdapterKey(name, adapter)))
+    const keys = [...loadedKeys, ...runner.holdings!.coming]
+    return {
+      id: runner.id,
+      isReady: isHealthy && this.options.orders.isReady(runner.id) && !runner.holdings!.isBusy,
+      adapters: keys.map((key) => ({ key, idleMs: this.use.measureIdleMs(runner.id, key), hasOtherCopy: (runnersByAdapter.get(key)?.length ?? 0) > 1 })),
+      openRequests: load.requests
+    }
+  }
+
+  private startStep (step: AdapterPlanStep, model: string, adapter: string, pool: EnginePool, reason: string, isRequested: boolean): void {
+    const key = makeAdapterKey(model, adapter)
+    this.loadingAdapters.add(key)
+    this.runStep(step, model, adapter, pool, reason, isRequested)
+      .catch((error: Error) => this.options.logger.error('adapter placement failed', { key, error: error.message }))
+      .finally(() => this.loadingAdapters.delete(key))
+  }
+
+  private async runStep ({ runner, evicted }: AdapterPlanStep, model: string, adapter: string, pool: EnginePool, reason: string, isRequested: boolean): Promise<void> {
+    const { orders } = this.options
+    if (evicted !== undefined) {
+      const [oldModel, oldAdapter] = evicted.split('/') as [string, string]
+      if (await orders.sendOrder({ runner, action: 'unload', model: oldModel, adapter: oldAdapter, pool, reason: `makes room for ${model}/${adapter}` }) !== 'done') return
+    }
+    await orders.sendOrder({ runner, action: 'load', model, adapter, pool, reason })
+    // One that was loaded without requests is the first to make way.
+    if (isRequested) this.use.noteLoaded(runner, makeAdapterKey(model, adapter))
+  }
+}
+
+/** Runners that accept requests, by loaded model and by loaded adapter. */
+interface LoadedModelIndex {
+  readonly runnersByModel: ReadonlyMap<string, readonly RunnerView[]>
+  readonly runnersByAdapter: ReadonlyMap<string, readonly RunnerView[]>
+}
+
+function indexLoadedModels (views: readonly RunnerView[]): LoadedModelIndex {
+  const runnersByModel = new Map<string, RunnerView[]>()
+  const runnersByAdapter = new Map<string, RunnerView[]>()
+  const addRunner = (index: Map<string, RunnerView[]>, key: string, view: RunnerView): void => {
+    const known = index.get(key)
+    if (known === undefined) index.set(key, [view])
+    else known.push(view)
+  }
+  for (const view of views) {
+    if (view.runner.isLeaving) continue
+    for (const { name, adapters } of view.runner.holdings?.models ?? []) {
+      addRunner(runnersByModel, name, view)
+      for (const adapter of adapters) addRunner(runnersByAdapter, makeAdapterKey(name, adapter), view)
+    }
+  }
+  return { runnersByModel, runnersByAdapter }
+}
+
+/** A runner that refuses requests counts as full, whatever load the daemons know of. */
+function measureLoad ({ runner, load, slowdown, backoffMs }: RunnerView): AdapterLoad {
+  const slotFraction = backoffMs > 0 ? 1 : load.requests / Math.max(1, runner.slots)
+  return { busyness: slowdown * (load.pendingTokens / PREFILL_TOKENS_PER_SECOND + slotFraction) }
+}
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -6,14 +6,14 @@
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
 import { StoreLoadLimiter } from './FigquayFleetStoreLoadLimiter.js'
 import { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
-import { planAdapter, type AdapterCandidate } from './FigquayFleetAdapterPlan.js'
+import { AdapterPlacement } from './FigquayFleetAdapterPlacement.js'
 import { planModels } from './FigquayFleetModelPlan.js'
 import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
-import { countUsedAdapterSlots, measureUsedMb } from './FigquayFleetOrderCheck.js'
+import { measureUsedMb } from './FigquayFleetOrderCheck.js'
 import type { OrderDispatcher } from './FigquayFleetOrderDispatcher.js'
 import { makeRunnerModelKey } from './FigquayFleetHints.js'
 import { findLoadSource, findLoadDurationMs, type LoadSource } from './FigquayFleetLoadSource.js'
-import { makeAdapterKey, type EnginePool, type FleetConfiguration, type ModelSpec, type Route, type Service } from './FigquayFleetTypes.js'
+import type { EnginePool, FleetConfiguration, ModelSpec, Route, Service } from './FigquayFleetTypes.js'
 
 /** Options of the placement. */
 export interface FleetPlacementOptions {
@@ -55,8 +55,6 @@
 const UNAVAILABLE_GRACE_MS = 5_000
 /** Shortest interval between two log lines about the same unavailable model, in milliseconds. */
 const UNPLACED_LOG_INTERVAL_MS = 1_000
-/** Adapters that one plan may load ahead of demand; more would delay the orders for adapters that requests wait for. */
-const MAX_PRELOADS_PER_PLAN = 4
 
 /** Plans and runs loads and unloads while this daemon is the leader. */
 export class FleetPlacement {
@@ -65,9 +63,7 @@
   private readonly pendingLoads = new Set<PendingLoad>()
   /** Time at which this daemon finished loading a model, by runner and model. */
   private readonly loadedAtMs = new Map<string, number>()
-  /** Time of the last use of an adapter, by runner and adapter key. */
-  private readonly adapterUsedAtMs = new Map<string, number>()
-  private readonly loadingAdapters = new Set<string>()
+  private readonly adapters: AdapterPlacement
   /** Models, and adapters by key, that requests wait for and no runner has loaded. */
   private readonly unavailableModels = new Map<string, { readonly sinceMs: number, lastRequestedAtMs: number, loggedAtMs: number }>()
   private routeTerms: { readonly configuration: FleetConfiguration | undefined, readonly terms: ReadonlyMap<string, RouteTerms> } | undefined
@@ -76,6 +72,7 @@
 
   private constructor (private readonly options: FleetPlacementOptions) {
     this.slowdowns = SlowdownAverages.create(options.clock)
+    this.adapters = AdapterPlacement.create({ ...options, trackUnavailability: (key) => this.trackUnavailability(key, true, options.clock.readMonotonicMs()) })
   }
 
   /**
@@ -88,7 +85,7 @@
 
   /** Records that a request used an adapter on a runner. */
   recordAdapterUse (runner: string, key: string): void {
-    this.adapterUsedAtMs.set(`${runner}\n${key}`, this.options.clock.readMonotonicMs())
+    this.adapters.recordUse(runner, key)
   }
 
   /**
@@ -131,7 +128,7 @@
       this.runStep(step, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
     }
     // Loads of models are few, and requests for a model wait for longer than those for an adapter.
-    this.planAdapters(service, pool, views)
+    this.adapters.planService(service, pool, views)
   }
 
   /** Logs periodically why a model is not loaded, which explains why its requests are refused. */
@@ -280,67 +277,6 @@
     await orders.waitForOrder(step.runner, findLoadDurationMs(spec, source))
     this.loadedAtMs.set(`${step.runner}\n${spec.name}`, clock.readMonotonicMs())
   }
-
-  private planAdapters (service: Service, pool: EnginePool, views: readonly RunnerView[]): void {
-    const index = indexLoadedModels(views)
-    const adapterNeeds = this.options.demand.listNeeds().filter((need) => need.service === service.name && need.adapter !== undefined)
-    const nowMs = this.options.clock.readMonotonicMs()
-    // What has been asked for in vain for longest goes first, so that no adapter starves while others are in higher demand.
-    const byUnavailability = adapterNeeds.map((need) => ({ need, unavailableMs: this.trackUnavailability(makeAdapterKey(need.model, need.adapter!), true, nowMs) }))
-      .sort((a, b) => b.unavailableMs - a.unavailableMs)
-    for (const { need } of byUnavailability) this.startAdapterLoad(need.model, need.adapter!, pool, index, 'requests are waiting for it', true)
-    this.preloadAdapters(pool, index)
-  }
-
-  /** Loads adapters without requests into free adapter slots. */
-  private preloadAdapters (pool: EnginePool, index: LoadedModelIndex): void {
-    let startedCount = 0
-    for (const [model, runners] of index.runnersByModel) {
-      if (!this.options.orders.hasCapacity) return
-      const hasFreeSlot = runners.some(({ runner }) => countUsedAdapterSlots(runner.holdings!) < pool.adapterSlots)
-      const adapterCount = hasFreeSlot ? pool.models.get(model)?.adapterCount ?? 0 : 0
-      for (let number = 1; number <= adapterCount; number += 1) {
-        if (startedCount >= MAX_PRELOADS_PER_PLAN) return
-        if (this.startAdapterLoad(model, `a${number}`, pool, index, 'an adapter slot is free', false)) startedCount += 1
-      }
-    }
-  }
-
-  private startAdapterLoad (model: string, adapter: string, pool: EnginePool, { runnersByModel, loadedAdapters }: LoadedModelIndex, reason: string, mayEvict: boolean): boolean {
-    const key = makeAdapterKey(model, adapter)
-    if (!this.options.orders.hasCapacity || this.loadingAdapters.has(key) || loadedAdapters.has(key)) return false
-    const candidates = runnersByModel.get(model)
-    if (candidates === undefined) return false
-    const step = planAdapter(candidates.map((view) => this.makeAdapterCandidate(view)), pool.adapterSlots)
-    if (step === undefined || (step.evicted !== undefined && !mayEvict)) return false
-    this.loadingAdapters.add(key)
-    this.runAdapterStep(step.runner, step.evicted, model, adapter, pool, reason)
-      .catch((error: Error) => this.options.logger.error('adapter placement failed', { key, error: error.message }))
-      .finally(() => this.loadingAdapters.delete(key))
-    return true
-  }
-
-  private makeAdapterCandidate ({ runner, load, isHealthy }: RunnerView): AdapterCandidate {
-    const nowMs = this.options.clock.readMonotonicMs()
-    const loadedKeys = runner.holdings!.models.flatMap(({ name, adapters }) => adapters.map((adapter) => makeAdapterKey(name, adapter)))
-    const keys = [...loadedKeys, ...runner.holdings!.coming]
-    return {
-      id: runner.id,
-      isReady: isHealthy && this.options.orders.isReady(runner.id) && !runner.holdings!.isBusy,
-      adapters: keys.map((key) => ({ key, idleMs: nowMs - (this.adapterUsedAtMs.get(`${runner.id}\n${key}`) ?? 0) })),
-      openRequests: load.requests
-    }
-  }
-
-  private async runAdapterStep (runner: string, evicted: string | undefined, model: string, adapter: string, pool: EnginePool, reason: string): Promise<void> {
-    const { orders } = this.options
-    if (evicted !== undefined) {
-      const [oldModel, oldAdapter] = evicted.split('/') as [string, string]
-      if (await orders.sendOrder({ runner, action: 'unload', model: oldModel, adapter: oldAdapter, pool, reason: `makes room for ${model}/${adapter}` }) !== 'done') return
-    }
-    await orders.sendOrder({ runner, action: 'load', model, adapter, pool, reason })
-    this.recordAdapterUse(runner, makeAdapterKey(model, adapter))
-  }
 }
 
 /** Strictest terms of the routes to a service, in milliseconds; 0 where none declares any. */
@@ -362,22 +298,3 @@
 function chooseStricter (a: number, b: number): number {
   return a > 0 && b > 0 ? Math.min(a, b) : Math.max(a, b)
 }
-
-/** Runners that accept requests by loaded model, and the adapters that are loaded on any of them. */
-interface LoadedModelIndex {
-  readonly runnersByModel: ReadonlyMap<string, readonly RunnerView[]>
-  readonly loadedAdapters: ReadonlySet<string>
-}
-
-function indexLoadedModels (views: readonly RunnerView[]): LoadedModelIndex {
-  const runnersByModel = new Map<string, RunnerView[]>()
-  const loadedAdapters = new Set<string>()
-  for (const view of views) {
-    if (view.runner.isLeaving) continue
-    for (const { name, adapters: heldAdapters } of view.runner.holdings?.models ?? []) {
-      runnersByModel.set(name, [...runnersByModel.get(name) ?? [], view])
-      for (const adapter of heldAdapters) loadedAdapters.add(makeAdapterKey(name, adapter))
-    }
-  }
-  return { runnersByModel, loadedAdapters }
-}
--- a/packages/figquay-fleet/src/__tests__/unit/Placement.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/Placement.test.ts
@@ -1,4 +1,4 @@
-/** The leader's orders for adapters when more are awaited than it can handle at once. */
+/** The leader's orders for adapters: more awaited than it can handle at once, one in demand on a busy runner, one that requests don't reach. */
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, makeSuccess, SystemClock, type CallFailure, type Outcome } from 'figquay'
@@ -13,7 +13,7 @@
 const POOL: EnginePool = { slots: 8, kvTokens: 1_000, weightsMb: 230_000, adapterSlots: 5, loadsPerSecond: 1, models: new Map([['busy', SPEC]]) }
 const HOLDINGS: Holdings = { models: [{ name: 'busy', adapters: [] }], coming: [], isBusy: false, inMemory: [], onDisk: [] }
 
-/** Runners that accept every order after a while. */
+/** Runners that accept every order to load after a while, and have done every order to unload. */
 class SlowRunners extends RunnerOrderClient {
   readonly loaded: string[] = []
   maxConcurrent = 0
@@ -28,6 +28,8 @@
   override async sendOrder (runner: Runner, order: FleetOrder): Promise<Outcome<FleetOrderReply, CallFailure>> {
     await this.wait()
     this.sequences.set(runner.id, order.expectedSequence + 1)
+    // An unused adapter is gone before the runner replies.
+    if (order.action === 'unload') return makeSuccess('already-holds')
     this.loaded.push(order.adapter!)
     return makeSuccess('accepted')
   }
@@ -40,20 +42,20 @@
   }
 }
 
-function makePlacement (): { readonly client: SlowRunners, readonly demand: FleetDemand, readonly placement: FleetPlacement } {
+function makePlacement (runnerCount = RUNNER_COUNT, firstHoldings = HOLDINGS, adapterSlots = POOL.adapterSlots): { readonly client: SlowRunners, readonly demand: FleetDemand, readonly placement: FleetPlacement, readonly table: FleetRunnerTable, readonly leadership: FleetLeadership } {
   const clock = SystemClock.create()
   const logger = JsonLogger.create('test', 'silent')
   const client = new SlowRunners()
   const table = FleetRunnerTable.create(clock)
-  for (let index = 0; index < RUNNER_COUNT; index += 1) table.putRunner({ id: `r${index}`, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 1, holdings: HOLDINGS }, index)
+  for (let index = 0; index < runnerCount; index += 1) table.putRunner({ id: `r${index}`, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 1, holdings: index === 0 ? firstHoldings : HOLDINGS }, index)
   const store = { writeShared: async () => makeSuccess({ type: 'written', position: 4 }) } as unknown as FleetStore
   const leadership = FleetLeadership.create({ self: 'd', bootId: 'b', store, clock, logger, listConnected: () => [], isEligible: () => true })
   leadership.applyLeaderRecord(JSON.stringify({ daemon: 'd', boot: 'b' }), 4)
   const orders = OrderDispatcher.create({ self: 'd', client, table, leadership, clock, logger, announceHoldings: () => {}, announceLeaving: () => {} })
   const configurations = ConfigurationHolder.create()
-  configurations.adoptConfiguration({ version: 1, routes: [], services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: POOL }]]), customers: undefined, limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+  configurations.adoptConfiguration({ version: 1, routes: [], services: new Map([['s', { name: 's', healthPath: '/h', maxConnections: 1, engine: { ...POOL, adapterSlots } }]]), customers: undefined, limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
   const demand = FleetDemand.create(clock)
-  return { client, demand, placement: FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => new Map() }) }
+  return { client, demand, table, leadership, placement: FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => new Map() }) }
 }
 
 function makeNeeds (numbers: readonly number[], waiting: number): ModelNeed[] {
@@ -92,3 +94,34 @@
     expect([findFirstNew() >= 0, rare.every((number) => client.loaded.includes(`a${number}`) && client.loaded.indexOf(`a${number}`) < findFirstNew())]).toEqual([true, true])
   })
 })
+
+describe('leader with an adapter that one of two runners holds', () => {
+  const held: Holdings = { ...HOLDINGS, models: [{ name: 'busy', adapters: ['a110'] }] }
+
+  async function runPlansUntilLoaded ({ placement, client, leadership }: ReturnType<typeof makePlacement>, prepare: () => void, timeoutMs: number): Promise<boolean> {
+    const startedAtMs = performance.now()
+    while (!client.loaded.includes('a110') && performance.now() - startedAtMs < timeoutMs) {
+      prepare()
+      await leadership.refresh()
+      placement.runPlans()
+      await SystemClock.create().waitFor(10)
+    }
+    return client.loaded.includes('a110')
+  }
+
+  it('loads it on the other one too once the first is busy, and not before', async () => {
+    // More slots than adapters, as an eviction would take 10 s without use.
+    const fleet = makePlacement(2, held, ADAPTER_COUNT)
+    const noteUse = (): void => fleet.placement.recordAdapterUse('r0', 'busy/a110')
+    expect(await runPlansUntilLoaded(fleet, noteUse, 300)).toEqual(false)
+    for (let request = 0; request < 4; request += 1) fleet.table.trackRequest('r0', { requestId: `${request}`, fingerprint: '', model: 'busy', pendingTokens: 9_000, sentAtMs: performance.now(), hasOutput: false })
+    expect(await runPlansUntilLoaded(fleet, noteUse, 5_000)).toEqual(true)
+  })
+
+  it('loads it on the other one too if requests go on waiting for it', async () => {
+    const fleet = makePlacement(2, held)
+    const wait = (): void => fleet.demand.putNeeds('d1', makeNeeds([110], 1))
+    expect(await runPlansUntilLoaded(fleet, wait, 1_000)).toEqual(false)
+    expect(await runPlansUntilLoaded(fleet, wait, 5_000)).toEqual(true)
+  })
+})
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -17,7 +17,7 @@
 export { ReplicaValues } from './FigquayFleetReplicaValue.js'
 export { VictimChooser, type VictimSet } from './FigquayFleetVictims.js'
 export { computePlanDelayMs } from './FigquayFleetPlanPace.js'
-export { planAdapter, type AdapterCandidate, type AdapterPlanStep } from './FigquayFleetAdapterPlan.js'
+export { planAdapter, planAdapterCopy, type AdapterCandidate, type AdapterLoad, type AdapterPlanStep, type HeldAdapter } from './FigquayFleetAdapterPlan.js'
 export { FleetStore, RunnerOrderClient, STORE_SILENCE_MS, type FleetOrder, type FleetOrderReply, type RunnerChange, type RunnerRegistryUpdate, type RunnerState, type SharedRecordBatch, type SharedRecord, type SharedWrite, type WriteResult } from './FigquayFleetPlatform.js'
 export { BEFORE_LOG, decodePosition, encodePosition, makeLogPosition, readEra, readOffset, type EncodedPosition, type LogPosition } from './FigquayFleetLogPosition.js'
 export { FleetLeadership, LEADER_KEY, type Leader, type LeadershipOptions } from './FigquayFleetLeadership.js'
