Plan a lost load anew at once, and count only loads that start

Cause: a pending load stayed after its runner had left, for 1.2 s x 4 to 8 s of waiting, and counted as ready at once, so its model was "already loading". A load that never began used up the weight store's window. An awaited model with few requests came after every one with more, in each plan.

Change: loads whose runner is gone, leaves or has restarted are dropped in the next plan, and the wait for them ends. Overdue loads, and those on silent runners, no longer count as ready soon. The limiter reserves a load, counts it when its order is sent, and gives it back if it isn't; a fifth of the window is kept for awaited models. Awaited models are ordered by requests and time, waiting for a busy runner has a price, and the pause of a runner is known exactly. The log line of a model that is unavailable says when it is expected.

--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -11,7 +11,7 @@
  *   turn, those in higher demand for longer.
  */
 import { findLoadSource, findLoadDurationMs } from './FigquayFleetLoadSource.js'
-import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
+import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
 import { HORIZON_SECONDS, LOAD_COST_REQUESTS, ReplicaValues } from './FigquayFleetReplicaValue.js'
 import { VictimChooser, type VictimSet } from './FigquayFleetVictims.js'
 
@@ -50,8 +50,24 @@
  * grows until the model is loaded, so that no model starves.
  */
 const IN_USE_EVICTION_COST_PER_UNAVAILABLE_SECOND = 0.5
+/** A busy runner may be busy for longer than expected: costs of waiting for it, in seconds and as a fraction of the time to wait. */
+const DEFERRAL_DOUBT_SECONDS = 0.25
+const DEFERRAL_DOUBT_FRACTION = 0.25
+/** Time until the next plan at least, in milliseconds. */
+const NEXT_PLAN_MS = 100
 const MS_PER_SECOND = 1_000
 
+/** Requests that wait for a model, weighted by the time for which there has been none, so that no rare model waits forever. */
+function computeUrgency ({ waitingRequests, unavailableMs }: PlannerModel): number {
+  return waitingRequests * (1 + (unavailableMs / MS_PER_SECOND) ** 2)
+}
+
+/** What speaks against a runner, in seconds of loading time: its work, its speed, and that it may be busy for longer than expected. */
+function computeRunnerCost ({ freeInMs, openRequests, pendingTokens, slowdown }: PlannerRunner): number {
+  const deferralCost = freeInMs > 0 ? DEFERRAL_DOUBT_SECONDS + freeInMs / MS_PER_SECOND * DEFERRAL_DOUBT_FRACTION : 0
+  return deferralCost + openRequests / OPEN_REQUESTS_PER_COST_SECOND + slowdown * (pendingTokens * COST_SECONDS_PER_PENDING_TOKEN + SLOWDOWN_COST_SECONDS)
+}
+
 /** A way of loading a model on one runner. */
 interface PlacementOption {
   readonly step: ModelPlanStep
@@ -61,6 +77,7 @@
   readonly readyInSeconds: number
   /** The runner is still busy; waiting for it is cheaper than using another one. */
   readonly isDeferred: boolean
+  readonly evictionCost: number
 }
 
 /** Totals of each model, collected in one pass over the runners. */
@@ -124,7 +141,7 @@
   private readonly reservedRunners = new Set<string>()
   private canLoadFromStore: boolean
 
-  constructor (private readonly input: ModelPlanInput, private readonly reportUnplaced: (model: string, reason: UnplacedReason, runner: string | undefined) => void) {
+  constructor (private readonly input: ModelPlanInput, private readonly reportUnplaced: (unplaced: UnplacedModel) => void) {
     this.index = new ModelIndex(input.runners)
     this.models = new Map(input.models.map((model) => [model.spec.name, model]))
     this.values = ReplicaValues.create(input.runners, this.models, { objectiveMs: input.objectiveMs, maxPauseMs: input.maxPauseMs, slots: input.slotsPerRunner })
@@ -134,7 +151,7 @@
 
   planSteps (): ModelPlanStep[] {
     const unloaded = this.input.models.filter((model) => this.countReplicas(model) === 0)
-    const awaited = unloaded.filter((model) => model.waitingRequests > 0).sort((a, b) => b.waitingRequests - a.waitingRequests || b.requestsPerSecond - a.requestsPerSecond)
+    const awaited = unloaded.filter((model) => model.waitingRequests > 0).sort((a, b) => computeUrgency(b) - computeUrgency(a) || b.requestsPerSecond - a.requestsPerSecond)
     const prefetchable = unloaded.filter((model) => model.waitingRequests === 0 && model.readyInMs === undefined).sort((a, b) => b.longTermRequestsPerSecond - a.longTermRequestsPerSecond)
     return [
       ...awaited.flatMap((model) => this.planAwaitedModel(model)),
@@ -151,7 +168,23 @@
       isAcceptable: (victims) => victims === undefined || !victims.isInUse || victims.evictionCost <= maxInUseEvictionCost,
       computeGain: () => 0
     }
-    return this.planReplica(model, goal, (reason, runner) => this.reportUnplaced(model.spec.name, reason, runner))
+    return this.planReplica(model, goal, (reason, best) => this.reportUnplaced({ model: model.spec.name, reason, runner: best?.step.runner, readyInMs: this.estimateReadyMs(model, reason, best) }))
+  }
+
+  /** Time until a model that is not loaded now will be, in milliseconds. */
+  private estimateReadyMs (model: PlannerModel, reason: UnplacedReason, best: PlacementOption | undefined): number {
+    if (reason === 'a replica is already loading') return model.readyInMs!
+    if (reason === 'the weight store is at its limit') return Math.max(NEXT_PLAN_MS, this.input.storeWaitMs) + model.spec.storeLoadMs
+    if (best !== undefined) return best.step.readyInMs
+    return this.estimateRoomMs(model)
+  }
+
+  /** Time until replicas in use may be evicted for a model, and it is loaded in their place, in milliseconds; infinite if there are none. */
+  private estimateRoomMs (model: PlannerModel): number {
+    const option = this.findBestOption(model, { reason: '', isAcceptable: () => true, computeGain: () => 0 })
+    if (option === undefined) return Number.POSITIVE_INFINITY
+    const acceptableAfterMs = option.evictionCost / IN_USE_EVICTION_COST_PER_UNAVAILABLE_SECOND * MS_PER_SECOND
+    return Math.max(0, acceptableAfterMs - model.unavailableMs) + option.step.readyInMs
   }
 
   /** A load that nobody waits for takes free memory, and no runner that requests are using. */
@@ -231,12 +264,12 @@
   }
 
   /** The cheapest step towards another replica, if the goal allows one and it can start now. */
-  private planReplica (model: PlannerModel, goal: PlacementGoal, reportRejection: (reason: UnplacedReason, runner: string | undefined) => void = () => {}): ModelPlanStep[] {
+  private planReplica (model: PlannerModel, goal: PlacementGoal, reportRejection: (reason: UnplacedReason, best: PlacementOption | undefined) => void = () => {}): ModelPlanStep[] {
     const best = this.findBestOption(model, goal)
     const rejection = this.findRejection(model, best)
     // The runner's next order is reserved for this model, so that no other model waits for it as well.
     if (best?.isDeferred === true) this.reservedRunners.add(best.step.runner)
-    if (rejection !== undefined) reportRejection(rejection, best?.step.runner)
+    if (rejection !== undefined) reportRejection(rejection, best)
     if (rejection !== undefined || best === undefined) return []
     this.reservedRunners.add(best.step.runner)
     if (best.step.fromStore) this.canLoadFromStore = false
@@ -282,7 +315,8 @@
   /** Loads from the weight store are slow and block their runners, so those that no request waits for are limited. */
   private mayLoadFromStore (model: PlannerModel): boolean {
     const isAwaited = model.waitingRequests > 0 && this.countReplicas(model) === 0
-    return this.canLoadFromStore && (isAwaited || this.input.activeStoreLoads < Math.max(1, this.index.servingRunnerCount * MAX_STORE_LOADING_FRACTION))
+    if (!this.canLoadFromStore || isAwaited) return this.canLoadFromStore
+    return this.input.canLoadAheadFromStore && this.input.activeStoreLoads < Math.max(1, this.index.servingRunnerCount * MAX_STORE_LOADING_FRACTION)
   }
 
   private evaluateOption (model: PlannerModel, runner: PlannerRunner, goal: PlacementGoal): PlacementOption | undefined {
@@ -292,12 +326,12 @@
     if (victims === undefined && runner.freeMb < spec.weightsMb) return undefined
     const readyInSeconds = (findLoadDurationMs(spec, source) + runner.freeInMs) / MS_PER_SECOND + (victims?.isInUse === true ? DRAIN_SECONDS : 0)
     if (!goal.isAcceptable(victims, runner, readyInSeconds)) return undefined
-    const queueingCost = runner.openRequests / OPEN_REQUESTS_PER_COST_SECOND + runner.slowdown * (runner.pendingTokens * COST_SECONDS_PER_PENDING_TOKEN + SLOWDOWN_COST_SECONDS)
     return {
-      cost: readyInSeconds + queueingCost + (victims?.evictionCost ?? 0) - goal.computeGain(runner, readyInSeconds),
+      cost: readyInSeconds + computeRunnerCost(runner) + (victims?.evictionCost ?? 0) - goal.computeGain(runner, readyInSeconds),
       readyInSeconds,
       isDeferred: runner.freeInMs > 0,
-      step: { action: victims === undefined ? 'load' : 'unload', runner: runner.id, model: victims?.models[0] ?? spec.name, furtherVictims: victims?.models.slice(1) ?? [], beneficiary: spec.name, fromStore: source === 'store', reason: goal.reason }
+      evictionCost: victims?.evictionCost ?? 0,
+      step: { action: victims === undefined ? 'load' : 'unload', runner: runner.id, model: victims?.models[0] ?? spec.name, furtherVictims: victims?.models.slice(1) ?? [], beneficiary: spec.name, fromStore: source === 'store', readyInMs: readyInSeconds * MS_PER_SECOND, reason: goal.reason }
     }
   }
 }
@@ -307,11 +341,10 @@
  * of models, not with their product: runners with cached weights are indexed, at most one model per plan is loaded from
  * the weight store, and few models get further replicas in one plan.
  *
- * @param reportUnplaced Called for each model that requests wait for and that this plan does not load, with the runner
- * that would have been best.
+ * @param reportUnplaced Called for each model that requests wait for and that this plan does not load.
  * @example
  * for (const step of planModels(input)) startStep(step)
  */
-export function planModels (input: ModelPlanInput, reportUnplaced: (model: string, reason: UnplacedReason, runner: string | undefined) => void = () => {}): ModelPlanStep[] {
+export function planModels (input: ModelPlanInput, reportUnplaced: (unplaced: UnplacedModel) => void = () => {}): ModelPlanStep[] {
   return new ModelPlanner(input, reportUnplaced).planSteps()
 }
--- a/packages/figquay-fleet/src/FigquayFleetModelPlanTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlanTypes.ts
@@ -61,6 +61,10 @@
   readonly models: readonly PlannerModel[]
   /** Whether the rate limit of the weight store allows another load now. */
   readonly canLoadFromStore: boolean
+  /** Whether it also allows one that no request waits for, which must leave some for those that requests wait for. */
+  readonly canLoadAheadFromStore: boolean
+  /** Time until the weight store allows another load, in milliseconds. */
+  readonly storeWaitMs: number
   /** Loads from the weight store in progress. */
   readonly activeStoreLoads: number
 }
@@ -77,6 +81,8 @@
   readonly beneficiary: string
   /** Whether the beneficiary is loaded from the weight store. */
   readonly fromStore: boolean
+  /** Expected time until the beneficiary is loaded, in milliseconds. */
+  readonly readyInMs: number
   readonly reason: string
 }
 
@@ -90,3 +96,13 @@
   | 'a replica is already loading'
   /** Only the weight store has the model, and it allows no more loads now. */
   | 'the weight store is at its limit'
+
+/** A model that requests wait for and that a plan does not load. */
+export interface UnplacedModel {
+  readonly model: string
+  readonly reason: UnplacedReason
+  /** Runner that would have been best; undefined if there is none. */
+  readonly runner: string | undefined
+  /** Estimated time until it is loaded, in milliseconds; infinite if it can't be told. */
+  readonly readyInMs: number
+}
--- a/packages/figquay-fleet/src/FigquayFleetOrderDispatcher.ts
+++ b/packages/figquay-fleet/src/FigquayFleetOrderDispatcher.ts
@@ -34,6 +34,8 @@
   readonly adapter: string | undefined
   readonly pool: EnginePool
   readonly reason: string
+  /** Called when the order is about to be sent: without this call, it certainly has no effect. */
+  readonly onSend?: () => void
 }
 
 /** Outcome of an order: executed, accepted and in progress, or with no or unknown effect. */
@@ -99,8 +101,14 @@
   }
 
   private canTakeOrder (runnerId: string): boolean {
+    return this.measurePauseMs(runnerId) === 0
+  }
+
+  /** Time until a runner may be sent an order, as far as it is known, in milliseconds: an order being sent takes a few milliseconds. */
+  measurePauseMs (runnerId: string): number {
     const record = this.records.get(runnerId)
-    return record === undefined || (!record.isSending && this.options.clock.readMonotonicMs() >= record.nextOrderAtMs)
+    if (record === undefined) return 0
+    return Math.max(record.isSending ? 1 : 0, record.nextOrderAtMs - this.options.clock.readMonotonicMs())
   }
 
   /** Whether a runner didn't answer the last read of its state: nothing should wait for it. */
@@ -191,7 +199,8 @@
       return 'failed'
     }
     const expectedSequence = record.sequence
-    const { action, model, adapter, reason } = request
+    const { action, model, adapter, reason, onSend } = request
+    onSend?.()
     const reply = await client.sendOrder(runner, { action, model, adapter, expectedSequence, holder: self, fence })
     logger.info('order', { runner: runner.id, action, model, adapter, reason, sequence: expectedSequence, fence, outcome: reply.ok ? reply.value : `unknown: ${reply.error.message}` })
     if (!reply.ok) {
@@ -247,7 +256,7 @@
   }
 
   /**
-   * Waits until a runner has executed an order on a model.
+   * Waits until a runner has executed an order on a model, or is gone, leaves or has restarted.
    *
    * @param expectedMs Expected duration of the order.
    * @param timeoutMs Time after which the wait ends regardless.
@@ -256,8 +265,13 @@
    */
   async waitForOrder (runnerId: string, expectedMs: number, timeoutMs = expectedMs * MAX_DURATION_FACTOR + REPORT_LAG_MS * MAX_DURATION_FACTOR): Promise<void> {
     const deadlineMs = this.options.clock.readMonotonicMs() + timeoutMs
+    const bornMs = this.options.table.findRunner(runnerId)?.bornMs
+    const isPresent = (): boolean => {
+      const runner = this.options.table.findRunner(runnerId)
+      return runner !== undefined && !runner.isLeaving && runner.bornMs === bornMs
+    }
     await this.options.clock.waitFor(expectedMs + REPORT_LAG_MS)
-    while (this.options.clock.readMonotonicMs() < deadlineMs && this.options.leadership.fencingToken !== undefined) {
+    while (this.options.clock.readMonotonicMs() < deadlineMs && this.options.leadership.fencingToken !== undefined && isPresent()) {
       const holdings = await this.readRunner(runnerId)
       if (holdings?.isBusy === false) return
       await this.options.clock.waitFor(RETRY_PAUSE_MS)
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -4,11 +4,12 @@
 import type { FleetDemand } from './FigquayFleetDemand.js'
 import type { FleetLeadership } from './FigquayFleetLeadership.js'
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
-import { StoreLoadLimiter } from './FigquayFleetStoreLoadLimiter.js'
+import { estimateRemainingMs, PendingLoads, type PendingLoad } from './FigquayFleetPendingLoads.js'
+import { StoreLoadLimiter, type StoreLoad } from './FigquayFleetStoreLoadLimiter.js'
 import { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
 import { AdapterPlacement } from './FigquayFleetAdapterPlacement.js'
 import { planModels } from './FigquayFleetModelPlan.js'
-import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
+import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel } from './FigquayFleetModelPlanTypes.js'
 import { measureUsedMb } from './FigquayFleetOrderCheck.js'
 import type { OrderDispatcher } from './FigquayFleetOrderDispatcher.js'
 import { makeRunnerModelKey } from './FigquayFleetHints.js'
@@ -28,23 +29,12 @@
   readonly sumOpenRequests: () => ReadonlyMap<string, number>
 }
 
-/** Pending loads by runner and by model, built once per plan. */
-interface PendingLoadIndex {
-  readonly byRunner: ReadonlyMap<string, PendingLoad>
-  readonly byModel: ReadonlyMap<string, readonly PendingLoad[]>
-}
-
-/** A load that was started and is neither finished nor expired. */
-interface PendingLoad {
-  readonly model: string
-  readonly runner: string
-  readonly expectedAtMs: number
-  readonly expiresAtMs: number
-  readonly isFromStore: boolean
-}
-
 /** Shortest assumed time until a busy runner is free, in milliseconds: one planning interval. */
 const PLAN_STEP_MS = 100
+/** Time that an order takes beside its execution, in milliseconds: it is sent, and the runner's report lags behind. */
+const ORDER_MS = 200
+/** Fraction of the loads which the weight store allows that may start for models without waiting requests. */
+const LOAD_AHEAD_FRACTION = 0.8
 /** Duration of an unload when the model has no requests, in milliseconds. */
 const IDLE_UNLOAD_MS = 50
 /** A load may take this many times its configured duration before it expires, as concurrent loads slow each other down. */
@@ -60,7 +50,7 @@
 export class FleetPlacement {
   private readonly storeLoadLimiter = StoreLoadLimiter.create()
   private readonly slowdowns: SlowdownAverages
-  private readonly pendingLoads = new Set<PendingLoad>()
+  private readonly pendingLoads = PendingLoads.create()
   /** Time at which this daemon finished loading a model, by runner and model. */
   private readonly loadedAtMs = new Map<string, number>()
   private readonly adapters: AdapterPlacement
@@ -95,7 +85,7 @@
    * placement.runPlans()
    */
   runPlans (): void {
-    const { leadership, configurations, orders, clock } = this.options
+    const { leadership, configurations, orders, clock, table, logger } = this.options
     const fencingToken = leadership.fencingToken
     if (fencingToken === undefined) {
       if (!leadership.isLeader) this.lastPlanFencingToken = undefined
@@ -103,8 +93,8 @@
     }
     if (fencingToken !== this.lastPlanFencingToken) this.takeOver(fencingToken)
     const nowMs = clock.readMonotonicMs()
-    for (const pendingLoad of this.pendingLoads) {
-      if (nowMs > pendingLoad.expiresAtMs) this.pendingLoads.delete(pendingLoad)
+    for (const { model, runner } of this.pendingLoads.dropLost((id) => table.findRunner(id), nowMs)) {
+      logger.info('load is lost, as its runner left', { model, runner })
     }
     for (const service of configurations.current?.services.values() ?? []) {
       if (service.engine !== undefined) this.planService(service, service.engine, orders)
@@ -124,20 +114,20 @@
   private planService (service: Service, pool: EnginePool, orders: OrderDispatcher): void {
     const views = this.options.table.listViews(service.name)
     const input = this.makePlanInput(service, pool, views, orders)
-    for (const step of planModels(input, (model, reason, runner) => this.logUnplaced(model, reason, runner))) {
-      this.runStep(step, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
+    for (const step of planModels(input, (unplaced) => this.logUnplaced(unplaced))) {
+      this.runStep(step, service, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
     }
     // Loads of models are few, and requests for a model wait for longer than those for an adapter.
     this.adapters.planService(service, pool, views)
   }
 
   /** Logs periodically why a model is not loaded, which explains why its requests are refused. */
-  private logUnplaced (model: string, reason: UnplacedReason, runner: string | undefined): void {
+  private logUnplaced ({ model, reason, runner, readyInMs }: UnplacedModel): void {
     const unavailable = this.unavailableModels.get(model)
     const nowMs = this.options.clock.readMonotonicMs()
     if (unavailable === undefined || nowMs - unavailable.loggedAtMs < UNPLACED_LOG_INTERVAL_MS) return
     unavailable.loggedAtMs = nowMs
-    this.options.logger.info('model is still unavailable', { model, reason, runner, missingMs: Math.round(nowMs - unavailable.sinceMs) })
+    this.options.logger.info('model is still unavailable', { model, reason, runner, missingMs: Math.round(nowMs - unavailable.sinceMs), expectedInMs: Number.isFinite(readyInMs) ? Math.round(readyInMs) : undefined })
   }
 
   /** Returns for how long requests have found no replica of a model, or no runner with an adapter, in milliseconds; gaps up to the grace period count as well. */
@@ -151,36 +141,33 @@
     return nowMs - unavailable.sinceMs
   }
 
-  private indexPendingLoads (): PendingLoadIndex {
-    const pendingLoads = [...this.pendingLoads]
-    const byModel = new Map<string, PendingLoad[]>()
-    for (const pendingLoad of pendingLoads) byModel.set(pendingLoad.model, [...byModel.get(pendingLoad.model) ?? [], pendingLoad])
-    return { byRunner: new Map(pendingLoads.map((pendingLoad) => [pendingLoad.runner, pendingLoad])), byModel }
-  }
-
   private makePlanInput (service: Service, pool: EnginePool, views: readonly RunnerView[], orders: OrderDispatcher): ModelPlanInput {
     const { demand, clock } = this.options
     const waitingByModel = new Map<string, number>()
     for (const need of demand.listNeeds()) {
       if (need.service === service.name && need.adapter === undefined) waitingByModel.set(need.model, need.waiting)
     }
-    const pendingLoads = this.indexPendingLoads()
     const openRequests = this.options.sumOpenRequests()
     const nowMs = clock.readMonotonicMs()
+    const pendingLoads = this.pendingLoads.indexByRunner()
+    const unhealthy = new Set(views.filter(({ isHealthy }) => !isHealthy).map(({ runner }) => runner.id))
+    const findLoads = this.pendingLoads.summarise(service.name, (id) => !orders.isUnresponsive(id) && !unhealthy.has(id), nowMs)
     const loadedModels = new Set(views.flatMap(({ runner }) => runner.isLeaving ? [] : (runner.holdings?.models ?? []).map(({ name }) => name)))
     const models = [...pool.models.values()].map((spec): PlannerModel => {
       const rate = demand.measureRate(spec.name)
       const waitingRequests = waitingByModel.get(spec.name) ?? 0
       const unavailableMs = this.trackUnavailability(spec.name, waitingRequests > 0 && !loadedModels.has(spec.name), nowMs)
-      return { spec, requestsPerSecond: rate.requests, uncachedTokensPerSecond: rate.uncachedTokens, longTermRequestsPerSecond: rate.longTermRequests, waitingRequests, unavailableMs, ...this.summarizePendingLoads(pendingLoads.byModel.get(spec.name) ?? []) }
+      return { spec, requestsPerSecond: rate.requests, uncachedTokensPerSecond: rate.uncachedTokens, longTermRequestsPerSecond: rate.longTermRequests, waitingRequests, unavailableMs, ...findLoads(spec.name) }
     })
     return {
       slotsPerRunner: pool.slots,
       ...this.findRouteTerms(service.name),
       runners: views.map((view) => this.makePlannerRunner(view, pool, orders, pendingLoads, openRequests)),
       models,
-      activeStoreLoads: [...this.pendingLoads].filter((pendingLoad) => pendingLoad.isFromStore).length,
-      canLoadFromStore: this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs)
+      activeStoreLoads: this.pendingLoads.storeLoadCount,
+      canLoadFromStore: this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs),
+      canLoadAheadFromStore: this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond * LOAD_AHEAD_FRACTION, nowMs),
+      storeWaitMs: this.storeLoadLimiter.measureWaitMs(pool.loadsPerSecond, nowMs)
     }
   }
 
@@ -191,25 +178,17 @@
     return this.routeTerms?.terms.get(service) ?? NO_TERMS
   }
 
-  private summarizePendingLoads (pendingLoads: readonly PendingLoad[]): { readonly readyInMs: number | undefined, readonly loadingReplicas: number } {
-    const nowMs = this.options.clock.readMonotonicMs()
-    const remainingMs = pendingLoads.map((pendingLoad) => Math.max(0, pendingLoad.expectedAtMs - nowMs))
-    return { readyInMs: remainingMs.length === 0 ? undefined : Math.min(...remainingMs), loadingReplicas: remainingMs.length }
-  }
-
   /** Time until a runner can take an order, in milliseconds; infinite if it is unusable, or busy for an unknown time. */
   private computeFreeInMs ({ runner, isHealthy }: RunnerView, orders: OrderDispatcher, pendingLoad: PendingLoad | undefined): number {
     if (runner.isLeaving || !isHealthy || runner.holdings === undefined) return Number.POSITIVE_INFINITY
     // No load waits for a runner that doesn't answer; it is only tried again after a backoff.
     if (orders.isUnresponsive(runner.id) && (pendingLoad !== undefined || !orders.isReady(runner.id))) return Number.POSITIVE_INFINITY
-    const remainingMs = pendingLoad === undefined ? 0 : pendingLoad.expectedAtMs - this.options.clock.readMonotonicMs()
-    // An overdue load is expected to take as long again as it is late, so that other loads stop waiting for it eventually.
-    if (pendingLoad !== undefined) return Math.max(PLAN_STEP_MS, Math.abs(remainingMs))
+    if (pendingLoad !== undefined) return Math.max(PLAN_STEP_MS, estimateRemainingMs(pendingLoad, this.options.clock.readMonotonicMs()))
     if (runner.holdings.isBusy) return Number.POSITIVE_INFINITY
-    return orders.isReady(runner.id) ? 0 : PLAN_STEP_MS
+    return orders.isReady(runner.id) ? 0 : Math.max(PLAN_STEP_MS, orders.measurePauseMs(runner.id))
   }
 
-  private makePlannerRunner (view: RunnerView, pool: EnginePool, orders: OrderDispatcher, pendingLoads: PendingLoadIndex, openRequests: ReadonlyMap<string, number>): PlannerRunner {
+  private makePlannerRunner (view: RunnerView, pool: EnginePool, orders: OrderDispatcher, pendingLoads: ReadonlyMap<string, PendingLoad>, openRequests: ReadonlyMap<string, number>): PlannerRunner {
     const { runner, load } = view
     const nowMs = this.options.clock.readMonotonicMs()
     const holdings = runner.holdings
@@ -220,12 +199,12 @@
     }))
     return {
       id: runner.id,
-      freeInMs: this.computeFreeInMs(view, orders, pendingLoads.byRunner.get(runner.id)),
+      freeInMs: this.computeFreeInMs(view, orders, pendingLoads.get(runner.id)),
       isServing: !runner.isLeaving,
       freeMb: pool.weightsMb - measureUsedMb(runner.holdings?.models ?? [], pool),
       slowdown: this.slowdowns.measureUsual(runner.id, view.slowdown),
       replicas,
-      loading: pendingLoads.byRunner.get(runner.id)?.model,
+      loading: pendingLoads.get(runner.id)?.model,
       inMemory: holdings?.inMemory ?? [],
       onDisk: holdings?.onDisk ?? [],
       // A runner that refuses requests counts as full, whatever load the daemons know of.
@@ -234,29 +213,34 @@
     }
   }
 
-  private async runStep (step: ModelPlanStep, pool: EnginePool): Promise<void> {
+  private async runStep (step: ModelPlanStep, service: Service, pool: EnginePool): Promise<void> {
     const spec = pool.models.get(step.beneficiary)
-    const holdings = this.options.table.findRunner(step.runner)?.holdings
-    if (spec === undefined || holdings === undefined) return
-    const source = findLoadSource(spec, holdings)
+    const runner = this.options.table.findRunner(step.runner)
+    if (spec === undefined || runner?.holdings === undefined) return
+    const source = findLoadSource(spec, runner.holdings)
     const nowMs = this.options.clock.readMonotonicMs()
+    // Reserved before the unload, so that a model is evicted only for a load that is allowed to start.
+    if (source === 'store' && !this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs)) return
+    const storeLoad = source === 'store' ? this.storeLoadLimiter.reserveLoad() : undefined
+    const orderCount = 1 + (step.action === 'load' ? 0 : 1 + step.furtherVictims.length)
     const pendingLoad: PendingLoad = {
+      service: service.name,
       model: step.beneficiary,
       runner: step.runner,
-      expectedAtMs: nowMs + findLoadDurationMs(spec, source) + IDLE_UNLOAD_MS,
+      bornMs: runner.bornMs,
+      startedAtMs: nowMs,
+      expectedAtMs: nowMs + step.readyInMs + orderCount * ORDER_MS,
       expiresAtMs: nowMs + MAX_DRAIN_MS + spec.storeLoadMs * MAX_LOAD_SLOWDOWN,
-      isFromStore: source === 'store'
-    }
-    if (source === 'store') {
-      // Reserved before the unload, so that a model is evicted only for a load that is allowed to start.
-      if (!this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs)) return
-      this.storeLoadLimiter.recordLoad(nowMs)
+      isFromStore: storeLoad !== undefined
     }
     this.pendingLoads.add(pendingLoad)
     try {
-      if (step.action === 'load' || await this.evictReplicas(step, pool)) await this.loadModel(step, spec, source, pool)
+      const canLoad = step.action === 'load' || await this.evictReplicas(step, pool)
+      // The runner may have left meanwhile, and the load be planned elsewhere.
+      if (canLoad && this.pendingLoads.has(pendingLoad)) await this.loadModel(step, spec, source, pool, storeLoad)
     } finally {
       this.pendingLoads.delete(pendingLoad)
+      if (storeLoad?.startedAtMs === Number.POSITIVE_INFINITY) this.storeLoadLimiter.cancelLoad(storeLoad)
     }
   }
 
@@ -270,9 +254,12 @@
     return true
   }
 
-  private async loadModel (step: ModelPlanStep, spec: ModelSpec, source: LoadSource, pool: EnginePool): Promise<void> {
+  private async loadModel (step: ModelPlanStep, spec: ModelSpec, source: LoadSource, pool: EnginePool, storeLoad: StoreLoad | undefined): Promise<void> {
     const { orders, clock } = this.options
-    const result = await orders.sendOrder({ runner: step.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: step.reason })
+    const onSend = (): void => {
+      if (storeLoad !== undefined) this.storeLoadLimiter.markStarted(storeLoad, clock.readMonotonicMs())
+    }
+    const result = await orders.sendOrder({ runner: step.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: step.reason, onSend })
     if (result === 'failed') return
     await orders.waitForOrder(step.runner, findLoadDurationMs(spec, source))
     this.loadedAtMs.set(`${step.runner}\n${spec.name}`, clock.readMonotonicMs())
--- a/packages/figquay-fleet/src/FigquayFleetStoreLoadLimiter.ts
+++ b/packages/figquay-fleet/src/FigquayFleetStoreLoadLimiter.ts
@@ -10,9 +10,15 @@
   return Math.max(1, Math.floor(loadsPerSecond * WINDOW_MS / 1_000))
 }
 
+/** A load that counts against the limit. */
+export interface StoreLoad {
+  /** Infinite as long as it has not started: it counts until it starts or is cancelled. */
+  startedAtMs: number
+}
+
 /** Sliding-window rate limiter for loads from the weight store. */
 export class StoreLoadLimiter {
-  private startTimesMs: readonly number[] = []
+  private loads: readonly StoreLoad[] = []
 
   private constructor () {}
 
@@ -32,17 +38,53 @@
    * if (limiter.canStartLoad(1.1, nowMs)) startLoad()
    */
   canStartLoad (loadsPerSecond: number, nowMs: number): boolean {
-    this.startTimesMs = this.startTimesMs.filter((atMs) => nowMs - atMs < WINDOW_MS)
-    return this.startTimesMs.length < computeWindowLimit(loadsPerSecond)
+    return this.measureWaitMs(loadsPerSecond, nowMs) === 0
+  }
+
+  /**
+   * Time until another load may start, in milliseconds; 0 if one may start now.
+   *
+   * @example
+   * limiter.measureWaitMs(1.1, nowMs)
+   */
+  measureWaitMs (loadsPerSecond: number, nowMs: number): number {
+    this.loads = this.loads.filter(({ startedAtMs }) => nowMs - startedAtMs < WINDOW_MS)
+    const excess = this.loads.length - computeWindowLimit(loadsPerSecond)
+    if (excess < 0) return 0
+    // Loads that have yet to start leave the window a whole window later at the earliest.
+    const leavesAtMs = this.loads.map(({ startedAtMs }) => Math.min(startedAtMs, nowMs) + WINDOW_MS).sort((a, b) => a - b)[excess]!
+    return Math.max(1, leavesAtMs - nowMs)
   }
 
   /** Counts a load that starts now. */
   recordLoad (nowMs: number): void {
-    this.startTimesMs = [...this.startTimesMs, nowMs]
+    this.loads = [...this.loads, { startedAtMs: nowMs }]
+  }
+
+  /**
+   * Counts a load that starts later, once there is room for its model; `markStarted` or `cancelLoad` must follow.
+   *
+   * @example
+   * const load = limiter.reserveLoad()
+   */
+  reserveLoad (): StoreLoad {
+    const load = { startedAtMs: Number.POSITIVE_INFINITY }
+    this.loads = [...this.loads, load]
+    return load
+  }
+
+  /** Records that a reserved load starts now. */
+  markStarted (load: StoreLoad, nowMs: number): void {
+    load.startedAtMs = nowMs
+  }
+
+  /** Takes back a reserved load that never started. */
+  cancelLoad (load: StoreLoad): void {
+    this.loads = this.loads.filter((other) => other !== load)
   }
 
   /** Assumes that the previous leader has used the whole window, which leaves only the tolerated burst. */
   assumeWindowSpent (loadsPerSecond: number, nowMs: number): void {
-    this.startTimesMs = Array.from({ length: Math.max(0, computeWindowLimit(loadsPerSecond) - BURST_LOADS) }, () => nowMs)
+    this.loads = Array.from({ length: Math.max(0, computeWindowLimit(loadsPerSecond) - BURST_LOADS) }, () => ({ startedAtMs: nowMs }))
   }
 }
--- a/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/ModelPlan.test.ts
@@ -18,7 +18,7 @@
 }
 
 function makeInput (runners: readonly PlannerRunner[], models: readonly PlannerModel[], canLoadFromStore = true): ModelPlanInput {
-  return { slotsPerRunner: 64, objectiveMs: 1_000, maxPauseMs: 0, runners, models, canLoadFromStore, activeStoreLoads: 0 }
+  return { slotsPerRunner: 64, objectiveMs: 1_000, maxPauseMs: 0, runners, models, canLoadFromStore, canLoadAheadFromStore: canLoadFromStore, storeWaitMs: 0, activeStoreLoads: 0 }
 }
 
 /**
@@ -141,7 +141,7 @@
   it('reports why a model is not loaded', () => {
     const explain = (runners: readonly PlannerRunner[], canLoad = true, changes: Partial<PlannerModel> = {}): string[] => {
       const reasons: string[] = []
-      planModels(makeInput(runners, [makeModel('rare', { waitingRequests: 1, ...changes }), makeModel('a', { requestsPerSecond: 9 })], canLoad), (model, reason) => reasons.push(`${model}: ${reason}`))
+      planModels(makeInput(runners, [makeModel('rare', { waitingRequests: 1, ...changes }), makeModel('a', { requestsPerSecond: 9 })], canLoad), ({ model, reason }) => reasons.push(`${model}: ${reason}`))
       return reasons
     }
     expect(explain([makeRunner('r1', [makeReplica('a', { ageMs: 10 })], { freeMb: 0 })])).toEqual(['rare: no replica can be evicted'])
--- a/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
@@ -44,7 +44,7 @@
     if (best === undefined) return []
     used.add(best.runner.id)
     canLoadFromStore &&= best.isCached
-    return [{ action: best.victim === undefined ? 'load' : 'unload', runner: best.runner.id, model: best.victim?.model ?? spec.name, furtherVictims: [], beneficiary: spec.name, fromStore: !best.isCached, reason: '' }]
+    return [{ action: best.victim === undefined ? 'load' : 'unload', runner: best.runner.id, model: best.victim?.model ?? spec.name, furtherVictims: [], beneficiary: spec.name, fromStore: !best.isCached, readyInMs: 0, reason: '' }]
   }
   const all = [...models.values()].sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
   const missing = all.filter(({ spec, loadingReplicas }) => !counts.has(spec.name) && loadingReplicas === 0)
--- a/packages/figquay-fleet/src/__tests__/unit/StoreLoadLimiter.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/StoreLoadLimiter.test.ts
@@ -31,6 +31,17 @@
     }))
   })
 
+  it('counts a reserved load until a window after it has started, and gives back one that never does', () => {
+    const limiter = StoreLoadLimiter.create()
+    const load = limiter.reserveLoad()
+    expect(limiter.canStartLoad(0.2, 9_000)).toEqual(false)
+    limiter.markStarted(load, 9_000)
+    expect([limiter.measureWaitMs(0.2, 12_000), limiter.canStartLoad(0.2, 14_000)]).toEqual([2_000, true])
+    const cancelled = limiter.reserveLoad()
+    limiter.cancelLoad(cancelled)
+    expect(limiter.canStartLoad(0.2, 14_000)).toEqual(true)
+  })
+
   it('lets a new leader start a load at once', () => {
     const limiter = StoreLoadLimiter.create()
     limiter.assumeWindowSpent(1.1, 0)
--- a/packages/figquay-fleet/src/__tests__/unit/placementReplay.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/placementReplay.ts
@@ -285,6 +285,8 @@
       objectiveMs: SHORT.objectiveMs,
       maxPauseMs: MAX_PAUSE_MS,
       canLoadFromStore,
+      canLoadAheadFromStore: this.countStoreLoads() < 0.8 * this.scenario.storeLoadsPerSecond * 5,
+      storeWaitMs: 0,
       activeStoreLoads: orders.filter(({ loadMs }) => loadMs === this.scenario.storeLoadMs).length,
       runners: this.runners.map((runner) => this.makePlannerRunner(runner)),
       models: this.scenario.modelsMb.map((_, model) => this.makePlannerModel(model, orders))
