Forecast when missing models and adapters will be ready

Each planned load writes a line with what decided it; loads by reason and models that can't be placed are metrics.

In LostLoads.test.ts a load is ready within its forecast and doubt.

--- a/packages/figquay-fleet/src/FigquayFleetAdapterPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetAdapterPlacement.ts
@@ -1,6 +1,8 @@
 /** Placement of adapters by the leader: those that requests wait for first, then further copies of those in demand, then free slots. */
 import type { Clock, Logger } from 'figquay'
 import { planAdapter, planAdapterCopy, type AdapterCandidate, type AdapterLoad, type AdapterPlanStep } from './FigquayFleetAdapterPlan.js'
+import type { AdapterState } from './FigquayFleetModelForecasts.js'
+import type { LoadReason } from './FigquayFleetModelPlanTypes.js'
 import { AdapterUse } from './FigquayFleetAdapterUse.js'
 import type { FleetDemand, ModelNeed } from './FigquayFleetDemand.js'
 import { countUsedAdapterSlots } from './FigquayFleetOrderCheck.js'
@@ -8,6 +10,9 @@
 import type { RunnerView } from './FigquayFleetRunnerTable.js'
 import { makeAdapterKey, type EnginePool, type Service } from './FigquayFleetTypes.js'
 
+/** Why an adapter is loaded. */
+export type AdapterLoadReason = 'requests are waiting for it' | 'the runners that hold it are busy' | 'an adapter slot is free'
+
 /** Dependencies of the placement of adapters. */
 export interface AdapterPlacementOptions {
   readonly clock: Clock
@@ -16,6 +21,8 @@
   readonly orders: OrderDispatcher
   /** Notes that requests wait for an adapter, and returns for how long they have, in milliseconds. */
   readonly trackUnavailability: (key: string) => number
+  /** Counts a load by service and reason. */
+  readonly noteLoad: (service: string, kind: 'model' | 'adapter', reason: LoadReason | AdapterLoadReason) => void
 }
 
 /** Adapters that one plan may load ahead of demand; more would delay the orders for adapters that requests wait for. */
@@ -33,6 +40,8 @@
 export class AdapterPlacement {
   private readonly use: AdapterUse
   private readonly loadingAdapters = new Set<string>()
+  /** Awaited adapters that the last plan could not load. */
+  private blockedAdapters = new Map<string, AdapterState>()
   /** Time since which requests have waited for an adapter although a runner holds it. */
   private awaitedDespiteCopyAtMs: ReadonlyMap<string, number> = new Map()
 
@@ -53,9 +62,14 @@
     this.use.noteUse(runner, key)
   }
 
-  /** Whether an adapter is being loaded. */
-  isLoading (key: string): boolean {
-    return this.loadingAdapters.has(key)
+  /**
+   * Why an awaited adapter of a loaded model is not loaded yet; undefined if no plan has seen the need.
+   *
+   * @example
+   * adapters.findState('manual/a3') // 'loading'
+   */
+  findState (key: string): AdapterState | undefined {
+    return this.loadingAdapters.has(key) ? 'loading' : this.blockedAdapters.get(key)
   }
 
   /**
@@ -71,9 +85,10 @@
     const byUnavailability = needs.map((need) => ({ need, unavailableMs: this.options.trackUnavailability(makeAdapterKey(need.model, need.adapter!)) }))
       .sort((a, b) => b.unavailableMs - a.unavailableMs)
     this.trackAwaitedDespiteCopy(needs, index)
-    for (const { need } of byUnavailability) this.startLoad(need.model, need.adapter!, pool, index, 'requests are waiting for it', true)
-    this.addCopies(pool, index)
-    this.preloadAdapters(pool, index)
+    this.blockedAdapters = new Map()
+    for (const { need } of byUnavailability) this.startLoad(service, need.model, need.adapter!, pool, index, 'requests are waiting for it')
+    this.addCopies(service, pool, index)
+    this.preloadAdapters(service, pool, index)
   }
 
   private trackAwaitedDespiteCopy (needs: readonly ModelNeed[], { runnersByAdapter }: LoadedModelIndex): void {
@@ -83,7 +98,7 @@
   }
 
   /** Loads further copies of adapters in demand whose runners are busy. */
-  private addCopies (pool: EnginePool, index: LoadedModelIndex): void {
+  private addCopies (service: Service, pool: EnginePool, index: LoadedModelIndex): void {
     let startedCount = 0
     for (const key of this.use.listInUse(IN_DEMAND_MS)) {
       if (startedCount >= MAX_COPIES_PER_PLAN || !this.options.orders.hasCapacity) return
@@ -94,13 +109,13 @@
       const others = runners.filter((view) => !holders.includes(view))
       const step = planAdapterCopy(holders.map(measureLoad), others.map((view) => ({ ...this.makeCandidate(view, index), ...measureLoad(view) })), pool.adapterSlots)
       if (step === undefined) continue
-      this.startStep(step, model, adapter, pool, 'the runners that hold it are busy', true)
+      this.startStep(service, step, model, adapter, pool, 'the runners that hold it are busy')
       startedCount += 1
     }
   }
 
   /** Loads adapters without requests into free adapter slots. */
-  private preloadAdapters (pool: EnginePool, index: LoadedModelIndex): void {
+  private preloadAdapters (service: Service, pool: EnginePool, index: LoadedModelIndex): void {
     let startedCount = 0
     for (const [model, runners] of index.runnersByModel) {
       if (!this.options.orders.hasCapacity) return
@@ -108,7 +123,7 @@
       const adapterCount = hasFreeSlot ? pool.models.get(model)?.adapterCount ?? 0 : 0
       for (let number = 1; number <= adapterCount; number += 1) {
         if (startedCount >= MAX_PRELOADS_PER_PLAN) return
-        if (this.startLoad(model, `a${number}`, pool, index, 'an adapter slot is free', false)) startedCount += 1
+        if (this.startLoad(service, model, `a${number}`, pool, index, 'an adapter slot is free')) startedCount += 1
       }
     }
   }
@@ -119,15 +134,18 @@
   }
 
   /** Loads an adapter that no runner holds, or none that requests reach. */
-  private startLoad (model: string, adapter: string, pool: EnginePool, index: LoadedModelIndex, reason: string, isRequested: boolean): boolean {
+  private startLoad (service: Service, model: string, adapter: string, pool: EnginePool, index: LoadedModelIndex, reason: AdapterLoadReason): boolean {
     const key = makeAdapterKey(model, adapter)
     if (!this.options.orders.hasCapacity || this.loadingAdapters.has(key)) return false
     const holders = index.runnersByAdapter.get(key) ?? []
     if (holders.length > 0 && !this.isCopyUseless(key)) return false
-    const candidates = index.runnersByModel.get(model)?.filter((view) => !holders.includes(view)) ?? []
-    const step = planAdapter(candidates.map((view) => this.makeCandidate(view, index)), pool.adapterSlots)
+    const candidates = (index.runnersByModel.get(model) ?? []).filter((view) => !holders.includes(view)).map((view) => this.makeCandidate(view, index))
+    if (candidates.length === 0) return false
+    const step = planAdapter(candidates, pool.adapterSlots)
+    const isRequested = reason !== 'an adapter slot is free'
+    if (step === undefined && isRequested) this.blockedAdapters.set(key, candidates.some((candidate) => candidate.isReady) ? 'no room' : 'runner busy')
     if (step === undefined || (step.evicted !== undefined && !isRequested)) return false
-    this.startStep(step, model, adapter, pool, reason, isRequested)
+    this.startStep(service, step, model, adapter, pool, reason)
     return true
   }
 
@@ -142,15 +160,16 @@
     }
   }
 
-  private startStep (step: AdapterPlanStep, model: string, adapter: string, pool: EnginePool, reason: string, isRequested: boolean): void {
+  private startStep (service: Service, step: AdapterPlanStep, model: string, adapter: string, pool: EnginePool, reason: AdapterLoadReason): void {
     const key = makeAdapterKey(model, adapter)
     this.loadingAdapters.add(key)
-    this.runStep(step, model, adapter, pool, reason, isRequested)
+    this.options.noteLoad(service.name, 'adapter', reason)
+    this.runStep(step, model, adapter, pool, reason)
       .catch((error: Error) => this.options.logger.error('adapter placement failed', { key, error: error.message }))
       .finally(() => this.loadingAdapters.delete(key))
   }
 
-  private async runStep ({ runner, evicted }: AdapterPlanStep, model: string, adapter: string, pool: EnginePool, reason: string, isRequested: boolean): Promise<void> {
+  private async runStep ({ runner, evicted }: AdapterPlanStep, model: string, adapter: string, pool: EnginePool, reason: AdapterLoadReason): Promise<void> {
     const { orders } = this.options
     if (evicted !== undefined) {
       const [oldModel, oldAdapter] = evicted.split('/') as [string, string]
@@ -158,7 +177,7 @@
     }
     await orders.sendOrder({ runner, action: 'load', model, adapter, pool, reason })
     // One that was loaded without requests is the first to make way.
-    if (isRequested) this.use.noteLoaded(runner, makeAdapterKey(model, adapter))
+    if (reason !== 'an adapter slot is free') this.use.noteLoaded(runner, makeAdapterKey(model, adapter))
   }
 }
 
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -11,7 +11,7 @@
  *   turn, those in higher demand for longer.
  */
 import { findLoadSource, findLoadDurationMs } from './FigquayFleetLoadSource.js'
-import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
+import type { LoadReason, ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
 import { HORIZON_SECONDS, LOAD_COST_REQUESTS, ReplicaValues } from './FigquayFleetReplicaValue.js'
 import { VictimChooser, type VictimSet } from './FigquayFleetVictims.js'
 
@@ -77,7 +77,6 @@
   readonly readyInSeconds: number
   /** The runner is still busy; waiting for it is cheaper than using another one. */
   readonly isDeferred: boolean
-  readonly evictionCost: number
 }
 
 /** Totals of each model, collected in one pass over the runners. */
@@ -125,7 +124,7 @@
 
 /** Why a replica is added, and what that may cost. */
 interface PlacementGoal {
-  readonly reason: string
+  readonly reason: LoadReason
   /** Whether victims may be evicted on a runner; undefined if the runner has room. */
   readonly isAcceptable: (victims: VictimSet | undefined, runner: PlannerRunner, readyInSeconds: number) => boolean
   /** Value of a replica on a runner, which reduces the cost of the option. */
@@ -181,9 +180,9 @@
 
   /** Time until replicas in use may be evicted for a model, and it is loaded in their place, in milliseconds; infinite if there are none. */
   private estimateRoomMs (model: PlannerModel): number {
-    const option = this.findBestOption(model, { reason: '', isAcceptable: () => true, computeGain: () => 0 })
+    const option = this.findBestOption(model, { reason: 'requests are waiting and no runner has it loaded', isAcceptable: () => true, computeGain: () => 0 })
     if (option === undefined) return Number.POSITIVE_INFINITY
-    const acceptableAfterMs = option.evictionCost / IN_USE_EVICTION_COST_PER_UNAVAILABLE_SECOND * MS_PER_SECOND
+    const acceptableAfterMs = option.step.evictionCost / IN_USE_EVICTION_COST_PER_UNAVAILABLE_SECOND * MS_PER_SECOND
     return Math.max(0, acceptableAfterMs - model.unavailableMs) + option.step.readyInMs
   }
 
@@ -326,12 +325,13 @@
     if (victims === undefined && runner.freeMb < spec.weightsMb) return undefined
     const readyInSeconds = (findLoadDurationMs(spec, source) + runner.freeInMs) / MS_PER_SECOND + (victims?.isInUse === true ? DRAIN_SECONDS : 0)
     if (!goal.isAcceptable(victims, runner, readyInSeconds)) return undefined
+    const savedRequests = goal.computeGain(runner, readyInSeconds)
+    const evictionCost = victims?.evictionCost ?? 0
     return {
-      cost: readyInSeconds + computeRunnerCost(runner) + (victims?.evictionCost ?? 0) - goal.computeGain(runner, readyInSeconds),
+      cost: readyInSeconds + computeRunnerCost(runner) + evictionCost - savedRequests,
       readyInSeconds,
       isDeferred: runner.freeInMs > 0,
-      evictionCost: victims?.evictionCost ?? 0,
-      step: { action: victims === undefined ? 'load' : 'unload', runner: runner.id, model: victims?.models[0] ?? spec.name, furtherVictims: victims?.models.slice(1) ?? [], beneficiary: spec.name, fromStore: source === 'store', readyInMs: readyInSeconds * MS_PER_SECOND, reason: goal.reason }
+      step: { action: victims === undefined ? 'load' : 'unload', runner: runner.id, model: victims?.models[0] ?? spec.name, furtherVictims: victims?.models.slice(1) ?? [], beneficiary: spec.name, fromStore: source === 'store', readyInMs: readyInSeconds * MS_PER_SECOND, savedRequests, evictionCost, reason: goal.reason }
     }
   }
 }
--- a/packages/figquay-fleet/src/FigquayFleetModelPlanTypes.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlanTypes.ts
@@ -83,9 +83,16 @@
   readonly fromStore: boolean
   /** Expected time until the beneficiary is loaded, in milliseconds. */
   readonly readyInMs: number
-  readonly reason: string
+  readonly reason: LoadReason
+  /** Requests that it is expected to save from coming late; 0 if that was not estimated. */
+  readonly savedRequests: number
+  /** Requests that the eviction is expected to cost. */
+  readonly evictionCost: number
 }
 
+/** Why a model is loaded. */
+export type LoadReason = 'requests are waiting and no runner has it loaded' | 'requests would come late on its replicas' | 'its replicas are overloaded' | 'no runner has it loaded'
+
 /** Why a model that requests wait for is not loaded now. */
 export type UnplacedReason =
   /** The runner with the lowest cost has to finish another order first. */
--- a/packages/figquay-fleet/src/FigquayFleetPendingLoads.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPendingLoads.ts
@@ -8,10 +8,11 @@
   readonly runner: string
   /** Start time of the runner's process, in milliseconds: one that has restarted doesn't go on with the load. */
   readonly bornMs: number
-  readonly startedAtMs: number
   readonly expectedAtMs: number
   readonly expiresAtMs: number
   readonly isFromStore: boolean
+  /** The runner has been sent the order; before that, replicas are evicted. */
+  isOrdered: boolean
 }
 
 /** The loads of one model. */
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -1,20 +1,22 @@
 /** Model placement by the leader: plans loads and unloads from demand and loaded models, and sends the orders to the runners. */
 import type { Clock, Logger } from 'figquay'
 import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
-import type { FleetDemand } from './FigquayFleetDemand.js'
+import type { FleetDemand, ModelNeed } from './FigquayFleetDemand.js'
 import type { FleetLeadership } from './FigquayFleetLeadership.js'
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
 import { estimateRemainingMs, PendingLoads, type PendingLoad } from './FigquayFleetPendingLoads.js'
 import { StoreLoadLimiter, type StoreLoad } from './FigquayFleetStoreLoadLimiter.js'
 import { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
-import { AdapterPlacement } from './FigquayFleetAdapterPlacement.js'
+import { AdapterPlacement, type AdapterPlacementOptions } from './FigquayFleetAdapterPlacement.js'
+import type { ModelForecast } from './FigquayFleetForecast.js'
+import { ModelForecasts } from './FigquayFleetModelForecasts.js'
 import { planModels } from './FigquayFleetModelPlan.js'
-import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel } from './FigquayFleetModelPlanTypes.js'
+import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
 import { measureUsedMb } from './FigquayFleetOrderCheck.js'
 import type { OrderDispatcher } from './FigquayFleetOrderDispatcher.js'
 import { makeRunnerModelKey } from './FigquayFleetHints.js'
 import { findLoadSource, findLoadDurationMs, type LoadSource } from './FigquayFleetLoadSource.js'
-import type { EnginePool, FleetConfiguration, ModelSpec, Route, Service } from './FigquayFleetTypes.js'
+import { makeAdapterKey, type EnginePool, type FleetConfiguration, type ModelSpec, type Route, type Service } from './FigquayFleetTypes.js'
 
 /** Options of the placement. */
 export interface FleetPlacementOptions {
@@ -27,6 +29,8 @@
   readonly orders: OrderDispatcher
   /** Requests in progress over all daemons, by the keys of `makeRunnerModelKey`. */
   readonly sumOpenRequests: () => ReadonlyMap<string, number>
+  /** Counts a load by service and reason. */
+  readonly noteLoad?: AdapterPlacementOptions['noteLoad']
 }
 
 /** Shortest assumed time until a busy runner is free, in milliseconds: one planning interval. */
@@ -54,6 +58,7 @@
   /** Time at which this daemon finished loading a model, by runner and model. */
   private readonly loadedAtMs = new Map<string, number>()
   private readonly adapters: AdapterPlacement
+  private readonly forecasts = ModelForecasts.create()
   /** Models, and adapters by key, that requests wait for and no runner has loaded. */
   private readonly unavailableModels = new Map<string, { readonly sinceMs: number, lastRequestedAtMs: number, loggedAtMs: number }>()
   private routeTerms: { readonly configuration: FleetConfiguration | undefined, readonly terms: ReadonlyMap<string, RouteTerms> } | undefined
@@ -62,7 +67,7 @@
 
   private constructor (private readonly options: FleetPlacementOptions) {
     this.slowdowns = SlowdownAverages.create(options.clock)
-    this.adapters = AdapterPlacement.create({ ...options, trackUnavailability: (key) => this.trackUnavailability(key, true, options.clock.readMonotonicMs()) })
+    this.adapters = AdapterPlacement.create({ noteLoad: () => {}, ...options, trackUnavailability: (key) => this.trackUnavailability(key, true, options.clock.readMonotonicMs()) })
   }
 
   /**
@@ -101,10 +106,34 @@
     }
   }
 
+  /**
+   * Forecasts when what requests wait for will be ready; empty unless this daemon is the leader and has planned. Needs that
+   * are met, or that no plan has seen yet, have no forecast.
+   *
+   * @example
+   * const forecasts = placement.listForecasts(hints.needs)
+   */
+  listForecasts (needs: readonly ModelNeed[]): ModelForecast[] {
+    const { leadership, table, clock } = this.options
+    const fence = leadership.fencingToken
+    if (fence === undefined || fence !== this.lastPlanFencingToken) return []
+    return needs.flatMap((need) => {
+      const { service, model, adapter } = need
+      const state = { isModelLoaded: table.hasRunnerWithModel(service, model), loads: this.pendingLoads.listLoads(service, model), adapter: adapter === undefined ? undefined : this.adapters.findState(makeAdapterKey(model, adapter)) }
+      return this.forecasts.makeForecast(need, state, fence, clock.readMonotonicMs()) ?? []
+    })
+  }
+
+  /** Models that requests wait for and the last plan of this leader could not load, by reason. */
+  countUnplaced (): ReadonlyMap<UnplacedReason, number> {
+    return this.options.leadership.isLeader ? this.forecasts.countUnplaced() : new Map()
+  }
+
   /** The previous leader's orders are unknown: runner state is read again, and the store's rate limit counts as used up. */
   private takeOver (fencingToken: number): void {
     this.lastPlanFencingToken = fencingToken
     this.pendingLoads.clear()
+    this.forecasts.clear()
     this.options.orders.invalidateState()
     for (const service of this.options.configurations.current?.services.values() ?? []) {
       if (service.engine !== undefined) this.storeLoadLimiter.assumeWindowSpent(service.engine.loadsPerSecond, this.options.clock.readMonotonicMs())
@@ -114,7 +143,11 @@
   private planService (service: Service, pool: EnginePool, orders: OrderDispatcher): void {
     const views = this.options.table.listViews(service.name)
     const input = this.makePlanInput(service, pool, views, orders)
-    for (const step of planModels(input, (unplaced) => this.logUnplaced(unplaced))) {
+    const unplaced: UnplacedModel[] = []
+    const steps = planModels(input, (model) => unplaced.push(model))
+    this.forecasts.replacePlan(service.name, unplaced, this.options.clock.readMonotonicMs())
+    for (const model of unplaced) this.logUnplaced(model)
+    for (const step of steps) {
       this.runStep(step, service, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
     }
     // Loads of models are few, and requests for a model wait for longer than those for an adapter.
@@ -228,22 +261,31 @@
       model: step.beneficiary,
       runner: step.runner,
       bornMs: runner.bornMs,
-      startedAtMs: nowMs,
       expectedAtMs: nowMs + step.readyInMs + orderCount * ORDER_MS,
       expiresAtMs: nowMs + MAX_DRAIN_MS + spec.storeLoadMs * MAX_LOAD_SLOWDOWN,
-      isFromStore: storeLoad !== undefined
+      isFromStore: storeLoad !== undefined,
+      isOrdered: false
     }
     this.pendingLoads.add(pendingLoad)
+    this.logStep(step, service)
     try {
       const canLoad = step.action === 'load' || await this.evictReplicas(step, pool)
       // The runner may have left meanwhile, and the load be planned elsewhere.
-      if (canLoad && this.pendingLoads.has(pendingLoad)) await this.loadModel(step, spec, source, pool, storeLoad)
+      if (canLoad && this.pendingLoads.has(pendingLoad)) await this.loadModel(step, spec, source, pool, pendingLoad, storeLoad)
     } finally {
       this.pendingLoads.delete(pendingLoad)
       if (storeLoad?.startedAtMs === Number.POSITIVE_INFINITY) this.storeLoadLimiter.cancelLoad(storeLoad)
     }
   }
 
+  /** What decided a load: requests in expected numbers, and the replicas that it costs. */
+  private logStep (step: ModelPlanStep, service: Service): void {
+    const { model, beneficiary, runner, action, furtherVictims, reason, savedRequests, evictionCost, readyInMs } = step
+    const evicted = action === 'load' ? [] : [model, ...furtherVictims]
+    this.options.noteLoad?.(service.name, 'model', reason)
+    this.options.logger.info('load planned', { model: beneficiary, runner, reason, evicted, savedRequests: roundTenth(savedRequests), evictionCost: roundTenth(evictionCost), expectedInMs: Math.round(readyInMs) })
+  }
+
   private async evictReplicas (step: ModelPlanStep, pool: EnginePool): Promise<boolean> {
     const reason = `makes room for ${step.beneficiary}: ${step.reason}`
     for (const model of [step.model, ...step.furtherVictims]) {
@@ -254,9 +296,10 @@
     return true
   }
 
-  private async loadModel (step: ModelPlanStep, spec: ModelSpec, source: LoadSource, pool: EnginePool, storeLoad: StoreLoad | undefined): Promise<void> {
+  private async loadModel (step: ModelPlanStep, spec: ModelSpec, source: LoadSource, pool: EnginePool, pendingLoad: PendingLoad, storeLoad: StoreLoad | undefined): Promise<void> {
     const { orders, clock } = this.options
     const onSend = (): void => {
+      pendingLoad.isOrdered = true
       if (storeLoad !== undefined) this.storeLoadLimiter.markStarted(storeLoad, clock.readMonotonicMs())
     }
     const result = await orders.sendOrder({ runner: step.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: step.reason, onSend })
@@ -266,6 +309,10 @@
   }
 }
 
+function roundTenth (value: number): number {
+  return Math.round(value * 10) / 10
+}
+
 /** Strictest terms of the routes to a service, in milliseconds; 0 where none declares any. */
 type RouteTerms = Pick<ModelPlanInput, 'objectiveMs' | 'maxPauseMs'>
 
--- a/packages/figquay-fleet/src/__tests__/unit/LostLoads.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/LostLoads.test.ts
@@ -86,4 +86,15 @@
     await measureMissingMs(runPlan, table, 10_000)
     expect(client.ordered).toEqual(['r1'])
   })
+
+  it('is forecast to be ready when it is, and no longer once it is', async () => {
+    const { table, runPlan, placement } = makeFleet(['r1', 'r2'], new LoadingRunners(() => false))
+    const need = { service: 's', model: 'rare', adapter: undefined, waiting: 1 }
+    expect(placement.listForecasts([need])).toEqual([])
+    await runPlan()
+    const [forecast] = placement.listForecasts([need])
+    const missingMs = await measureMissingMs(runPlan, table, 10_000)
+    const isInTime = missingMs < forecast!.readyInMs! + forecast!.doubtMs
+    expect([forecast!.reason, forecast!.fence, isInTime, placement.listForecasts([need])]).toEqual(['loading', 5, true, []])
+  })
 })
--- a/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
@@ -38,13 +38,13 @@
       const victim = runner.freeMb >= spec.weightsMb ? undefined : findVictim(runner)
       const evictionCost = victim === undefined ? 0 : computeCost(victim.model)
       if ((runner.freeMb < spec.weightsMb && victim === undefined) || evictionCost > maxCost) return []
-      return [{ runner, victim, isCached, cost: (isCached ? spec.diskLoadMs : spec.storeLoadMs) / 1_000 + runner.openRequests / 8 + runner.pendingTokens / 10_000 + evictionCost }]
+      return [{ runner, victim, isCached, evictionCost, cost: (isCached ? spec.diskLoadMs : spec.storeLoadMs) / 1_000 + runner.openRequests / 8 + runner.pendingTokens / 10_000 + evictionCost }]
     })
     const [best] = options.sort((a, b) => a.cost - b.cost)
     if (best === undefined) return []
     used.add(best.runner.id)
     canLoadFromStore &&= best.isCached
-    return [{ action: best.victim === undefined ? 'load' : 'unload', runner: best.runner.id, model: best.victim?.model ?? spec.name, furtherVictims: [], beneficiary: spec.name, fromStore: !best.isCached, readyInMs: 0, reason: '' }]
+    return [{ action: best.victim === undefined ? 'load' : 'unload', runner: best.runner.id, model: best.victim?.model ?? spec.name, furtherVictims: [], beneficiary: spec.name, fromStore: !best.isCached, readyInMs: 0, savedRequests: 0, evictionCost: best.evictionCost, reason: 'no runner has it loaded' }]
   }
   const all = [...models.values()].sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
   const missing = all.filter(({ spec, loadingReplicas }) => !counts.has(spec.name) && loadingReplicas === 0)
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -105,7 +105,7 @@
     this.attemptWatch = AttemptTracker.create({ clock, table, exchanges, hasPartSucceeded: (key, sinceMs) => partSuccesses.hasSucceededSince(key, sinceMs), reportCrash: (runner, crash) => this.reportCrash('crash', runner, crash), reportPossibleCrash: (runner, crash) => this.reportCrash('doubt', runner, crash), recordProbe: (message, fields) => this.traces.recordProbe(message, fields) })
     const announceLeaving = (runner: string, bornMs: number): void => this.peers.announceLeaving(runner, bornMs)
     const orders = OrderDispatcher.create({ self: address, client: orderClient, table, leadership, clock, logger, announceHoldings: (runner, bornMs, holdings) => this.peers.announceHoldings(runner, bornMs, holdings), announceLeaving })
-    this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => this.peers.hints.sumOpenRequests() })
+    this.placement = FleetPlacement.create({ clock, logger, configurations, table, demand, leadership, orders, sumOpenRequests: () => this.peers.hints.sumOpenRequests(), noteLoad: (service, kind, reason) => this.traces.notePlacementLoad(service, kind, reason) })
     this.streamOrigins = StreamOrigins.create({ self: address, clock, logger, tasks: this.tasks, versions: this.versions, isSynced: () => this.storeWatcher.isSynced, isLargeFleet: () => this.peers.isLargeFleet, listDaemons: () => this.peers.daemonZones, listConnected: () => this.peers.connectedPeers, callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs) })
     this.dispatcher = ServingDispatcher.create({ clock, zone, configurations, table, memory, exchanges, isAvoided: (runner) => this.peers.requestLimiter.isAvoided(runner), announceNeeds: () => this.peers.announceNeeds() })
     this.configurationSync = ConfigurationSync.create({
@@ -171,6 +171,7 @@
       announceLeaving
     })
     this.traces.observeStoreAges((topic) => this.storeWatcher.measureTopicAge(topic))
+    this.traces.observeUnplacedModels(() => this.placement.countUnplaced())
     this.router = ServingRouter.create({
       clock,
       configurations,
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -18,6 +18,7 @@
   private readonly quarantined: Counter<'route'>
   private readonly resumptions: Counter<'route' | 'origin'>
   private readonly storeReads: Counter<'topic' | 'outcome'>
+  private readonly placementLoads: Counter<'service' | 'kind' | 'reason'>
   private windowStartMs = 0
   private linesInWindow = 0
   private suppressed = 0
@@ -29,6 +30,7 @@
     this.quarantined = new Counter({ name: 'figquay_quarantined_total', help: 'Requests refused because they have crashed runners, by route', labelNames: ['route'], registers })
     this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers resume, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
     this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
+    this.placementLoads = new Counter({ name: 'figquay_placement_loads_total', help: 'Loads of models and adapters that this daemon planned as the leader, by service and reason', labelNames: ['service', 'kind', 'reason'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
   }
 
@@ -65,6 +67,31 @@
     this.storeReads.inc({ topic, outcome })
   }
 
+  /** Counts a load of a model or an adapter that this daemon has planned as the leader. */
+  notePlacementLoad (service: string, kind: 'model' | 'adapter', reason: string): void {
+    this.placementLoads.inc({ service, kind, reason })
+  }
+
+  /**
+   * Keeps a gauge of the models that requests wait for and this daemon, as the leader, can't load now.
+   *
+   * @param countUnplaced Models by reason.
+   * @example
+   * telemetry.observeUnplacedModels(() => placement.countUnplaced())
+   */
+  observeUnplacedModels (countUnplaced: () => ReadonlyMap<string, number>): void {
+    const gauge: Gauge<'reason'> = new Gauge({
+      name: 'figquay_models_unplaced',
+      help: 'Models that requests wait for and the last plan of this daemon did not load, by reason',
+      labelNames: ['reason'],
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset()
+        for (const [reason, count] of countUnplaced()) gauge.set({ reason }, count)
+      }
+    })
+  }
+
   /**
    * Keeps a gauge of how long ago this daemon last read each topic of the store itself.
    *
