Measure the work of waiting prompts, too, and price a load at 1.5 requests

Cause: the work of a model was what runners had processed, which is less than what arrives while they are overloaded. A new leader took adapters whose use it hadn't heard of for unused.

Change: the work is the rate of arrivals times the uncached tokens of processed prompts. A new leader takes all adapters for used at its start. A load costs 1.5 requests (owners: one or two). Free memory is used from 20,000 uncached tokens of open requests per replica on (was 45,000 of all), so that deployments with room are served as before.

Ruled out: rise of the last second, slots by expected stream speed, threshold evictions.

--- a/packages/figquay-fleet/src/FigquayFleetAdapterPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetAdapterPlacement.ts
@@ -62,6 +62,11 @@
     this.use.noteUse(runner, key)
   }
 
+  /** Starts a term as the leader: how adapters were used before is unknown. */
+  startTerm (): void {
+    this.use.assumeAllUsed()
+  }
+
   /**
    * Why an awaited adapter of a loaded model is not loaded yet; undefined if no plan has seen the need.
    *
--- a/packages/figquay-fleet/src/FigquayFleetAdapterUse.ts
+++ b/packages/figquay-fleet/src/FigquayFleetAdapterUse.ts
@@ -14,6 +14,9 @@
   /** Decayed rate of reported uses by adapter key; those used last come last. */
   private readonly rates = new Map<string, { readonly perSecond: number, readonly atMs: number }>()
 
+  /** Uses before this time are unknown. */
+  private knownSinceMs = 0
+
   private constructor (private readonly clock: Clock) {}
 
   /**
@@ -44,9 +47,14 @@
     setBounded(this.usedAtMs, `${runner}\n${key}`, this.clock.readMonotonicMs(), MAX_ENTRIES)
   }
 
-  /** Time since an adapter was last used on a runner, in milliseconds; that since the start of the clock if it never was. */
+  /** Time since an adapter was last used on a runner, in milliseconds; that for which uses are known if it never was. */
   measureIdleMs (runner: string, key: string): number {
-    return this.clock.readMonotonicMs() - (this.usedAtMs.get(`${runner}\n${key}`) ?? 0)
+    return this.clock.readMonotonicMs() - (this.usedAtMs.get(`${runner}\n${key}`) ?? this.knownSinceMs)
+  }
+
+  /** Takes all adapters for used just now: daemons of a large fleet report uses to the leader alone, which is a new one. */
+  assumeAllUsed (): void {
+    this.knownSinceMs = this.clock.readMonotonicMs()
   }
 
   /** Reported uses of an adapter per second, on all runners together. */
--- a/packages/figquay-fleet/src/FigquayFleetDemand.ts
+++ b/packages/figquay-fleet/src/FigquayFleetDemand.ts
@@ -19,7 +19,9 @@
   requests: number
   /** Prompt tokens per second. */
   tokens: number
-  /** Prompt tokens per second that runners process, as they haven't cached them. */
+  /** Prompts whose first output came, per second. */
+  processed: number
+  /** Prompt tokens of these that runners had not cached, per second. */
   uncachedTokens: number
   /** Requests per second over the last minute. */
   longTermRequests: number
@@ -31,14 +33,17 @@
 export interface Arrivals {
   readonly requests: number
   readonly promptTokens: number
-  /** Prompt tokens that runners have processed, as they hadn't cached them; missing from a daemon that doesn't count them. */
+  /** Requests whose first output came; missing from a daemon that doesn't count them. */
+  readonly processed?: number
+  /** Prompt tokens of these that runners had not cached; missing likewise. */
   readonly uncachedTokens?: number
 }
 
-/** Arrivals per second. */
+/** Demand per second. */
 export interface DemandRate {
   readonly requests: number
   readonly promptTokens: number
+  /** Prompt tokens of the arriving requests that runners will not have cached, by those that were processed lately. */
   readonly uncachedTokens: number
   /** Requests per second over the last minute. */
   readonly longTermRequests: number
@@ -89,12 +94,12 @@
 
   /** Counts a request that arrived at this daemon. */
   noteArrival (model: string, promptTokens: number): void {
-    this.addOwnArrivals(model, { requests: 1, promptTokens, uncachedTokens: 0 })
+    this.addOwnArrivals(model, { requests: 1, promptTokens, processed: 0, uncachedTokens: 0 })
   }
 
   /** Counts the prompt tokens of a request that a runner has processed: those that it had not cached. */
   noteProcessedPrompt (model: string, uncachedTokens: number): void {
-    this.addOwnArrivals(model, { requests: 0, promptTokens: 0, uncachedTokens })
+    this.addOwnArrivals(model, { requests: 0, promptTokens: 0, processed: 1, uncachedTokens })
   }
 
   private addOwnArrivals (model: string, arrivals: Required<Arrivals>): void {
@@ -102,6 +107,7 @@
     this.unsentArrivals.set(model, {
       requests: (known?.requests ?? 0) + arrivals.requests,
       promptTokens: (known?.promptTokens ?? 0) + arrivals.promptTokens,
+      processed: (known?.processed ?? 0) + arrivals.processed,
       uncachedTokens: (known?.uncachedTokens ?? 0) + arrivals.uncachedTokens
     })
     this.addArrivals(model, arrivals)
@@ -118,10 +124,10 @@
   listDecayedArrivals (): Map<string, Arrivals> {
     const history = new Map<string, Arrivals>()
     for (const model of this.localRates.keys()) {
-      const { requests, promptTokens, uncachedTokens } = this.measureDecayedRate(this.localRates, model)
+      const { requests, tokens, processed, uncachedTokens } = this.measureDecayedRate(this.localRates, model)
       const seconds = RATE_DECAY_MS / MS_PER_SECOND
       if (requests < MIN_REQUESTS_PER_SECOND) this.localRates.delete(model)
-      else history.set(model, { requests: requests * seconds, promptTokens: promptTokens * seconds, uncachedTokens: uncachedTokens * seconds })
+      else history.set(model, { requests: requests * seconds, promptTokens: tokens * seconds, processed: processed * seconds, uncachedTokens: uncachedTokens * seconds })
     }
     return history
   }
@@ -144,40 +150,47 @@
   }
 
   private addToRates (rates: Map<string, DecayedRate>, model: string, arrivals: Arrivals): void {
-    const { requests, promptTokens, uncachedTokens, longTermRequests } = this.measureDecayedRate(rates, model)
+    const rate = this.measureDecayedRate(rates, model)
     const perSecond = MS_PER_SECOND / RATE_DECAY_MS
     rates.set(model, {
-      requests: requests + arrivals.requests * perSecond,
-      tokens: promptTokens + arrivals.promptTokens * perSecond,
-      uncachedTokens: uncachedTokens + (arrivals.uncachedTokens ?? arrivals.promptTokens) * perSecond,
-      longTermRequests: longTermRequests + arrivals.requests * MS_PER_SECOND / LONG_TERM_DECAY_MS,
+      requests: rate.requests + arrivals.requests * perSecond,
+      tokens: rate.tokens + arrivals.promptTokens * perSecond,
+      processed: rate.processed + (arrivals.processed ?? arrivals.requests) * perSecond,
+      uncachedTokens: rate.uncachedTokens + (arrivals.uncachedTokens ?? arrivals.promptTokens) * perSecond,
+      longTermRequests: rate.longTermRequests + arrivals.requests * MS_PER_SECOND / LONG_TERM_DECAY_MS,
       updatedAtMs: this.clock.readMonotonicMs()
     })
   }
 
   /** Demand for a model per second, corrected for the short observation of a daemon that has just started. */
   measureRate (model: string): DemandRate {
-    const { requests, promptTokens, uncachedTokens, longTermRequests } = this.measureDecayedRate(this.rates, model)
+    const rate = this.measureDecayedRate(this.rates, model)
     const observedMs = Math.max(MIN_OBSERVATION_MS, this.clock.readMonotonicMs() - this.startedAtMs)
     const observedFraction = 1 - Math.exp(-observedMs / RATE_DECAY_MS)
+    const requests = rate.requests / observedFraction
+    // Prompts that wait are not processed yet: what runners process is less than what arrives while they are overloaded.
+    const tokensPerRequest = rate.processed > MIN_REQUESTS_PER_SECOND ? rate.uncachedTokens / rate.processed : rate.tokens / Math.max(rate.requests, MIN_REQUESTS_PER_SECOND)
     return {
-      requests: requests / observedFraction,
-      promptTokens: promptTokens / observedFraction,
-      uncachedTokens: uncachedTokens / observedFraction,
-      longTermRequests: longTermRequests / (1 - Math.exp(-observedMs / LONG_TERM_DECAY_MS))
+      requests,
+      promptTokens: rate.tokens / observedFraction,
+      uncachedTokens: tokensPerRequest * requests,
+      longTermRequests: rate.longTermRequests / (1 - Math.exp(-observedMs / LONG_TERM_DECAY_MS))
     }
   }
 
-  private measureDecayedRate (rates: ReadonlyMap<string, DecayedRate>, model: string): DemandRate {
+  private measureDecayedRate (rates: ReadonlyMap<string, DecayedRate>, model: string): DecayedRate {
     const rate = rates.get(model)
-    if (rate === undefined) return { requests: 0, promptTokens: 0, uncachedTokens: 0, longTermRequests: 0 }
-    const elapsedMs = this.clock.readMonotonicMs() - rate.updatedAtMs
+    const nowMs = this.clock.readMonotonicMs()
+    if (rate === undefined) return { requests: 0, tokens: 0, processed: 0, uncachedTokens: 0, longTermRequests: 0, updatedAtMs: nowMs }
+    const elapsedMs = nowMs - rate.updatedAtMs
     const decayFactor = Math.exp(-elapsedMs / RATE_DECAY_MS)
     return {
       requests: rate.requests * decayFactor,
-      promptTokens: rate.tokens * decayFactor,
+      tokens: rate.tokens * decayFactor,
+      processed: rate.processed * decayFactor,
       uncachedTokens: rate.uncachedTokens * decayFactor,
-      longTermRequests: rate.longTermRequests * Math.exp(-elapsedMs / LONG_TERM_DECAY_MS)
+      longTermRequests: rate.longTermRequests * Math.exp(-elapsedMs / LONG_TERM_DECAY_MS),
+      updatedAtMs: nowMs
     }
   }
 
--- a/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
+++ b/packages/figquay-fleet/src/FigquayFleetModelPlan.ts
@@ -17,8 +17,8 @@
 
 /** Fraction of a runner's slots that requests on one replica may use before another is added; smaller batches lose little speed. */
 const SCALE_UP_SLOT_FRACTION = 0.4
-/** Uncached prompt tokens of the requests on one replica above which another is added: about one second of a runner's work. */
-const SCALE_UP_PROMPT_TOKENS = 45_000
+/** Uncached prompt tokens of the requests on one replica above which another is added: about half a second of a runner's work. */
+const SCALE_UP_PROMPT_TOKENS = 20_000
 /** Requests in progress on a runner that cost as much as one second of loading time. */
 const OPEN_REQUESTS_PER_COST_SECOND = 8
 /**
@@ -240,7 +240,7 @@
   private planAdditionalReplicas (model: PlannerModel): ModelPlanStep[] {
     const missing = Math.min(this.countMissingReplicas(model), this.countLoadable(model))
     const steps = Array.from({ length: Math.max(0, missing) }).flatMap(() => this.planReplica({ ...model, readyInMs: undefined }, this.makeThresholdGoal(model)))
-    // What is loading relieves the replicas first; without this pause, a replay of shifting demand had a tenth more loads.
+    // What is loading relieves the replicas first: without this pause, a replay of shifting demand had a tenth more loads.
     return steps.length > 0 || model.loadingReplicas > 0 ? steps : this.planReplica({ ...model, readyInMs: undefined }, this.makeLatenessGoal(model))
   }
 
--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -134,6 +134,7 @@
     this.lastPlanFencingToken = fencingToken
     this.pendingLoads.clear()
     this.forecasts.clear()
+    this.adapters.startTerm()
     this.options.orders.invalidateState()
     for (const service of this.options.configurations.current?.services.values() ?? []) {
       if (service.engine !== undefined) this.storeLoadLimiter.assumeWindowSpent(service.engine.loadsPerSecond, this.options.clock.readMonotonicMs())
--- a/packages/figquay-fleet/src/FigquayFleetReplicaValue.ts
+++ b/packages/figquay-fleet/src/FigquayFleetReplicaValue.ts
@@ -11,7 +11,7 @@
 /** Time for which a replica is expected to be of use, in seconds: demand shifts to other models within it. */
 export const HORIZON_SECONDS = 8
 /** Requests whose failure costs as much as a load: owners count it as one or two. */
-export const LOAD_COST_REQUESTS = 2
+export const LOAD_COST_REQUESTS = 1.5
 /** Replicas of a model on which the effect of one more or less is evaluated; it is extrapolated to the others. */
 const MAX_EVALUATED_REPLICAS = 6
 /** Base cost of evicting a replica of which there are others: it may have been added for demand that has yet to arrive. */
--- a/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/FleetState.test.ts
@@ -321,6 +321,23 @@
     expect(demand.measureRate('m').requests < 0.2).toEqual(true)
   })
 
+  it('counts the prompts that wait, by the tokens that runners process of others', () => {
+    const clock = new ManualClock()
+    const demand = FleetDemand.create(clock)
+    for (let request = 0; request < 40; request += 1) {
+      demand.noteArrival('m', 9_000)
+      // An overloaded runner processes half of them, and has a third of their tokens cached.
+      if (request % 2 === 0) demand.noteProcessedPrompt('m', 6_000)
+      clock.nowMs += 100
+    }
+    const { requests, uncachedTokens } = demand.measureRate('m')
+    expect(Math.round(uncachedTokens / requests)).toEqual(6_000)
+    // A daemon of the previous release reports arrivals alone.
+    demand.addArrivals('old', { requests: 10, promptTokens: 50_000 })
+    const old = demand.measureRate('old')
+    expect(Math.round(old.uncachedTokens / old.requests)).toEqual(5_000)
+  })
+
   it('sums needs over daemons, and expires those of a daemon that stops reporting', () => {
     const clock = new ManualClock()
     const demand = FleetDemand.create(clock)
--- a/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/PlacementReplay.test.ts
@@ -8,7 +8,9 @@
 const SCARCE_SEEDS = 8
 const ROOMY_SEEDS = 40
 const TOKENS_PER_SECOND_PER_REPLICA = 14_000
+const TOKENS_PER_REPLICA = 45_000
 const SLOT_FRACTION = 0.4
+const STORE_LOADING_FRACTION = 0.25
 const MIN_AGE_MS = 4_000
 
 /**
@@ -31,10 +33,10 @@
   }
   const findVictim = ({ replicas }: PlannerRunner): PlannerReplica | undefined => replicas.filter(({ model, openRequests, ageMs }) => openRequests === 0 && ageMs >= MIN_AGE_MS && models.get(model)!.waitingRequests === 0).sort((a, b) => computeCost(a.model) - computeCost(b.model))[0]
   let canLoadFromStore = input.canLoadFromStore
-  const planLoad = ({ spec }: ReplayModel, maxCost: number): ModelPlanStep[] => {
+  const planLoad = ({ spec }: ReplayModel, maxCost: number, mayUseStore = true): ModelPlanStep[] => {
     const options = input.runners.flatMap((runner) => {
       const isCached = runner.onDisk.includes(spec.name)
-      if (runner.freeInMs > 0 || used.has(runner.id) || runner.replicas.some(({ model }) => model === spec.name) || !(canLoadFromStore || isCached)) return []
+      if (runner.freeInMs > 0 || used.has(runner.id) || runner.replicas.some(({ model }) => model === spec.name) || !((canLoadFromStore && mayUseStore) || isCached)) return []
       const victim = runner.freeMb >= spec.weightsMb ? undefined : findVictim(runner)
       const evictionCost = victim === undefined ? 0 : computeCost(victim.model)
       if ((runner.freeMb < spec.weightsMb && victim === undefined) || evictionCost > maxCost) return []
@@ -48,11 +50,17 @@
   }
   const all = [...models.values()].sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
   const missing = all.filter(({ spec, loadingReplicas }) => !counts.has(spec.name) && loadingReplicas === 0)
-  const overloaded = all.filter(({ spec, promptTokensPerSecond, loadingReplicas }) => counts.has(spec.name) && Math.max(1 + Math.floor(promptTokensPerSecond / TOKENS_PER_SECOND_PER_REPLICA), open.get(spec.name)! / SLOT_FRACTION / input.slotsPerRunner) > counts.get(spec.name)! + loadingReplicas)
+  const countMissing = ({ spec, requestsPerSecond, promptTokensPerSecond, loadingReplicas }: ReplayModel): number => {
+    const count = counts.get(spec.name) ?? 0
+    const requestsPerReplica = Math.max(1, Math.min(input.slotsPerRunner * SLOT_FRACTION, TOKENS_PER_REPLICA * requestsPerSecond / Math.max(1, promptTokensPerSecond)))
+    const needed = Math.max(1 + Math.floor(promptTokensPerSecond / TOKENS_PER_SECOND_PER_REPLICA), Math.ceil((open.get(spec.name) ?? 0) / requestsPerReplica))
+    return count === 0 ? 0 : Math.min(needed - count, Math.max(2, count)) - loadingReplicas
+  }
+  const mayLoadAhead = input.activeStoreLoads < input.runners.length * STORE_LOADING_FRACTION
   return [
     ...missing.filter(({ waitingRequests }) => waitingRequests > 0).flatMap((model) => planLoad(model, Number.POSITIVE_INFINITY)),
-    ...overloaded.flatMap((model) => planLoad(model, model.requestsPerSecond)),
-    ...missing.filter(({ waitingRequests }) => waitingRequests === 0).flatMap((model) => planLoad(model, 0.3))
+    ...all.flatMap((model) => Array.from({ length: Math.max(0, countMissing(model)) }).flatMap(() => planLoad(model, model.requestsPerSecond, mayLoadAhead))),
+    ...missing.filter(({ waitingRequests }) => waitingRequests === 0).flatMap((model) => planLoad(model, 0.3, mayLoadAhead))
   ]
 }
 
@@ -70,13 +78,13 @@
   it('serves more in time with fewer loads than thresholds per replica, where memory is scarce', () => {
     const planned = sumReplays(SCARCE_SEEDS, makeScarceScenario, planModels)
     const naive = sumReplays(SCARCE_SEEDS, makeScarceScenario, planByThresholds)
-    expect([countLate(planned) < 0.75 * countLate(naive), planned.withoutReplica < 0.7 * naive.withoutReplica, planned.loads < 0.7 * naive.loads, planned.starvedModels]).toEqual([true, true, true, 0])
+    expect([countLate(planned) < 0.65 * countLate(naive), planned.withoutReplica < 0.6 * naive.withoutReplica, planned.loads < 0.6 * naive.loads, planned.starvedModels]).toEqual([true, true, true, 0])
   })
 
   it('loads less where there is plenty of room, and saves more loads than requests come late for it', () => {
     const planned = sumReplays(ROOMY_SEEDS, makeRoomyScenario, planModels)
     const naive = sumReplays(ROOMY_SEEDS, makeRoomyScenario, planByThresholds)
     // Owners count a load as one or two failed requests.
-    expect([planned.loads < naive.loads, countLate(planned) + planned.loads < countLate(naive) + naive.loads, countLate(planned) < 1.15 * countLate(naive), planned.withoutReplica]).toEqual([true, true, true, 0])
+    expect([planned.loads < naive.loads, countLate(planned) + planned.loads < countLate(naive) + naive.loads, countLate(planned) < 1.05 * countLate(naive), planned.withoutReplica]).toEqual([true, true, true, 0])
   })
 })
