--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -1,17 +1,22 @@
 /** Model placement by the leader: plans loads and unloads from demand and loaded models, and sends the orders to the runners. */
 import type { Clock, Logger } from 'figquay'
 import type { ConfigurationHolder } from './FigquayFleetConfiguration.js'
-import type { FleetDemand } from './FigquayFleetDemand.js'
+import type { FleetDemand, ModelNeed } from './FigquayFleetDemand.js'
 import type { FleetLeadership } from './FigquayFleetLeadership.js'
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
-import { StoreLoadLimiter } from './FigquayFleetStoreLoadLimiter.js'
-import { planAdapter, type AdapterCandidate } from './FigquayFleetAdapterPlan.js'
-import { planModels, type ModelPlanStep, type ModelPlanInput, type PlannerModel, type PlannerRunner, type UnplacedReason } from './FigquayFleetModelPlan.js'
-import { countUsedAdapterSlots, measureUsedMb } from './FigquayFleetOrderCheck.js'
+import { estimateRemainingMs, PendingLoads, type PendingLoad } from './FigquayFleetPendingLoads.js'
+import { StoreLoadLimiter, type StoreLoad } from './FigquayFleetStoreLoadLimiter.js'
+import { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
+import { AdapterPlacement, type AdapterPlacementOptions } from './FigquayFleetAdapterPlacement.js'
+import type { ModelForecast } from './FigquayFleetForecast.js'
+import { ModelForecasts } from './FigquayFleetModelForecasts.js'
+import { planModels } from './FigquayFleetModelPlan.js'
+import type { ModelPlanInput, ModelPlanStep, PlannerModel, PlannerRunner, UnplacedModel, UnplacedReason } from './FigquayFleetModelPlanTypes.js'
+import { measureUsedMb } from './FigquayFleetOrderCheck.js'
 import type { OrderDispatcher } from './FigquayFleetOrderDispatcher.js'
 import { makeRunnerModelKey } from './FigquayFleetHints.js'
 import { findLoadSource, findLoadDurationMs, type LoadSource } from './FigquayFleetLoadSource.js'
-import { makeAdapterKey, type EnginePool, type ModelSpec, type Service } from './FigquayFleetTypes.js'
+import { makeAdapterKey, type EnginePool, type FleetConfiguration, type ModelSpec, type Route, type Service } from './FigquayFleetTypes.js'
 
 /** Options of the placement. */
 export interface FleetPlacementOptions {
@@ -24,25 +29,16 @@
   readonly orders: OrderDispatcher
   /** Requests in progress over all daemons, by the keys of `makeRunnerModelKey`. */
   readonly sumOpenRequests: () => ReadonlyMap<string, number>
-}
-
-/** Pending loads by runner and by model, built once per plan. */
-interface PendingLoadIndex {
-  readonly byRunner: ReadonlyMap<string, PendingLoad>
-  readonly byModel: ReadonlyMap<string, readonly PendingLoad[]>
-}
-
-/** A load that was started and is neither finished nor expired. */
-interface PendingLoad {
-  readonly model: string
-  readonly runner: string
-  readonly expectedAtMs: number
-  readonly expiresAtMs: number
-  readonly isFromStore: boolean
+  /** Counts a load by service and reason. */
+  readonly noteLoad?: AdapterPlacementOptions['noteLoad']
 }
 
 /** Shortest assumed time until a busy runner is free, in milliseconds: one planning interval. */
 const PLAN_STEP_MS = 100
+/** Time that an order takes beside its execution, in milliseconds: it is sent, and the runner's report lags behind. */
+const ORDER_MS = 200
+/** Fraction of the loads which the weight store allows that may start for models without waiting requests. */
+const LOAD_AHEAD_FRACTION = 0.8
 /** Duration of an unload when the model has no requests, in milliseconds. */
 const IDLE_UNLOAD_MS = 50
 /** A load may take this many times its configured duration before it expires, as concurrent loads slow each other down. */
@@ -53,24 +49,26 @@
 const UNAVAILABLE_GRACE_MS = 5_000
 /** Shortest interval between two log lines about the same unavailable model, in milliseconds. */
 const UNPLACED_LOG_INTERVAL_MS = 1_000
-/** Adapters that one plan may load ahead of demand; more would delay the orders for adapters that requests wait for. */
-const MAX_PRELOADS_PER_PLAN = 4
 
 /** Plans and runs loads and unloads while this daemon is the leader. */
 export class FleetPlacement {
   private readonly storeLoadLimiter = StoreLoadLimiter.create()
-  private readonly pendingLoads = new Set<PendingLoad>()
+  private readonly slowdowns: SlowdownAverages
+  private readonly pendingLoads = PendingLoads.create()
   /** Time at which this daemon finished loading a model, by runner and model. */
   private readonly loadedAtMs = new Map<string, number>()
-  /** Time of the last use of an adapter, by runner and adapter key. */
-  private readonly adapterUsedAtMs = new Map<string, number>()
-  private readonly loadingAdapters = new Set<string>()
+  private readonly adapters: AdapterPlacement
+  private readonly forecasts = ModelForecasts.create()
   /** Models, and adapters by key, that requests wait for and no runner has loaded. */
   private readonly unavailableModels = new Map<string, { readonly sinceMs: number, lastRequestedAtMs: number, loggedAtMs: number }>()
+  private routeTerms: { readonly configuration: FleetConfiguration | undefined, readonly terms: ReadonlyMap<string, RouteTerms> } | undefined
   /** Fencing token of the last plan; a different one means that leadership was taken over since. */
   private lastPlanFencingToken: number | undefined
 
-  private constructor (private readonly options: FleetPlacementOptions) {}
+  private constructor (private readonly options: FleetPlacementOptions) {
+    this.slowdowns = SlowdownAverages.create(options.clock)
+    this.adapters = AdapterPlacement.create({ noteLoad: () => {}, ...options, trackUnavailability: (key) => this.trackUnavailability(key, true, options.clock.readMonotonicMs()) })
+  }
 
   /**
    * @example
@@ -82,7 +80,7 @@
 
   /** Records that a request used an adapter on a runner. */
   recordAdapterUse (runner: string, key: string): void {
-    this.adapterUsedAtMs.set(`${runner}\n${key}`, this.options.clock.readMonotonicMs())
+    this.adapters.recordUse(runner, key)
   }
 
   /**
@@ -92,7 +90,7 @@
    * placement.runPlans()
    */
   runPlans (): void {
-    const { leadership, configurations, orders, clock } = this.options
+    const { leadership, configurations, orders, clock, table, logger } = this.options
     const fencingToken = leadership.fencingToken
     if (fencingToken === undefined) {
       if (!leadership.isLeader) this.lastPlanFencingToken = undefined
@@ -100,18 +98,43 @@
     }
     if (fencingToken !== this.lastPlanFencingToken) this.takeOver(fencingToken)
     const nowMs = clock.readMonotonicMs()
-    for (const pendingLoad of this.pendingLoads) {
-      if (nowMs > pendingLoad.expiresAtMs) this.pendingLoads.delete(pendingLoad)
+    for (const { model, runner } of this.pendingLoads.dropLost((id) => table.findRunner(id), nowMs)) {
+      logger.info('load is lost, as its runner left', { model, runner })
     }
     for (const service of configurations.current?.services.values() ?? []) {
       if (service.engine !== undefined) this.planService(service, service.engine, orders)
     }
   }
 
+  /**
+   * Forecasts when what requests wait for will be ready; empty unless this daemon is the leader and has planned. Needs that
+   * are met, or that no plan has seen yet, have no forecast.
+   *
+   * @example
+   * const forecasts = placement.listForecasts(hints.needs)
+   */
+  listForecasts (needs: readonly ModelNeed[]): ModelForecast[] {
+    const { leadership, table, clock } = this.options
+    const fence = leadership.fencingToken
+    if (fence === undefined || fence !== this.lastPlanFencingToken) return []
+    return needs.flatMap((need) => {
+      const { service, model, adapter } = need
+      const state = { isModelLoaded: table.hasRunnerWithModel(service, model), loads: this.pendingLoads.listLoads(service, model), adapter: adapter === undefined ? undefined : this.adapters.findState(makeAdapterKey(model, adapter)) }
+      return this.forecasts.makeForecast(need, state, fence, clock.readMonotonicMs()) ?? []
+    })
+  }
+
+  /** Models that requests wait for and the last plan of this leader could not load, by reason. */
+  countUnplaced (): ReadonlyMap<UnplacedReason, number> {
+    return this.options.leadership.isLeader ? this.forecasts.countUnplaced() : new Map()
+  }
+
   /** The previous leader's orders are unknown: runner state is read again, and the store's rate limit counts as used up. */
   private takeOver (fencingToken: number): void {
     this.lastPlanFencingToken = fencingToken
     this.pendingLoads.clear()
+    this.forecasts.clear()
+    this.adapters.startTerm()
     this.options.orders.invalidateState()
     for (const service of this.options.configurations.current?.services.values() ?? []) {
       if (service.engine !== undefined) this.storeLoadLimiter.assumeWindowSpent(service.engine.loadsPerSecond, this.options.clock.readMonotonicMs())
@@ -121,20 +144,24 @@
   private planService (service: Service, pool: EnginePool, orders: OrderDispatcher): void {
     const views = this.options.table.listViews(service.name)
     const input = this.makePlanInput(service, pool, views, orders)
-    for (const step of planModels(input, (model, reason, runner) => this.logUnplaced(model, reason, runner))) {
-      this.runStep(step, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
+    const unplaced: UnplacedModel[] = []
+    const steps = planModels(input, (model) => unplaced.push(model))
+    this.forecasts.replacePlan(service.name, unplaced, this.options.clock.readMonotonicMs())
+    for (const model of unplaced) this.logUnplaced(model)
+    for (const step of steps) {
+      this.runStep(step, service, pool).catch((error: Error) => this.options.logger.error('placement step failed', { ...step, error: error.message }))
     }
     // Loads of models are few, and requests for a model wait for longer than those for an adapter.
-    this.planAdapters(service, pool, views)
+    this.adapters.planService(service, pool, views)
   }
 
   /** Logs periodically why a model is not loaded, which explains why its requests are refused. */
-  private logUnplaced (model: string, reason: UnplacedReason, runner: string | undefined): void {
+  private logUnplaced ({ model, reason, runner, readyInMs }: UnplacedModel): void {
     const unavailable = this.unavailableModels.get(model)
     const nowMs = this.options.clock.readMonotonicMs()
     if (unavailable === undefined || nowMs - unavailable.loggedAtMs < UNPLACED_LOG_INTERVAL_MS) return
     unavailable.loggedAtMs = nowMs
-    this.options.logger.info('model is still unavailable', { model, reason, runner, missingMs: Math.round(nowMs - unavailable.sinceMs) })
+    this.options.logger.info('model is still unavailable', { model, reason, runner, missingMs: Math.round(nowMs - unavailable.sinceMs), expectedInMs: Number.isFinite(readyInMs) ? Math.round(readyInMs) : undefined })
   }
 
   /** Returns for how long requests have found no replica of a model, or no runner with an adapter, in milliseconds; gaps up to the grace period count as well. */
@@ -148,42 +175,41 @@
     return nowMs - unavailable.sinceMs
   }
 
-  private indexPendingLoads (): PendingLoadIndex {
-    const pendingLoads = [...this.pendingLoads]
-    const byModel = new Map<string, PendingLoad[]>()
-    for (const pendingLoad of pendingLoads) byModel.set(pendingLoad.model, [...byModel.get(pendingLoad.model) ?? [], pendingLoad])
-    return { byRunner: new Map(pendingLoads.map((pendingLoad) => [pendingLoad.runner, pendingLoad])), byModel }
-  }
-
   private makePlanInput (service: Service, pool: EnginePool, views: readonly RunnerView[], orders: OrderDispatcher): ModelPlanInput {
     const { demand, clock } = this.options
     const waitingByModel = new Map<string, number>()
     for (const need of demand.listNeeds()) {
       if (need.service === service.name && need.adapter === undefined) waitingByModel.set(need.model, need.waiting)
     }
-    const pendingLoads = this.indexPendingLoads()
     const openRequests = this.options.sumOpenRequests()
     const nowMs = clock.readMonotonicMs()
+    const pendingLoads = this.pendingLoads.indexByRunner()
+    const unhealthy = new Set(views.filter(({ isHealthy }) => !isHealthy).map(({ runner }) => runner.id))
+    const findLoads = this.pendingLoads.summarise(service.name, (id) => !orders.isUnresponsive(id) && !unhealthy.has(id), nowMs)
     const loadedModels = new Set(views.flatMap(({ runner }) => runner.isLeaving ? [] : (runner.holdings?.models ?? []).map(({ name }) => name)))
     const models = [...pool.models.values()].map((spec): PlannerModel => {
-      const { requests, promptTokens } = demand.measureRate(spec.name)
+      const rate = demand.measureRate(spec.name)
       const waitingRequests = waitingByModel.get(spec.name) ?? 0
       const unavailableMs = this.trackUnavailability(spec.name, waitingRequests > 0 && !loadedModels.has(spec.name), nowMs)
-      return { spec, requestsPerSecond: requests, promptTokensPerSecond: promptTokens, waitingRequests, unavailableMs, ...this.summarizePendingLoads(pendingLoads.byModel.get(spec.name) ?? []) }
+      return { spec, requestsPerSecond: rate.requests, uncachedTokensPerSecond: rate.uncachedTokens, longTermRequestsPerSecond: rate.longTermRequests, waitingRequests, unavailableMs, ...findLoads(spec.name) }
     })
     return {
       slotsPerRunner: pool.slots,
+      ...this.findRouteTerms(service.name),
       runners: views.map((view) => this.makePlannerRunner(view, pool, orders, pendingLoads, openRequests)),
       models,
-      activeStoreLoads: [...this.pendingLoads].filter((pendingLoad) => pendingLoad.isFromStore).length,
-      canLoadFromStore: this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs)
+      activeStoreLoads: this.pendingLoads.storeLoadCount,
+      canLoadFromStore: this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs),
+      canLoadAheadFromStore: this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond * LOAD_AHEAD_FRACTION, nowMs),
+      storeWaitMs: this.storeLoadLimiter.measureWaitMs(pool.loadsPerSecond, nowMs)
     }
   }
 
-  private summarizePendingLoads (pendingLoads: readonly PendingLoad[]): { readonly readyInMs: number | undefined, readonly loadingReplicas: number } {
-    const nowMs = this.options.clock.readMonotonicMs()
-    const remainingMs = pendingLoads.map((pendingLoad) => Math.max(0, pendingLoad.expectedAtMs - nowMs))
-    return { readyInMs: remainingMs.length === 0 ? undefined : Math.min(...remainingMs), loadingReplicas: remainingMs.length }
+  /** Strictest terms of the routes to a service, computed once per configuration, which may have many routes. */
+  private findRouteTerms (service: string): RouteTerms {
+    const { current } = this.options.configurations
+    if (current !== this.routeTerms?.configuration) this.routeTerms = { configuration: current, terms: indexRouteTerms(current?.routes ?? []) }
+    return this.routeTerms?.terms.get(service) ?? NO_TERMS
   }
 
   /** Time until a runner can take an order, in milliseconds; infinite if it is unusable, or busy for an unknown time. */
@@ -191,14 +217,12 @@
     if (runner.isLeaving || !isHealthy || runner.holdings === undefined) return Number.POSITIVE_INFINITY
     // No load waits for a runner that doesn't answer; it is only tried again after a backoff.
     if (orders.isUnresponsive(runner.id) && (pendingLoad !== undefined || !orders.isReady(runner.id))) return Number.POSITIVE_INFINITY
-    const remainingMs = pendingLoad === undefined ? 0 : pendingLoad.expectedAtMs - this.options.clock.readMonotonicMs()
-    // An overdue load is expected to take as long again as it is late, so that other loads stop waiting for it eventually.
-    if (pendingLoad !== undefined) return Math.max(PLAN_STEP_MS, Math.abs(remainingMs))
+    if (pendingLoad !== undefined) return Math.max(PLAN_STEP_MS, estimateRemainingMs(pendingLoad, this.options.clock.readMonotonicMs()))
     if (runner.holdings.isBusy) return Number.POSITIVE_INFINITY
-    return orders.isReady(runner.id) ? 0 : PLAN_STEP_MS
+    return orders.isReady(runner.id) ? 0 : Math.max(PLAN_STEP_MS, orders.measurePauseMs(runner.id))
   }
 
-  private makePlannerRunner (view: RunnerView, pool: EnginePool, orders: OrderDispatcher, pendingLoads: PendingLoadIndex, openRequests: ReadonlyMap<string, number>): PlannerRunner {
+  private makePlannerRunner (view: RunnerView, pool: EnginePool, orders: OrderDispatcher, pendingLoads: ReadonlyMap<string, PendingLoad>, openRequests: ReadonlyMap<string, number>): PlannerRunner {
     const { runner, load } = view
     const nowMs = this.options.clock.readMonotonicMs()
     const holdings = runner.holdings
@@ -209,10 +233,12 @@
     }))
     return {
       id: runner.id,
-      freeInMs: this.computeFreeInMs(view, orders, pendingLoads.byRunner.get(runner.id)),
+      freeInMs: this.computeFreeInMs(view, orders, pendingLoads.get(runner.id)),
       isServing: !runner.isLeaving,
       freeMb: pool.weightsMb - measureUsedMb(runner.holdings?.models ?? [], pool),
+      slowdown: this.slowdowns.measureUsual(runner.id, view.slowdown),
       replicas,
+      loading: pendingLoads.get(runner.id)?.model,
       inMemory: holdings?.inMemory ?? [],
       onDisk: holdings?.onDisk ?? [],
       // A runner that refuses requests counts as full, whatever load the daemons know of.
@@ -221,125 +247,89 @@
     }
   }
 
-  private async runStep (step: ModelPlanStep, pool: EnginePool): Promise<void> {
+  private async runStep (step: ModelPlanStep, service: Service, pool: EnginePool): Promise<void> {
     const spec = pool.models.get(step.beneficiary)
-    const holdings = this.options.table.findRunner(step.runner)?.holdings
-    if (spec === undefined || holdings === undefined) return
-    const source = findLoadSource(spec, holdings)
+    const runner = this.options.table.findRunner(step.runner)
+    if (spec === undefined || runner?.holdings === undefined) return
+    const source = findLoadSource(spec, runner.holdings)
     const nowMs = this.options.clock.readMonotonicMs()
+    // Reserved before the unload, so that a model is evicted only for a load that is allowed to start.
+    if (source === 'store' && !this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs)) return
+    const storeLoad = source === 'store' ? this.storeLoadLimiter.reserveLoad() : undefined
+    const orderCount = 1 + (step.action === 'load' ? 0 : 1 + step.furtherVictims.length)
     const pendingLoad: PendingLoad = {
+      service: service.name,
       model: step.beneficiary,
       runner: step.runner,
-      expectedAtMs: nowMs + findLoadDurationMs(spec, source) + IDLE_UNLOAD_MS,
+      bornMs: runner.bornMs,
+      expectedAtMs: nowMs + step.readyInMs + orderCount * ORDER_MS,
       expiresAtMs: nowMs + MAX_DRAIN_MS + spec.storeLoadMs * MAX_LOAD_SLOWDOWN,
-      isFromStore: source === 'store'
-    }
-    if (source === 'store') {
-      // Reserved before the unload, so that a model is evicted only for a load that is allowed to start.
-      if (!this.storeLoadLimiter.canStartLoad(pool.loadsPerSecond, nowMs)) return
-      this.storeLoadLimiter.recordLoad(nowMs)
+      isFromStore: storeLoad !== undefined,
+      isOrdered: false
     }
     this.pendingLoads.add(pendingLoad)
+    this.logStep(step, service)
     try {
-      if (step.action === 'load' || await this.evictReplica(step, pool)) await this.loadModel(step, spec, source, pool)
+      const canLoad = step.action === 'load' || await this.evictReplicas(step, pool)
+      // The runner may have left meanwhile, and the load be planned elsewhere.
+      if (canLoad && this.pendingLoads.has(pendingLoad)) await this.loadModel(step, spec, source, pool, pendingLoad, storeLoad)
     } finally {
       this.pendingLoads.delete(pendingLoad)
+      if (storeLoad?.startedAtMs === Number.POSITIVE_INFINITY) this.storeLoadLimiter.cancelLoad(storeLoad)
     }
   }
 
-  private async evictReplica (step: ModelPlanStep, pool: EnginePool): Promise<boolean> {
+  /** What decided a load: requests in expected numbers, and the replicas that it costs. */
+  private logStep (step: ModelPlanStep, service: Service): void {
+    const { model, beneficiary, runner, action, furtherVictims, reason, savedRequests, evictionCost, readyInMs } = step
+    const evicted = action === 'load' ? [] : [model, ...furtherVictims]
+    this.options.noteLoad?.(service.name, 'model', reason)
+    this.options.logger.info('load planned', { model: beneficiary, runner, reason, evicted, savedRequests: roundTenth(savedRequests), evictionCost: roundTenth(evictionCost), expectedInMs: Math.round(readyInMs) })
+  }
+
+  private async evictReplicas (step: ModelPlanStep, pool: EnginePool): Promise<boolean> {
     const reason = `makes room for ${step.beneficiary}: ${step.reason}`
-    const result = await this.options.orders.sendOrder({ runner: step.runner, action: 'unload', model: step.model, adapter: undefined, pool, reason })
-    if (result === 'failed') return false
-    await this.options.orders.waitForOrder(step.runner, IDLE_UNLOAD_MS, MAX_DRAIN_MS)
+    for (const model of [step.model, ...step.furtherVictims]) {
+      const result = await this.options.orders.sendOrder({ runner: step.runner, action: 'unload', model, adapter: undefined, pool, reason })
+      if (result === 'failed') return false
+      await this.options.orders.waitForOrder(step.runner, IDLE_UNLOAD_MS, MAX_DRAIN_MS)
+    }
     return true
   }
 
-  private async loadModel (step: ModelPlanStep, spec: ModelSpec, source: LoadSource, pool: EnginePool): Promise<void> {
+  private async loadModel (step: ModelPlanStep, spec: ModelSpec, source: LoadSource, pool: EnginePool, pendingLoad: PendingLoad, storeLoad: StoreLoad | undefined): Promise<void> {
     const { orders, clock } = this.options
-    const result = await orders.sendOrder({ runner: step.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: step.reason })
+    const onSend = (): void => {
+      pendingLoad.isOrdered = true
+      if (storeLoad !== undefined) this.storeLoadLimiter.markStarted(storeLoad, clock.readMonotonicMs())
+    }
+    const result = await orders.sendOrder({ runner: step.runner, action: 'load', model: spec.name, adapter: undefined, pool, reason: step.reason, onSend })
     if (result === 'failed') return
     await orders.waitForOrder(step.runner, findLoadDurationMs(spec, source))
     this.loadedAtMs.set(`${step.runner}\n${spec.name}`, clock.readMonotonicMs())
   }
+}
 
-  private planAdapters (service: Service, pool: EnginePool, views: readonly RunnerView[]): void {
-    const index = indexLoadedModels(views)
-    const adapterNeeds = this.options.demand.listNeeds().filter((need) => need.service === service.name && need.adapter !== undefined)
-    const nowMs = this.options.clock.readMonotonicMs()
-    // What has been asked for in vain for longest goes first, so that no adapter starves while others are in higher demand.
-    const byUnavailability = adapterNeeds.map((need) => ({ need, unavailableMs: this.trackUnavailability(makeAdapterKey(need.model, need.adapter!), true, nowMs) }))
-      .sort((a, b) => b.unavailableMs - a.unavailableMs)
-    for (const { need } of byUnavailability) this.startAdapterLoad(need.model, need.adapter!, pool, index, 'requests are waiting for it', true)
-    this.preloadAdapters(pool, index)
-  }
-
-  /** Loads adapters without requests into free adapter slots. */
-  private preloadAdapters (pool: EnginePool, index: LoadedModelIndex): void {
-    let startedCount = 0
-    for (const [model, runners] of index.runnersByModel) {
-      if (!this.options.orders.hasCapacity) return
-      const hasFreeSlot = runners.some(({ runner }) => countUsedAdapterSlots(runner.holdings!) < pool.adapterSlots)
-      const adapterCount = hasFreeSlot ? pool.models.get(model)?.adapterCount ?? 0 : 0
-      for (let number = 1; number <= adapterCount; number += 1) {
-        if (startedCount >= MAX_PRELOADS_PER_PLAN) return
-        if (this.startAdapterLoad(model, `a${number}`, pool, index, 'an adapter slot is free', false)) startedCount += 1
-      }
-    }
-  }
+function roundTenth (value: number): number {
+  return Math.round(value * 10) / 10
+}
 
-  private startAdapterLoad (model: string, adapter: string, pool: EnginePool, { runnersByModel, loadedAdapters }: LoadedModelIndex, reason: string, mayEvict: boolean): boolean {
-    const key = makeAdapterKey(model, adapter)
-    if (!this.options.orders.hasCapacity || this.loadingAdapters.has(key) || loadedAdapters.has(key)) return false
-    const candidates = runnersByModel.get(model)
-    if (candidates === undefined) return false
-    const step = planAdapter(candidates.map((view) => this.makeAdapterCandidate(view)), pool.adapterSlots)
-    if (step === undefined || (step.evicted !== undefined && !mayEvict)) return false
-    this.loadingAdapters.add(key)
-    this.runAdapterStep(step.runner, step.evicted, model, adapter, pool, reason)
-      .catch((error: Error) => this.options.logger.error('adapter placement failed', { key, error: error.message }))
-      .finally(() => this.loadingAdapters.delete(key))
-    return true
-  }
+/** Strictest terms of the routes to a service, in milliseconds; 0 where none declares any. */
+type RouteTerms = Pick<ModelPlanInput, 'objectiveMs' | 'maxPauseMs'>
 
-  private makeAdapterCandidate ({ runner, load, isHealthy }: RunnerView): AdapterCandidate {
-    const nowMs = this.options.clock.readMonotonicMs()
-    const loadedKeys = runner.holdings!.models.flatMap(({ name, adapters }) => adapters.map((adapter) => makeAdapterKey(name, adapter)))
-    const keys = [...loadedKeys, ...runner.holdings!.coming]
-    return {
-      id: runner.id,
-      isReady: isHealthy && this.options.orders.isReady(runner.id) && !runner.holdings!.isBusy,
-      adapters: keys.map((key) => ({ key, idleMs: nowMs - (this.adapterUsedAtMs.get(`${runner.id}\n${key}`) ?? 0) })),
-      openRequests: load.requests
-    }
-  }
+const NO_TERMS: RouteTerms = { objectiveMs: 0, maxPauseMs: 0 }
 
-  private async runAdapterStep (runner: string, evicted: string | undefined, model: string, adapter: string, pool: EnginePool, reason: string): Promise<void> {
-    const { orders } = this.options
-    if (evicted !== undefined) {
-      const [oldModel, oldAdapter] = evicted.split('/') as [string, string]
-      if (await orders.sendOrder({ runner, action: 'unload', model: oldModel, adapter: oldAdapter, pool, reason: `makes room for ${model}/${adapter}` }) !== 'done') return
+function indexRouteTerms (routes: readonly Route[]): Map<string, RouteTerms> {
+  const terms = new Map<string, RouteTerms>()
+  for (const { targets, objectiveMs, maxPauseMs } of routes) {
+    for (const { service } of targets) {
+      const known = terms.get(service) ?? NO_TERMS
+      terms.set(service, { objectiveMs: chooseStricter(known.objectiveMs, objectiveMs), maxPauseMs: chooseStricter(known.maxPauseMs, maxPauseMs) })
     }
-    await orders.sendOrder({ runner, action: 'load', model, adapter, pool, reason })
-    this.recordAdapterUse(runner, makeAdapterKey(model, adapter))
   }
+  return terms
 }
 
-/** Runners that accept requests by loaded model, and the adapters that are loaded on any of them. */
-interface LoadedModelIndex {
-  readonly runnersByModel: ReadonlyMap<string, readonly RunnerView[]>
-  readonly loadedAdapters: ReadonlySet<string>
-}
-
-function indexLoadedModels (views: readonly RunnerView[]): LoadedModelIndex {
-  const runnersByModel = new Map<string, RunnerView[]>()
-  const loadedAdapters = new Set<string>()
-  for (const view of views) {
-    if (view.runner.isLeaving) continue
-    for (const { name, adapters: heldAdapters } of view.runner.holdings?.models ?? []) {
-      runnersByModel.set(name, [...runnersByModel.get(name) ?? [], view])
-      for (const adapter of heldAdapters) loadedAdapters.add(makeAdapterKey(name, adapter))
-    }
-  }
-  return { runnersByModel, loadedAdapters }
+function chooseStricter (a: number, b: number): number {
+  return a > 0 && b > 0 ? Math.min(a, b) : Math.max(a, b)
 }
