Estimate the speed of each runner and share it between daemons

Cause: runners say how long work takes at the moment, and nothing stored it. A daemon of 80 sees a given runner every 14 s, so that no daemon alone can tell a slow VM from a spell.

Ruled out: sending each figure with each load row (8 bytes for every runner five times a second), and sending changes only, without the slow component, from which a daemon that starts later sees nothing but spells.

Change: the slow component is the second lowest of the last 16 figures, the fast one the newest figure by its age. The table takes figures from answers and from the hints and the exchanges of the tree, which carry what changed. RunnerView gets usualSlowdown.

--- a/packages/figquay-fleet/src/FigquayFleetHints.ts
+++ b/packages/figquay-fleet/src/FigquayFleetHints.ts
@@ -6,6 +6,7 @@
 import type { FleetLeadership, Leader } from './FigquayFleetLeadership.js'
 import { encodePosition, readOffset } from './FigquayFleetLogPosition.js'
 import { HINT_TTL_MS, type RunnerLoad } from './FigquayFleetPeerLoads.js'
+import type { SpeedRow } from './FigquayFleetRunnerSpeeds.js'
 import type { FleetRunnerTable } from './FigquayFleetRunnerTable.js'
 
 /** A message with hints. */
@@ -35,6 +36,8 @@
   readonly storeRead?: string
   /** Load by runner: requests, pending and recent prompt tokens, and requests by model. */
   readonly loads: ReadonlyArray<readonly [runner: string, requests: number, pendingTokens: number, recentTokens: number, models: ReadonlyArray<readonly [string, number]>]>
+  /** Speeds of runners that have changed since the last hints; missing if there are none. */
+  readonly speeds?: readonly SpeedRow[] | undefined
   /** Request arrivals by model since the last message. */
   readonly arrivals: ReadonlyArray<readonly [string, Arrivals]>
   readonly needs: readonly ModelNeed[]
@@ -52,6 +55,9 @@
   return `${runner}\n${model}`
 }
 
+/** Stands for all peers, which get the same hints. */
+const HINT_RECEIVERS = 'all peers'
+
 /** Requests in progress by the keys of `makeRunnerModelKey`. */
 type RequestCounts = ReadonlyMap<string, number>
 
@@ -108,7 +114,8 @@
    * mesh.notifyNeighbours('fleet.hints', exchange.makeHints())
    */
   makeHints (): FleetHints {
-    return this.makeMessage(this.options.demand.takeArrivals())
+    const speeds = this.options.table.takeSpeeds(HINT_RECEIVERS, (branch) => branch === undefined)
+    return { ...this.makeMessage(this.options.demand.takeArrivals()), speeds }
   }
 
   /**
@@ -164,6 +171,7 @@
    */
   applyHints (hints: FleetHints): void {
     this.options.table.putPeerLoads(hints.from, new Map(hints.loads.map(([runner, requests, pendingTokens, recentTokens]): [string, RunnerLoad] => [runner, { requests, pendingTokens, recentTokens }])))
+    this.options.table.putPeerSpeeds(hints.from, hints.speeds)
     this.applyReport(hints)
   }
 
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -2,6 +2,7 @@
 import { setBounded, type Clock } from 'figquay'
 import { BEFORE_LOG, readEra, type LogPosition } from './FigquayFleetLogPosition.js'
 import { PeerLoads, RECENT_TOKENS_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
+import { RunnerSpeeds, type SpeedRow } from './FigquayFleetRunnerSpeeds.js'
 import type { LoadedModel, Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
 
 /** A request that this daemon sent to a runner and that is not finished. */
@@ -27,6 +28,8 @@
   readonly backoffMs: number
   /** How long its work takes at the moment, relative to the usual; 1 when nothing is known. */
   readonly slowdown: number
+  /** The same apart from spells of slow work; undefined if neither the runner nor a peer has reported a figure. */
+  readonly usualSlowdown?: number | undefined
 }
 
 /** A change of a runner that affects routing. */
@@ -60,7 +63,6 @@
   lastActivityMs: number
   /** Until then an announcement doesn't replace the holdings, which the leader read from the runner itself. */
   holdingsFreshUntilMs: number
-  reported: ReportedLoad | undefined
 }
 
 /** Weight of the newest result in a runner's failure rate, an exponential moving average. */
@@ -90,6 +92,7 @@
   /** Backoffs that runners requested from this daemon, by id; they outlast the removal of a runner's entry. */
   private readonly backoffs = new Map<string, { readonly bornMs: number, readonly untilMs: number }>()
   private readonly peerLoads: PeerLoads
+  private readonly speeds: RunnerSpeeds
   private readonly listeners = new Set<(change: RunnerTableChange) => void>()
   private highestPosition = BEFORE_LOG
   private newestChangePosition = BEFORE_LOG
@@ -97,6 +100,7 @@
 
   private constructor (private readonly clock: Clock) {
     this.peerLoads = PeerLoads.create(clock)
+    this.speeds = RunnerSpeeds.create(clock)
   }
 
   /**
@@ -202,6 +206,7 @@
 
   private removeEntry (entry: RunnerEntry): void {
     this.entries.delete(entry.runner.id)
+    this.speeds.dropRunner(entry.runner.id)
     this.removeFromIndexes(entry)
   }
 
@@ -244,7 +249,7 @@
   }
 
   private makeEntry (runner: Runner, position: LogPosition): RunnerEntry {
-    return { runner, position, distinctAnnouncement: runner, distinctPosition: position, inFlight: new Map(), failureRate: 0, recentTokens: 0, recentTokensAtMs: 0, cooldownUntilMs: 0, lastActivityMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0, reported: undefined }
+    return { runner, position, distinctAnnouncement: runner, distinctPosition: position, inFlight: new Map(), failureRate: 0, recentTokens: 0, recentTokensAtMs: 0, cooldownUntilMs: 0, lastActivityMs: this.clock.readMonotonicMs(), holdingsFreshUntilMs: 0 }
   }
 
   /** Prefers holdings that the leader recently read from the runner itself, because announcements lag behind. */
@@ -414,7 +419,7 @@
       failureRate: entry.failureRate,
       isHealthy: nowMs >= entry.cooldownUntilMs && !this.isUnresponsive(entry, nowMs),
       backoffMs: this.measureBackoffMs(entry.runner, nowMs),
-      slowdown: entry.reported?.slowdown ?? 1
+      ...this.speeds.estimate(entry.runner.id, nowMs)
     }))
   }
 
@@ -453,6 +458,29 @@
     return loads
   }
 
+  /** Records what a runner has reported of itself along with a response. */
+  noteReportedLoad (id: string, { slowdown }: ReportedLoad): void {
+    if (slowdown !== undefined && this.entries.has(id)) this.speeds.noteFigure(id, slowdown)
+  }
+
+  /** Applies the speeds of runners that a branch has reported; rows of unknown runners are ignored. */
+  putPeerSpeeds (branch: string, rows: unknown): void {
+    this.speeds.applyRows(branch, rows, (id) => this.entries.has(id))
+  }
+
+  /**
+   * Speeds of runners that a peer hasn't been sent yet, as far as `isIncluded` selects the branch that they came from;
+   * undefined if there are none.
+   *
+   * @param isIncluded Its parameter is undefined for what runners have reported to this daemon.
+   * @example
+   * table.takeSpeeds('daemon-2', (branch) => branch !== 'below daemon-2')
+   */
+  takeSpeeds (peer: string, isIncluded: (branch: string | undefined) => boolean): readonly SpeedRow[] | undefined {
+    const rows = this.speeds.takeRows(peer, isIncluded)
+    return rows.length === 0 ? undefined : rows
+  }
+
   /** Tracks a request as in flight at a runner; returns a function that ends the tracking. */
   trackRequest (id: string, request: InFlightRequest): () => void {
     const entry = this.entries.get(id)
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -1,6 +1,6 @@
 /** Exchanges fleet state along the tree: up to the root of each data centre, between the roots, and down again. */
 import { describeError, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { decodePosition, encodePosition, formatLoads, readEra, readOffset, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate } from 'figquay-fleet'
+import { decodePosition, encodePosition, formatLoads, readEra, readOffset, isRunnerUpdate, parseLoads, type ConfigurationHolder, type FactsState, type FleetLeadership, type RunnerUpdateBuffer, type FleetRunnerTable, type Leader, type LoadRow, type RunnerUpdate, type SpeedRow } from 'figquay-fleet'
 import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 import { NewestStoreRead, type StoreReadReport } from './FigquayServingNewestStoreRead.js'
 import { decodeProgress, type PeerProgress } from './FigquayServingSnapshot.js'
@@ -30,6 +30,8 @@
   readonly daemonCount: number
   readonly facts: FactsState
   readonly loads: readonly LoadRow[]
+  /** Speeds of runners that have changed since the last message; missing if there are none. */
+  readonly speeds?: readonly SpeedRow[] | undefined
   readonly news: readonly RunnerUpdate[]
   /** Revision of the sender's runner updates up to which the receiver is up to date after this message. */
   readonly revision: number
@@ -225,7 +227,8 @@
   private async exchangeWith (peer: string): Promise<void> {
     const { mesh, clock, logger } = this.options
     const sentRevision = this.options.news.revision
-    const response = await mesh.callPeer<RelayMessage>(peer, 'fleet.exchange', this.makeMessage(peer, this.listSubtreeLoads()), EXCHANGE_TIMEOUT_MS)
+    const message = { ...this.makeMessage(peer, this.listSubtreeLoads()), speeds: this.takeSubtreeSpeeds(peer) }
+    const response = await mesh.callPeer<RelayMessage>(peer, 'fleet.exchange', message, EXCHANGE_TIMEOUT_MS)
     if (!response.ok) {
       logger.debug('peer exchange failed', { peer, error: describeError(response.error) })
       this.retryAtMs.set(peer, clock.readMonotonicMs() + FAILED_PEER_BACKOFF_MS)
@@ -233,7 +236,9 @@
     }
     const { value } = response
     const isParent = value.zone === this.options.zone
-    this.options.table.putPeerLoads(isParent ? 'above' : `zone ${value.zone}`, parseLoads(value.loads))
+    const branch = isParent ? 'above' : `zone ${value.zone}`
+    this.options.table.putPeerLoads(branch, parseLoads(value.loads))
+    this.options.table.putPeerSpeeds(branch, value.speeds)
     if (isParent) this.parentHeardAtMs = clock.readMonotonicMs()
     this.recordAck(value, sentRevision)
     // The child reconciles facts, as a parent has many children and no connection to them.
@@ -261,11 +266,13 @@
     const isChild = message.zone === zone
     const branch = isChild ? `below ${message.from}` : `zone ${message.zone}`
     table.putPeerLoads(branch, parseLoads(message.loads))
+    table.putPeerSpeeds(branch, message.speeds)
     const isSameProcess = message.heard?.bootId === this.options.bootId
     this.ackedRevisions.set(message.from, isSameProcess ? message.heard!.revision : 0)
     const response = this.makeMessage(message.from, isChild ? table.exportLoads((peer) => peer !== branch) : this.listSubtreeLoads())
+    const speeds = isChild ? table.takeSpeeds(message.from, (peer) => peer !== branch) : this.takeSubtreeSpeeds(message.from)
     this.applyMessage(message)
-    return { ...response, revision: news.revision }
+    return { ...response, speeds, revision: news.revision }
   }
 
   private applyMessage (message: RelayMessage): void {
@@ -281,7 +288,12 @@
 
   /** Loads of this daemon and its descendants. */
   private listSubtreeLoads (): ReturnType<FleetRunnerTable['exportLoads']> {
-    return this.options.table.exportLoads((peer) => peer.startsWith('below '))
+    return this.options.table.exportLoads(isDescendant)
+  }
+
+  /** Speeds that this daemon and its descendants have seen and the peer hasn't been sent. */
+  private takeSubtreeSpeeds (peer: string): readonly SpeedRow[] | undefined {
+    return this.options.table.takeSpeeds(peer, (branch) => branch === undefined || isDescendant(branch))
   }
 
   private makeMessage (peer: string, loads: ReturnType<FleetRunnerTable['exportLoads']>): RelayMessage {
@@ -305,3 +317,8 @@
     }
   }
 }
+
+/** Whether a branch of loads and speeds is below this daemon in the tree. */
+function isDescendant (branch: string): boolean {
+  return branch.startsWith('below ')
+}
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -342,6 +342,7 @@
       if (event.type === 'head') {
         silenceDeadline.stopTimer()
         if (!namesLimit) this.noteUnlimited(request, runner, openRequest.sentAtMs)
+        if (event.load !== undefined) this.options.table.noteReportedLoad(runner.id, event.load)
       }
       if (event.type === 'data') this.options.attemptTracker.noteOutput(attempt)
       // Whole events restart the timer, partial ones don't: a stall is detected while the caller still waits and another runner can resume.
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -102,6 +102,13 @@
     expect([...new Set(countRequests())]).toEqual([18])
   })
 
+  it('brings a runner\'s speed to every daemon within a few exchanges', async () => {
+    const { nodes, runRounds } = makeFleet(30)
+    nodes.get('10.0.0.29:80')!.table.noteReportedLoad('r', { running: 1, waiting: 0, slots: 8, slowdown: 3 })
+    await runRounds(4)
+    expect([...nodes.values()].filter(({ table }) => table.listCandidates('s')[0]!.slowdown > 1.2).length).toEqual(30)
+  })
+
   it('keeps working when a third of the daemons fails', async () => {
     const { nodes, lost, runRounds, countRequests } = makeFleet(30)
     for (const [index, { table }] of [...nodes.values()].entries()) openRequest(table, `q${index}`)
