Choose runners by expected times where they report their speed

Cause: the choice weighs everything in prompt tokens, as if all runners were equally fast. Slow runners that held a model in demand got as much as fast ones, and daemons that know loads some tenths of a second late chose the same runner.

Change: assessRunner estimates the time until the first output and the longest pause, and says whether the runner is within its budget; drawRunner chooses by these. What peers reported as pending is taken as processed with a time constant of 150 ms. Where no candidate has reported a figure the choice is the one in tokens; RunnerChoice.test.ts passes unchanged.

--- a/packages/figquay-fleet/src/FigquayFleetPeerLoads.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPeerLoads.ts
@@ -9,6 +9,8 @@
   readonly pendingTokens: number
   /** Recently sent prompt tokens, exponentially decayed: their processing interrupts the streams on the runner. */
   readonly recentTokens: number
+  /** Pending tokens that the runner has probably processed since the daemons that sent them reported them; missing if there are none. */
+  readonly processedTokens?: number | undefined
 }
 
 /** Load of a runner as sent between daemons. */
@@ -23,6 +25,8 @@
 export const HINT_TTL_MS = 1_500
 /** Time constant of the exponential decay of recent prompt tokens, in milliseconds: the processing time of a few prompts. */
 export const RECENT_TOKENS_DECAY_MS = 1_500
+/** Time constant with which prompt tokens that peers reported as pending are processed, in milliseconds: the processing time of one prompt. */
+const PENDING_TOKENS_DECAY_MS = 150
 export const ZERO_LOAD: RunnerLoad = { requests: 0, pendingTokens: 0, recentTokens: 0 }
 
 /**
@@ -32,7 +36,7 @@
  * sumLoads(own, peer).requests
  */
 export function sumLoads (a: RunnerLoad, b: RunnerLoad): RunnerLoad {
-  return { requests: a.requests + b.requests, pendingTokens: a.pendingTokens + b.pendingTokens, recentTokens: a.recentTokens + b.recentTokens }
+  return { requests: a.requests + b.requests, pendingTokens: a.pendingTokens + b.pendingTokens, recentTokens: a.recentTokens + b.recentTokens, processedTokens: (a.processedTokens ?? 0) + (b.processedTokens ?? 0) }
 }
 
 /** Loads by branch: a branch is one peer, or a peer and all daemons whose loads it aggregates. */
@@ -88,8 +92,8 @@
   }
 }
 
-function decayLoad (load: RunnerLoad, ageMs: number): RunnerLoad {
-  return { ...load, recentTokens: load.recentTokens * Math.exp(-ageMs / RECENT_TOKENS_DECAY_MS) }
+function decayLoad ({ requests, pendingTokens, recentTokens }: RunnerLoad, ageMs: number): RunnerLoad {
+  return { requests, pendingTokens, recentTokens: recentTokens * Math.exp(-ageMs / RECENT_TOKENS_DECAY_MS), processedTokens: pendingTokens * (1 - Math.exp(-ageMs / PENDING_TOKENS_DECAY_MS)) }
 }
 
 /** Encodes loads for sending to a peer. */
--- a/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerChoice.ts
@@ -10,6 +10,7 @@
  */
 import { createHash } from 'node:crypto'
 import type { RunnerView } from './FigquayFleetRunnerTable.js'
+import { drawRunner } from './FigquayFleetRunnerTimeChoice.js'
 import type { PromptPart, Runner } from './FigquayFleetTypes.js'
 
 /** Properties of a request that affect the choice. */
@@ -21,6 +22,10 @@
   readonly zone: string
   /** Runners that this request was already sent to. */
   readonly triedRunners: ReadonlySet<string>
+  /** Time left for the first output to be on time, in milliseconds. */
+  readonly objectiveMs?: number | undefined
+  /** Longest pause between two events for which the response is still on time, in milliseconds; 0 or undefined if none is declared. */
+  readonly maxPauseMs?: number | undefined
 }
 
 /** State at a runner that a request from this daemon can reuse. */
@@ -78,33 +83,45 @@
   return parts.reduce((sum, part) => sum + part.tokens, 0)
 }
 
+/** Prompt tokens of a request that a runner probably has cached. */
+function countCachedTokens (view: RunnerView, request: ChoiceRequest, affinityId: string | undefined, { cachedTokens }: ReusableState): number {
+  return view.runner.id === affinityId ? Math.max(cachedTokens, AFFINITY_FACTOR * sumTokens(listSharedParts(request.parts))) : cachedTokens
+}
+
 /** Cost of sending a request to a runner, as the prompt tokens that take the same time. */
-function estimateCostTokens (view: RunnerView, request: ChoiceRequest, affinityId: string | undefined, { cachedTokens, isConnected }: ReusableState): number {
-  const sharedTokens = sumTokens(listSharedParts(request.parts))
-  const expectedCachedTokens = view.runner.id === affinityId ? Math.max(cachedTokens, AFFINITY_FACTOR * sharedTokens) : cachedTokens
-  const uncachedTokens = Math.max(0, request.promptTokens - expectedCachedTokens)
+function estimateCostTokens (view: RunnerView, request: ChoiceRequest, affinityId: string | undefined, reusable: ReusableState): number {
+  const uncachedTokens = Math.max(0, request.promptTokens - countCachedTokens(view, request, affinityId, reusable))
   return view.load.pendingTokens + uncachedTokens +
     (uncachedTokens > MAX_SHORT_PROMPT_TOKENS ? 0 : view.load.recentTokens * RECENT_TOKENS_FACTOR) +
     view.load.requests * (RUNNING_REQUEST_COST_TOKENS + (uncachedTokens > MAX_SHORT_PROMPT_TOKENS ? PAUSED_STREAM_COST_TOKENS : 0)) +
     view.failureRate * FAILURE_RATE_COST_TOKENS +
     (view.runner.zone === request.zone ? 0 : CROSS_ZONE_COST_TOKENS) +
-    (isConnected ? 0 : NEW_CONNECTION_COST_TOKENS)
+    (reusable.isConnected ? 0 : NEW_CONNECTION_COST_TOKENS)
 }
 
 /**
- * Chooses the runner with the lowest cost; undefined when there are no candidates.
+ * Chooses the runner with the lowest cost; undefined when there are no candidates. Where runners report how long their work
+ * takes, times decide instead of tokens, and near-equal runners are drawn.
  * Unhealthy runners, and those that already received the request, are used only when there are no others.
  *
+ * @param draw Returns a random number from 0 to 1.
  * @example
  * chooseRunner(candidates, request, () => ({ cachedTokens: 0, isConnected: true }))?.runner.id
  */
-export function chooseRunner (candidates: readonly RunnerView[], request: ChoiceRequest, findReusableState: (runner: Runner) => ReusableState): RunnerView | undefined {
+export function chooseRunner (candidates: readonly RunnerView[], request: ChoiceRequest, findReusableState: (runner: Runner) => ReusableState, draw: () => number = Math.random): RunnerView | undefined {
   const untried = candidates.filter((view) => !request.triedRunners.has(view.runner.id))
   const healthy = untried.filter((view) => view.isHealthy)
   const eligible = healthy.length > 0 ? healthy : untried.length > 0 ? untried : candidates
   const sharedParts = listSharedParts(request.parts)
   const affinityKey = sharedParts.length === 0 ? undefined : `${request.model ?? ''}\n${sharedParts.at(-1)!.id}`
   const affinityId = affinityKey === undefined ? undefined : selectByRendezvousHash(affinityKey, eligible.map((view) => view.runner.id))
+  if (eligible.some(({ usualSlowdown }) => usualSlowdown !== undefined)) {
+    const timed = eligible.map((view) => {
+      const reusable = findReusableState(view.runner)
+      return { view, cachedTokens: countCachedTokens(view, request, affinityId, reusable), isConnected: reusable.isConnected }
+    })
+    return drawRunner(timed, request, draw)
+  }
   let best: RunnerView | undefined
   let lowestCost = Number.POSITIVE_INFINITY
   for (const view of eligible) {
--- a/packages/figquay-fleet/src/FigquayFleetRunnerSpeed.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerSpeed.ts
@@ -27,8 +27,8 @@
 export const MIN_SETTLED_FIGURES = 8
 /** With fewer figures a runner counts as no slower than usual: all of them may come from one spell. */
 const MIN_SLOW_FIGURES = 3
-/** Bounds of the figures that are believed: a runner that claims to be faster gets four times its share at most. */
-const MIN_SLOWDOWN = 0.25
+/** Bounds of the figures that are believed, as a runner that claims to be faster than it is draws requests from all daemons. */
+const MIN_SLOWDOWN = 0.4
 const MAX_SLOWDOWN = 25
 /** Age up to which a figure holds as it is, in milliseconds: its measured autocorrelation is 0.97 at 0.1 s. */
 const FULL_WEIGHT_MS = 100
@@ -41,7 +41,7 @@
  * Bounds a reported figure.
  *
  * @example
- * boundSlowdown(0.01) // 0.25
+ * boundSlowdown(0.01) // 0.4
  */
 export function boundSlowdown (slowdown: number): number {
   return Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, slowdown))
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -12,6 +12,8 @@
   readonly model: string | undefined
   readonly pendingTokens: number
   readonly sentAtMs: number
+  /** Longest pause between two events for which the response is still on time, in milliseconds; 0 or undefined if none is declared. */
+  readonly maxPauseMs?: number | undefined
   /** Output has arrived: its prompt tokens are no longer pending. */
   hasOutput: boolean
 }
@@ -30,6 +32,8 @@
   readonly slowdown: number
   /** The same apart from spells of slow work; undefined if neither the runner nor a peer has reported a figure. */
   readonly usualSlowdown?: number | undefined
+  /** Strictest pause that streams of this daemon there may have between two events, in milliseconds; undefined if none declares one. */
+  readonly strictestPauseMs?: number | undefined
 }
 
 /** A change of a runner that affects routing. */
@@ -419,7 +423,8 @@
       failureRate: entry.failureRate,
       isHealthy: nowMs >= entry.cooldownUntilMs && !this.isUnresponsive(entry, nowMs),
       backoffMs: this.measureBackoffMs(entry.runner, nowMs),
-      ...this.speeds.estimate(entry.runner.id, nowMs)
+      ...this.speeds.estimate(entry.runner.id, nowMs),
+      strictestPauseMs: findStrictestPause(entry.inFlight.values())
     }))
   }
 
@@ -579,3 +584,11 @@
   }
   return sum
 }
+
+function findStrictestPause (requests: Iterable<InFlightRequest>): number | undefined {
+  let strictestMs: number | undefined
+  for (const { maxPauseMs = 0 } of requests) {
+    if (maxPauseMs > 0 && (strictestMs === undefined || maxPauseMs < strictestMs)) strictestMs = maxPauseMs
+  }
+  return strictestMs
+}
--- a/packages/figquay-serving/src/FigquayServingDispatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingDispatcher.ts
@@ -114,7 +114,8 @@
   private chooseCandidate (candidates: readonly RunnerView[], request: ServedRequest, triedRunners: ReadonlySet<string>): RunnerView | undefined {
     const { zone, isAvoided } = this.options
     const preferred = candidates.filter((view) => view.isHealthy && !triedRunners.has(view.runner.id) && !isAvoided(view.runner))
-    return chooseRunner(preferred.length > 0 ? preferred : candidates, { ...request, zone, triedRunners }, (runner) => this.measureAffinity(runner, request))
+    const objectiveMs = request.arrivedAtMs + request.route.objectiveMs - this.options.clock.readMonotonicMs()
+    return chooseRunner(preferred.length > 0 ? preferred : candidates, { ...request, zone, triedRunners, objectiveMs, maxPauseMs: request.route.maxPauseMs }, (runner) => this.measureAffinity(runner, request))
   }
 
   private measureAffinity (runner: Runner, request: ServedRequest): ReusableState {
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -272,6 +272,7 @@
       model: request.model,
       pendingTokens: Math.max(0, request.promptTokens - memory.countCachedTokens(runner.id, weightsKey, request.parts)),
       sentAtMs: clock.readMonotonicMs(),
+      maxPauseMs: request.route.isStream ? request.route.maxPauseMs : 0,
       hasOutput: false
     }
     const release = table.trackRequest(runner.id, openRequest)
