Measure the pauses of streams against what their routes allow

Cause: a stream that pauses for longer than its route allows counts as late, and nothing showed how often that happens or why.

Change: a histogram of pauses per route relative to the longest allowed one, and one log line for the first pause of a stream that is too long, with the speed and the load of its runner and the prompts that this daemon has sent there. The time for which the caller is waited for doesn't count. Routes that declare no longest pause are served and logged as before.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -381,6 +381,12 @@
     return [...removed, ...pending].filter(({ position }) => position > after)
   }
 
+  /** Finds a runner by id, with its load; undefined when it isn't known. */
+  findView (id: string): RunnerView | undefined {
+    const entry = this.entries.get(id)
+    return entry === undefined ? undefined : this.makeViews([entry])[0]
+  }
+
   /**
    * Runners of a service that take new requests, with their load.
    *
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -1,11 +1,12 @@
 /** Serves a request from arrival to last byte: selects runners, sends attempts, retries them and resumes broken streams. */
-import { Deadline, Refusal, type Clock } from 'figquay'
+import { Deadline, Refusal, type Clock, type LogFields } from 'figquay'
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
 import type { RetryBudget } from 'figquay-routing'
 import type { AttemptTracker, TrackedAttempt } from './FigquayServingAttemptTracker.js'
 import { isPartKey, type CrashHistory } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
+import { PauseMeter } from './FigquayServingPauseMeter.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
@@ -46,6 +47,8 @@
   readonly request: ServedRequest
   /** What the gate for suspects knows of the request. */
   readonly gated: GatedRequest
+  /** Undefined if the route declares no longest pause. */
+  readonly pauses: PauseMeter | undefined
   /** Replaced once the version that began a stream is known, which its caller resumes. */
   stream: StreamProgress
   readonly sink: ResponseSink
@@ -86,6 +89,8 @@
 const LIVENESS_WAIT_MS = 200
 /** Delay before a suspect asks for a permit again, in milliseconds. */
 const ISOLATION_RETRY_DELAY_MS = 50
+/** Prompts of a runner that a log line names. */
+const MAX_LOGGED_PROMPTS = 5
 /** Priority of the least urgent requests at a runner. */
 const LOWEST_PRIORITY = 9
 
@@ -123,7 +128,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
+    const progress: RequestProgress = { request, gated: this.suspectGate.prepareRequest(request), pauses: makePauseMeter(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
     try {
       const refusal = await this.prepareResumption(progress) ?? await this.runAttempts(progress)
@@ -406,10 +411,22 @@
     openRequest.hasOutput = true
     if (progress.request.route.isResumable && !progress.stream.hasEvents) this.options.streamOrigins.noteBegin(progress.request, runner)
     if (progress.request.route.isStream) progress.stream.noteEvents(event, runner)
-    await progress.sink.writeBytes(event.bytes)
+    await this.writeEvents(progress, runner, event.bytes)
     return undefined
   }
 
+  /** Writes bytes to the caller, and measures the pause before them. */
+  private async writeEvents ({ request, sink, pauses }: RequestProgress, runner: Runner, bytes: Buffer): Promise<void> {
+    if (pauses === undefined) return await sink.writeBytes(bytes)
+    const { clock, table, telemetry } = this.options
+    const nowMs = clock.readMonotonicMs()
+    const pauseMs = pauses.noteEvents(nowMs)
+    if (pauseMs !== undefined) telemetry.notePause(request, pauseMs)
+    if (pauseMs !== undefined && pauses.isFirstTooLong(pauseMs)) telemetry.recordDecision('stream paused for too long', request, { runner: runner.id, pauseMs: Math.round(pauseMs), maxPauseMs: request.route.maxPauseMs, ...describeRunnerWork(table, runner.id, nowMs - pauseMs) })
+    await sink.writeBytes(bytes)
+    pauses.noteCallerWait(clock.readMonotonicMs() - nowMs)
+  }
+
   /** Logs a first byte later than the objective, with the time waited in this daemon and at the runner. */
   private noteFirstByte ({ request, triedRunners }: RequestProgress, sentAtMs: number): void {
     const nowMs = this.options.clock.readMonotonicMs()
@@ -474,3 +491,27 @@
     if (reason === 'other-runner' || reason === 'unreachable') table.startCooldown(runner.id)
   }
 }
+
+function makePauseMeter ({ route }: ServedRequest): PauseMeter | undefined {
+  return route.isStream && route.maxPauseMs > 0 ? PauseMeter.create(route.maxPauseMs) : undefined
+}
+
+/** What a runner has been doing since a time, for a log line: its speed and load, and the prompts that this daemon has sent it. */
+function describeRunnerWork (table: FleetRunnerTable, id: string, sinceMs: number): LogFields {
+  const view = table.findView(id)
+  if (view === undefined) return {}
+  const { slowdown, usualSlowdown, load } = view
+  const prompts = table.listInFlight(id).filter(({ sentAtMs, hasOutput, pendingTokens }) => pendingTokens > 0 && (!hasOutput || sentAtMs >= sinceMs))
+  return {
+    slowdown: roundRatio(slowdown),
+    usualSlowdown: usualSlowdown === undefined ? undefined : roundRatio(usualSlowdown),
+    requests: load.requests,
+    pendingTokens: Math.round(load.pendingTokens),
+    recentTokens: Math.round(load.recentTokens),
+    prompts: prompts.slice(0, MAX_LOGGED_PROMPTS).map(({ requestId, pendingTokens }) => ({ request: requestId, pendingTokens }))
+  }
+}
+
+function roundRatio (ratio: number): number {
+  return Math.round(ratio * 100) / 100
+}
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -9,12 +9,16 @@
 /** Upper bounds of the latency histogram, in seconds, around the objectives of interactive and batch work. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15]
 
+/** Upper bounds of the histogram of pauses, relative to the longest allowed one. */
+const PAUSE_BUCKETS = [0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 4]
+
 /** Logs and metrics of requests and runner probes. */
 export class ServingTelemetry {
   readonly registry = new Registry()
   private readonly results: Counter<'route' | 'result'>
   private readonly attempts: Counter<'service' | 'outcome'>
   private readonly firstByteSeconds: Histogram<'route'>
+  private readonly pauses: Histogram<'route'>
   private readonly quarantined: Counter<'route'>
   private readonly resumptions: Counter<'route' | 'origin'>
   private readonly storeReads: Counter<'topic' | 'outcome'>
@@ -30,6 +34,7 @@
     this.resumptions = new Counter({ name: 'figquay_stream_resumptions_total', help: 'Streams that callers resume, by route and by where the version that began them was learned, or why it is unknown', labelNames: ['route', 'origin'], registers })
     this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
+    this.pauses = new Histogram({ name: 'figquay_stream_pause_ratio', help: 'Pauses between events of a stream, relative to the longest one for which the answer is on time', labelNames: ['route'], buckets: PAUSE_BUCKETS, registers })
   }
 
   /**
@@ -50,6 +55,11 @@
     this.firstByteSeconds.observe({ route: request.route.name }, (this.clock.readMonotonicMs() - request.arrivedAtMs) / MS_PER_SECOND)
   }
 
+  /** Records a pause between two events of a stream. */
+  notePause ({ route }: ServedRequest, pauseMs: number): void {
+    this.pauses.observe({ route: route.name }, pauseMs / route.maxPauseMs)
+  }
+
   /** Counts a finished request by its result. */
   noteResult (request: ServedRequest, result: ServedResult): void {
     this.results.inc({ route: request.route.name, result })
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -121,7 +121,7 @@
 
 const NO_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {} }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number, readonly table: FleetRunnerTable }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number, readonly table: FleetRunnerTable, readonly telemetry: ServingTelemetry, readonly lines: readonly string[] }> {
   const clock = SystemClock.create()
   const { noteTracker, noteSuccessfulParts } = { ...NO_CALLBACKS, ...callbacks }
   const leaving: string[] = []
@@ -143,6 +143,8 @@
     clock, table, exchanges, hasPartSucceeded: () => false, recordProbe: () => {}, reportPossibleCrash: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
   })
   noteTracker(attemptTracker)
+  const lines: string[] = []
+  const telemetry = ServingTelemetry.create(clock, JsonLogger.create('test', 'info', { write: (line: string) => lines.push(line) > 0 } as unknown as NodeJS.WritableStream))
   const budget = RetryBudget.create({ perRequest: 0, maxBalance: burst, initialBalance: burst })
   const router = ServingRouter.create({
     clock,
@@ -163,7 +165,7 @@
     noteAdapterUse: () => {},
     streamOrigins: { findOrigin: async () => origin, noteBegin: (_request, { softwareVersion }) => begun.push(softwareVersion) },
     announceLeaving: (runner) => leaving.push(runner),
-    telemetry: ServingTelemetry.create(clock, JsonLogger.create('test', 'silent'))
+    telemetry
   })
   const arrivedAtMs = clock.readMonotonicMs()
   const request: ServedRequest = {
@@ -178,7 +180,7 @@
     if (whileServing !== undefined) await clock.waitFor(100).then(() => whileServing(router, dispatcher))
     result = await serving
   }
-  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs, table }
+  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs, table, telemetry, lines }
 }
 
 describe('routing of a stream that its caller resumes', () => {
@@ -206,6 +208,22 @@
     expect(table.listViews('s').map(({ slowdown }) => Math.round(slowdown)).sort()).toEqual([1, 1, 3])
   })
 
+  it('counts the pauses of a stream, and logs the first one that is too long with what its runner does', async () => {
+    const pausing: Script = async function * () {
+      yield { ...HEAD, load: { running: 1, waiting: 0, slots: 8, slowdown: 3 } } as ExchangeEvent
+      for (const id of ['1', '2', '3', '4']) {
+        yield makeData(id, id)
+        if (id !== '2') await new Promise((resolve) => setTimeout(resolve, 40))
+      }
+      yield END
+    }
+    const { telemetry, lines } = await serve([pausing], { isStream: true, maxPauseMs: 20 })
+    const metrics = await telemetry.registry.metrics()
+    expect(metrics.includes('figquay_stream_pause_ratio_count{route="r"} 3')).toEqual(true)
+    const logged = lines.map((line) => JSON.parse(line) as Record<string, unknown>).filter(({ message }) => message === 'stream paused for too long')
+    expect(logged.map(({ maxPauseMs, requests, slowdown }) => [maxPauseMs, requests, slowdown])).toEqual([[20, 1, 3]])
+  })
+
   it('never reports a request as not run if a silent runner may have run it', async () => {
     const { sink, sent } = await serve([neverRespond])
     expect([sink.ending, sent.length]).toEqual(['refused 504 unknown', 1])
