Try a quarantined request again that was answered before runners ended under it

Cause: the fingerprint of a request is the same for all repeats of a harmless GET. When all runners of a service go down at once, each has such a lookup in flight, so that the outage counts as three crashes under one request. A quarantined request is never sent, so that no answer can acquit it until the facts expire after ten minutes.

Ruled out: counting ends at the same time as one (copies of a deadly request that run beside each other end their runners at the same time, too), and a retrial of every request (sends a deadly one to a runner every time).

Change: a daemon remembers the last 4,000 requests that it has seen answered whole. Such a request is a suspect again 10 s after the last end, six times as long for each end in isolation; it runs with confirmed permits for its runner and for itself only, and is refused as not run otherwise. A request that was never answered stays refused.

The new unit tests failed before the change. Lint, build and unit tests passed.

--- a/packages/figquay-serving/src/FigquayServingCrashHistory.ts
+++ b/packages/figquay-serving/src/FigquayServingCrashHistory.ts
@@ -2,8 +2,9 @@
  * Detects poison requests, which crash the runners that execute them, from the facts that the daemons share. No clock, no I/O.
  *
  * Covers these patterns: runners crash under a request that its caller sends to any daemon again and again, while other
- * requests run beside it; requests that differ in everything but one prompt part, which crashes their runners; and runners
- * crash for other reasons, several times during one long stream that is not the cause.
+ * requests run beside it; requests that differ in everything but one prompt part, which crashes their runners; runners
+ * crash for other reasons, several times during one long stream that is not the cause; and all runners of a service go down
+ * at once while callers repeat the same few requests.
  */
 import type { AcquittalFact, CrashFact, Fact } from 'figquay-fleet'
 import type { ServedRequest } from './FigquayServingTypes.js'
@@ -14,7 +15,7 @@
   | 'clear'
   /** A runner crashed before the request had stable output: it may run, but isolated from other suspects. */
   | 'suspect'
-  /** It has crashed too many runners and is refused. */
+  /** It has crashed too many runners and is refused; if it was answered before that, it is a suspect again after a while. */
   | 'quarantined'
 
 /** Runner crashes during a request. */
@@ -41,9 +42,9 @@
 /** Crashes after which a request with a suspected prompt part is refused rather than sent without isolation. */
 const STRONG_SUSPICION_CRASHES = 2
 /** Time after the last crash at which one request with a quarantined prompt part is tried again, in milliseconds: the part may be blameless. */
-const PART_RETRIAL_DELAY_MS = 10_000
+const RETRIAL_DELAY_MS = 10_000
 /** Factor by which that time grows with each further crash. */
-const PART_RETRIAL_BACKOFF = 6
+const RETRIAL_BACKOFF = 6
 const PART_KEY_PREFIX = 'part/'
 
 /**
@@ -62,9 +63,14 @@
   return key.startsWith(PART_KEY_PREFIX)
 }
 
+/** Time after the last crash before a prompt part, or a request that was answered before, is tried again, in milliseconds. */
+function computeRetrialDelayMs (furtherCrashes: number): number {
+  return RETRIAL_DELAY_MS * RETRIAL_BACKOFF ** furtherCrashes
+}
+
 function classifyPartCrashes ({ asSuspect, inIsolation }: CrashCount, sinceLastCrashMs: number): QuarantineState {
   const maxCrashes = inIsolation > 0 ? PART_QUARANTINE_CRASHES_WITH_ISOLATION : PART_QUARANTINE_CRASHES
-  const retrialDelayMs = PART_RETRIAL_DELAY_MS * PART_RETRIAL_BACKOFF ** Math.max(0, asSuspect - maxCrashes)
+  const retrialDelayMs = computeRetrialDelayMs(Math.max(0, asSuspect - maxCrashes))
   if (asSuspect >= maxCrashes && sinceLastCrashMs < retrialDelayMs) return 'quarantined'
   return asSuspect > 0 ? 'suspect' : 'clear'
 }
@@ -83,6 +89,9 @@
 /** Number of fingerprints above which those without unexpired facts are dropped: more than an hour with many crashes adds. */
 const SWEEP_THRESHOLD_FINGERPRINTS = 4_000
 
+/** Answered requests that are remembered: those of a daemon in a quarter of an hour. */
+const MAX_ANSWERED = 4_000
+
 /** Crashes and acquittals by request fingerprint; an acquittal cancels the crashes before it, as the request has completed since. */
 export class CrashHistory {
   private readonly crashes = new Map<string, Set<CrashFact>>()
@@ -90,6 +99,8 @@
   private readonly acquittals = new Map<string, AcquittalFact>()
   /** Processes whose crashes don't count, by fingerprint. */
   private readonly acquittedIncarnations = new Map<string, Set<string>>()
+  /** Fingerprints of requests that this daemon has seen answered whole, oldest first: several runners may end at once for another reason. */
+  private readonly answered = new Set<string>()
   private sweepThreshold = SWEEP_THRESHOLD_FINGERPRINTS
 
   private constructor (private readonly isUnexpired: (fact: Fact) => boolean, private readonly hasIncarnationEnded: (fact: CrashFact) => boolean, private readonly measureAgeMs: (fact: CrashFact) => number) {}
@@ -134,7 +145,10 @@
   /** Determines the quarantine state of a request, or of a prompt part, by its key. */
   classifyRequest (key: string): QuarantineState {
     const count = this.countCrashes(key)
-    return isPartKey(key) ? classifyPartCrashes(count, Math.min(...this.listCountedFacts(key).map(this.measureAgeMs))) : classifyCrashes(count)
+    const sinceLastCrashMs = Math.min(...this.listCountedFacts(key).map(this.measureAgeMs))
+    if (isPartKey(key)) return classifyPartCrashes(count, sinceLastCrashMs)
+    const state = classifyCrashes(count)
+    return state === 'quarantined' && this.answered.has(key) && sinceLastCrashMs >= computeRetrialDelayMs(count.inIsolation) ? 'suspect' : state
   }
 
   /** Determines the quarantine state of a request by all its keys: the worst of them counts. */
@@ -149,6 +163,18 @@
     return keys.filter((key) => isPartKey(key) && this.classifyRequest(key) !== 'clear')
   }
 
+  /** Records that a request was answered whole by a runner. */
+  noteAnswered (fingerprint: string): void {
+    this.answered.delete(fingerprint)
+    this.answered.add(fingerprint)
+    if (this.answered.size > MAX_ANSWERED) this.answered.delete(this.answered.values().next().value!)
+  }
+
+  /** Whether a request has crashed too many runners, but is tried again as it was answered before. */
+  isOnRetrial (fingerprint: string): boolean {
+    return classifyCrashes(this.countCrashes(fingerprint)) === 'quarantined' && this.classifyRequest(fingerprint) === 'suspect'
+  }
+
   /** Whether crashes point so strongly to a prompt part that no request with it is sent without isolation. */
   isStronglySuspected (partKey: string): boolean {
     return this.countCrashes(partKey).asSuspect >= STRONG_SUSPICION_CRASHES
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -211,7 +211,7 @@
       if (drainRefusal !== undefined) return drainRefusal
       if (!await this.acquireRequestPermit(request, choice)) continue
       const isolation = await this.suspectGate.isolateRequest(progress.gated, choice, signal)
-      if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request with the same prompt part is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
+      if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request like it, or with the same prompt part, is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
         await this.options.clock.waitFor(ISOLATION_RETRY_DELAY_MS, signal)
@@ -316,6 +316,7 @@
     } else if (reason === 'silent') attemptTracker.noteUnanswered(attempt)
     else attemptTracker.untrackAttempt(runner, attempt)
     if (result.type === 'done') this.noteAnsweredParts(progress)
+    if (result.type === 'done' && progress.forwardedStatus === OK) crashHistory.noteAnswered(request.fingerprint)
     if (result.type === 'done' && crashHistory.countCrashes(request.fingerprint).inAll > 0) publishAcquittal(request.fingerprint)
   }
 
--- a/packages/figquay-serving/src/FigquayServingSuspectGate.ts
+++ b/packages/figquay-serving/src/FigquayServingSuspectGate.ts
@@ -33,7 +33,7 @@
   | PermitReply
   /** It has waited for long enough and is sent without permits. */
   | 'given-up'
-  /** It has waited for long enough, but a part of its prompt is too likely to crash its runner. */
+  /** It has waited for long enough, but it or a part of its prompt is too likely to crash its runner. */
   | 'withheld'
 
 /** Longest wait of a suspect for its permits, in milliseconds; it is then sent without them, as its caller is waiting. */
@@ -96,21 +96,25 @@
   private decideWithoutPermits ({ chargeKeys, isolationStartedAtMs }: GatedRequest): 'refused' | 'given-up' | 'withheld' {
     const { clock, crashHistory } = this.options
     if (clock.readMonotonicMs() - isolationStartedAtMs! < ISOLATION_TIMEOUT_MS) return 'refused'
-    return crashHistory.listSuspectParts(chargeKeys).some((key) => crashHistory.isStronglySuspected(key)) ? 'withheld' : 'given-up'
+    return crashHistory.isOnRetrial(chargeKeys[0]) || crashHistory.listSuspectParts(chargeKeys).some((key) => crashHistory.isStronglySuspected(key)) ? 'withheld' : 'given-up'
   }
 
-  /** A suspect runs alone on its runner, and alone among all requests that share a suspected prompt part. */
+  /**
+   * A suspect runs alone on its runner, and alone among all requests that share a suspected prompt part; a request on
+   * retrial alone among all its copies, too, and only with permits that are confirmed.
+   */
   private async acquirePermits (gated: GatedRequest, runner: Runner): Promise<PermitReply> {
     const { crashHistory, acquirePermit } = this.options
     const replies = new Set<PermitReply>()
-    for (const subject of [...crashHistory.listSuspectParts(gated.chargeKeys), runner.id]) {
+    const isOnRetrial = crashHistory.isOnRetrial(gated.request.fingerprint)
+    for (const subject of [...crashHistory.listSuspectParts(gated.chargeKeys), ...isOnRetrial ? [gated.request.fingerprint] : [], runner.id]) {
       const permit = { runner: subject, requestId: gated.request.id }
       const reply = await acquirePermit(permit)
-      if (reply === 'refused') {
+      if (reply !== 'refused') gated.permits.push(permit)
+      if (reply === 'refused' || (isOnRetrial && reply === 'unconfirmed')) {
         this.releasePermits(gated)
         return 'refused'
       }
-      gated.permits.push(permit)
       replies.add(reply)
     }
     return replies.has('unconfirmed') ? 'unconfirmed' : 'granted'
--- a/packages/figquay-serving/src/__tests__/unit/CrashHistory.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/CrashHistory.test.ts
@@ -102,6 +102,40 @@
   })
 })
 
+describe('retrial of a request that had been answered before runners ended under it', () => {
+  /** Three runners go dark at once while many daemons send them the same lookups; times in milliseconds. */
+  function playOutage (isAnsweredBefore: boolean) {
+    const time = { nowMs: 1_000 }
+    const history = CrashHistory.create(() => true, () => false, ({ atMs }) => time.nowMs - atMs)
+    if (isAnsweredBefore) history.noteAnswered('lookup')
+    for (const runner of ['r1', 'r2', 'r3']) history.addFact(makeCrash(runner, { suspects: ['lookup', `order for ${runner}`], atMs: time.nowMs }))
+    const classifyAfter = (ms: number): QuarantineState => {
+      time.nowMs += ms
+      return history.classifyRequest('lookup')
+    }
+    return { time, history, classifyAfter }
+  }
+
+  it('ends the refusals after an outage of all runners at once', () => {
+    const { time, history, classifyAfter } = playOutage(true)
+    expect([classifyAfter(0), classifyAfter(9_900), history.isOnRetrial('lookup')]).toEqual(['quarantined', 'quarantined', false])
+    expect([classifyAfter(200), history.isOnRetrial('lookup')]).toEqual(['suspect', true])
+    history.addFact({ type: 'acquittal', id: 'a', fingerprint: 'lookup', atMs: time.nowMs })
+    expect([classifyAfter(0), history.isOnRetrial('lookup')]).toEqual(['clear', false])
+  })
+
+  it('comes ever later if a runner ends under it as well', () => {
+    const { time, history, classifyAfter } = playOutage(true)
+    expect(classifyAfter(10_100)).toEqual('suspect')
+    history.addFact(makeCrash('r4', { suspects: ['lookup'], isolated: ['lookup'], atMs: time.nowMs }))
+    expect([classifyAfter(10_100), classifyAfter(49_800), classifyAfter(200)]).toEqual(['quarantined', 'quarantined', 'suspect'])
+  })
+
+  it('isn\'t granted to a request that was never answered', () => {
+    expect(playOutage(false).classifyAfter(500_000)).toEqual('quarantined')
+  })
+})
+
 describe('liveness of a runner', () => {
   it('is not decided by silence alone, nor by the registry alone', () => {
     expect([determineLiveness('silent', 'listed', false), determineLiveness('unsure', 'gone', false), determineLiveness('unsure', 'listed', false)]).toEqual(['unknown', 'unknown', 'unknown'])
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -11,6 +11,7 @@
 export { DaemonRecords, type DaemonRecordsOptions } from './FigquayServingDaemonRecords.js'
 export { FACT_KEY_PREFIX, FactStoreSync, type FactStoreSyncOptions } from './FigquayServingFactStoreSync.js'
 export { RequestLimiter, type LimitEnd, type RequestLimiterOptions, type RequestPermitReply, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
+export { SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
 export { SuspectIsolator, type PermitReply, type SuspectIsolatorOptions, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 export { ConfigurationSource, type ConfigurationReply, type ConfigurationRequest, type ConfigurationSourceOptions } from './FigquayServingConfigurationSource.js'
 export { ConfigurationSync, type ConfigurationSyncOptions, type VersionAnnouncement } from './FigquayServingConfigurationSync.js'
