--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -1,5 +1,5 @@
 /** Serves a request from arrival to last byte: selects runners, sends attempts, retries them and resumes broken streams. */
-import { Deadline, Refusal, type Clock, type LogFields } from 'figquay'
+import { Deadline, Refusal, type Clock } from 'figquay'
 import { makeAdapterKey, type ConfigurationHolder, type FleetDemand, type FleetRunnerTable, type InFlightRequest, type PromptCacheIndex, type Runner } from 'figquay-fleet'
 import type { RetryBudget } from 'figquay-routing'
 import type { AttemptTracker, TrackedAttempt } from './FigquayServingAttemptTracker.js'
@@ -9,6 +9,7 @@
 import { PauseMeter } from './FigquayServingPauseMeter.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
+import { describeRunnerWork } from './FigquayServingRunnerWork.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
@@ -89,8 +90,6 @@
 const LIVENESS_WAIT_MS = 200
 /** Delay before a suspect asks for a permit again, in milliseconds. */
 const ISOLATION_RETRY_DELAY_MS = 50
-/** Prompts of a runner that a log line names. */
-const MAX_LOGGED_PROMPTS = 5
 /** Priority of the least urgent requests at a runner. */
 const LOWEST_PRIORITY = 9
 
@@ -417,15 +416,24 @@
   }
 
   /** Writes bytes to the caller, and measures the pause before them. */
-  private async writeEvents ({ request, sink, pauses }: RequestProgress, runner: Runner, bytes: Buffer): Promise<void> {
-    if (pauses === undefined) return await sink.writeBytes(bytes)
-    const { clock, table, telemetry } = this.options
+  private async writeEvents (progress: RequestProgress, runner: Runner, bytes: Buffer): Promise<void> {
+    const { clock } = this.options
     const nowMs = clock.readMonotonicMs()
-    const pauseMs = pauses.noteEvents(nowMs)
-    if (pauseMs !== undefined) telemetry.notePause(request, pauseMs)
-    if (pauseMs !== undefined && pauses.isFirstTooLong(pauseMs)) telemetry.recordDecision('stream paused for too long', request, { runner: runner.id, pauseMs: Math.round(pauseMs), maxPauseMs: request.route.maxPauseMs, ...describeRunnerWork(table, runner.id, nowMs - pauseMs) })
-    await sink.writeBytes(bytes)
-    pauses.noteCallerWait(clock.readMonotonicMs() - nowMs)
+    this.notePause(progress, runner, nowMs)
+    const waiting = progress.sink.writeBytes(bytes)
+    if (waiting === undefined) return
+    await waitUnlessAborted(waiting, progress.signal)
+    progress.pauses?.noteCallerWait(clock.readMonotonicMs() - nowMs)
+  }
+
+  /** Records the pause before events that have arrived, and logs the first one of a stream that is too long. */
+  private notePause ({ request, pauses }: RequestProgress, runner: Runner, nowMs: number): void {
+    const { table, telemetry } = this.options
+    const pauseMs = pauses?.noteEvents(nowMs)
+    if (pauseMs === undefined) return
+    telemetry.notePause(request, pauseMs)
+    if (!pauses!.isFirstTooLong(pauseMs)) return
+    telemetry.recordDecision('stream paused for too long', request, { runner: runner.id, pauseMs: Math.round(pauseMs), maxPauseMs: request.route.maxPauseMs, ...describeRunnerWork(table, runner.id, nowMs - pauseMs) })
   }
 
   /** Logs a first byte later than the objective, with the time waited in this daemon and at the runner. */
@@ -493,26 +501,18 @@
   }
 }
 
-function makePauseMeter ({ route }: ServedRequest): PauseMeter | undefined {
-  return route.isStream && route.maxPauseMs > 0 ? PauseMeter.create(route.maxPauseMs) : undefined
-}
-
-/** What a runner has been doing since a time, for a log line: its speed and load, and the prompts that this daemon has sent it. */
-function describeRunnerWork (table: FleetRunnerTable, id: string, sinceMs: number): LogFields {
-  const view = table.findView(id)
-  if (view === undefined) return {}
-  const { slowdown, usualSlowdown, load } = view
-  const prompts = table.listInFlight(id).filter(({ sentAtMs, hasOutput, pendingTokens }) => pendingTokens > 0 && (!hasOutput || sentAtMs >= sinceMs))
-  return {
-    slowdown: roundRatio(slowdown),
-    usualSlowdown: usualSlowdown === undefined ? undefined : roundRatio(usualSlowdown),
-    requests: load.requests,
-    pendingTokens: Math.round(load.pendingTokens),
-    recentTokens: Math.round(load.recentTokens),
-    prompts: prompts.slice(0, MAX_LOGGED_PROMPTS).map(({ requestId, pendingTokens }) => ({ request: requestId, pendingTokens }))
-  }
+/** Waits for a caller that reads slowly, but not beyond the deadline of its request: a caller may never read on. */
+async function waitUnlessAborted (waiting: Promise<void>, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return
+  let stopWaiting = (): void => {}
+  const aborted = new Promise<void>((resolve) => {
+    stopWaiting = resolve
+    signal.addEventListener('abort', stopWaiting, { once: true })
+  })
+  await Promise.race([waiting, aborted])
+  signal.removeEventListener('abort', stopWaiting)
 }
 
-function roundRatio (ratio: number): number {
-  return Math.round(ratio * 100) / 100
+function makePauseMeter ({ route }: ServedRequest): PauseMeter | undefined {
+  return route.isStream && route.maxPauseMs > 0 ? PauseMeter.create(route.maxPauseMs) : undefined
 }
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -94,6 +94,16 @@
     })
   }
 
+  /**
+   * Keeps a gauge of the bytes that are buffered for callers who read slowly.
+   *
+   * @example
+   * telemetry.observeBufferedBytes(() => budget.totalBytes)
+   */
+  observeBufferedBytes (countBytes: () => number): void {
+    const gauge: Gauge = new Gauge({ name: 'figquay_buffered_response_bytes', help: 'Bytes of responses that callers have not read yet', registers: [this.registry], collect: () => gauge.set(countBytes()) })
+  }
+
   /** Counts a request that was refused because it has crashed runners. */
   noteQuarantined (request: ServedRequest): void {
     this.quarantined.inc({ route: request.route.name })
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -121,8 +121,8 @@
 export abstract class ResponseSink {
   /** Starts the response with a runner's status and head. */
   abstract startResponse (status: number, head: unknown): void
-  /** Writes bytes of the response; resolves once more can be written. */
-  abstract writeBytes (bytes: Buffer): Promise<void>
+  /** Writes bytes of the response; the promise resolves once more can be written, undefined if that is so already. */
+  abstract writeBytes (bytes: Buffer): Promise<void> | undefined
   /** Ends the response as complete. */
   abstract finishResponse (): void
   /** Aborts the response so that the caller cannot take it for complete. */
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -40,12 +40,15 @@
   text = ''
   ending = 'open'
   refusal: Refusal | undefined
+  /** Whether the caller reads what is written. */
+  isRead = true
   override startResponse (status: number): void {
     this.text += `${status} `
   }
 
   override async writeBytes (bytes: Buffer): Promise<void> {
     this.text += bytes.toString()
+    if (!this.isRead) await new Promise(() => {})
   }
 
   override finishResponse (): void {
@@ -109,6 +112,8 @@
   /** Requested model; it is loaded on no runner. */
   readonly model?: string
   readonly deadlineMs?: number
+  /** Makes the caller; by default one that reads everything at once. */
+  readonly makeSink?: () => RecordingSink
   /** Number of times that the request is served, one after the other. */
   readonly calls?: number
   /** Called when prompt parts are known to have been answered. */
@@ -119,11 +124,11 @@
   readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher) => void
 }
 
-const NO_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {} }
+const DEFAULT_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {}, makeSink: () => new RecordingSink() }
 
 async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number, readonly table: FleetRunnerTable, readonly telemetry: ServingTelemetry, readonly lines: readonly string[] }> {
   const clock = SystemClock.create()
-  const { noteTracker, noteSuccessfulParts } = { ...NO_CALLBACKS, ...callbacks }
+  const { noteTracker, noteSuccessfulParts, makeSink } = { ...DEFAULT_CALLBACKS, ...callbacks }
   const leaving: string[] = []
   const begun: Array<string | undefined> = []
   const table = FleetRunnerTable.create(clock)
@@ -174,7 +179,7 @@
   const answers: RecordingSink[] = []
   let result = ''
   for (let call = 0; call < calls; call += 1) {
-    const sink = new RecordingSink()
+    const sink = makeSink()
     answers.push(sink)
     const serving = router.serveRequest(request, sink, new AbortController().signal)
     if (whileServing !== undefined) await clock.waitFor(100).then(() => whileServing(router, dispatcher))
@@ -208,6 +213,15 @@
     expect(table.listViews('s').map(({ slowdown }) => Math.round(slowdown)).sort()).toEqual([1, 1, 3])
   })
 
+  it('ends an answer at the deadline whose caller has stopped reading', async () => {
+    const streaming: Script = async function * (_runner, _options, signal) {
+      yield HEAD
+      for (let index = 0; index < 3 && !signal.aborted; index += 1) yield makeData('event ')
+    }
+    const { sink, result, tookMs } = await serve([streaming], { isStream: true }, { makeSink: () => Object.assign(new RecordingSink(), { isRead: false }) })
+    expect([sink.text, sink.ending, result, tookMs < 2_000]).toEqual(['200 event ', 'abandoned', 'broken', true])
+  })
+
   it('counts the pauses of a stream, and logs the first one that is too long with what its runner does', async () => {
     const pausing: Script = async function * () {
       yield { ...HEAD, load: { running: 1, waiting: 0, slots: 8, slowdown: 3 } } as ExchangeEvent
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -18,6 +18,7 @@
 export { ServingTelemetry } from './FigquayServingTelemetry.js'
 export { ServingDispatcher, addRetryJitter, type ServingDispatcherOptions } from './FigquayServingDispatcher.js'
 export { decideWhileDraining, RouteDurations, type DrainDecision, type DrainingRequest, type DrainWindow } from './FigquayServingRouteDurations.js'
+export { BufferBudget, type BufferLimits, type HeldBytes } from './FigquayServingBufferBudget.js'
 export { PauseMeter } from './FigquayServingPauseMeter.js'
 export { ServingRouter, type ServingRouterOptions } from './FigquayServingRouter.js'
 export { applyRunnerSnapshot, decodeProgress, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
