--- a/packages/figquay-fleet/src/FigquayFleetRunnerPace.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerPace.ts
@@ -96,3 +96,23 @@
   const isOnTime = firstOutputMs <= objectiveMs && pauseMs <= allowedPauseMs
   return { firstOutputMs, pauseMs, isWithinBudget: load.requests === 0 || (countWaiting(view) === 0 && isOnTime) }
 }
+
+/** What the requests of a service allow at its runners. */
+export interface PaceTerms {
+  /** Strictest pause between two events, in milliseconds; undefined if none is declared. */
+  readonly maxPauseMs: number | undefined
+  /** Shortest objective for the first output, in milliseconds. */
+  readonly objectiveMs: number
+}
+
+/**
+ * Computes the prompt tokens that a runner may have pending within its budget.
+ *
+ * @example
+ * computeTokenBudget(1.2, { maxPauseMs: 400, objectiveMs: 815 }) // 11_526
+ */
+export function computeTokenBudget (slowdown: number, { maxPauseMs = Number.POSITIVE_INFINITY, objectiveMs }: PaceTerms): number {
+  const countTokens = (timeMs: number): number => Math.max(0, (timeMs / slowdown - STEPS_PER_EVENT * STEP_MS) * TOKENS_PER_MS)
+  const pauseTokens = countTokens(maxPauseMs)
+  return Math.floor(Math.min(pauseTokens >= STEPS_PER_EVENT * CHUNK_TOKENS ? Number.POSITIVE_INFINITY : pauseTokens, countTokens(objectiveMs)))
+}
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -13,6 +13,7 @@
 import { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
 import type { DrainWindow } from './FigquayServingRouteDurations.js'
 import { ServingRouter } from './FigquayServingRouter.js'
+import { listRunnerStatus, type RunnerStatus } from './FigquayServingRunnerStatus.js'
 import { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { VersionHistory } from './FigquayServingVersionHistory.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
@@ -170,6 +171,7 @@
       noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
     })
+    this.traces.observeRunners(() => this.listRunnerStatus())
     this.traces.observeStoreAges((topic) => this.storeWatcher.measureTopicAge(topic))
     this.router = ServingRouter.create({
       clock,
@@ -292,6 +294,11 @@
     return this.table.listViews(service).map(({ runner }) => runner.id)
   }
 
+  /** The runners as this daemon sees them, for operators. */
+  listRunnerStatus (): RunnerStatus[] {
+    return listRunnerStatus(this.configurations.current, (service) => this.table.listViews(service))
+  }
+
   /** How this daemon follows the store now. */
   get storeRole (): StoreRole {
     return this.findStoreRole()
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -1,6 +1,7 @@
 /** Request metrics, and a rate-limited log line for each decision that departs from the normal path. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { Clock, LogFields, Logger } from 'figquay'
+import { classifySpeed, isInSpell, type RunnerStatus } from './FigquayServingRunnerStatus.js'
 import { STORE_TOPICS, type ServedRequest, type ServedResult, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Log lines on decisions per second; suppressed lines are counted, and the next line reports their number. */
@@ -104,6 +105,33 @@
     const gauge: Gauge = new Gauge({ name: 'figquay_buffered_response_bytes', help: 'Bytes of responses that callers have not read yet', registers: [this.registry], collect: () => gauge.set(countBytes()) })
   }
 
+  /**
+   * Keeps gauges of the runners of each service by their speed, and of those that are in a spell of slow work. There is none
+   * for each runner, as runners are too many and come and go.
+   *
+   * @example
+   * telemetry.observeRunners(() => daemon.listRunnerStatus())
+   */
+  observeRunners (listStatus: () => readonly RunnerStatus[]): void {
+    const registers = [this.registry]
+    const runners: Gauge<'service' | 'speed'> = new Gauge({
+      name: 'figquay_runners',
+      help: 'Runners by service and by speed apart from spells of slow work',
+      labelNames: ['service', 'speed'],
+      registers,
+      collect: () => {
+        runners.reset()
+        inSpell.reset()
+        for (const status of listStatus()) {
+          runners.inc({ service: status.service, speed: classifySpeed(status) })
+          inSpell.inc({ service: status.service }, isInSpell(status) ? 1 : 0)
+        }
+      }
+    })
+    // Registered later, so that it is rendered with what the other one has collected.
+    const inSpell = new Gauge({ name: 'figquay_runners_in_spell', help: 'Runners whose work takes much longer at the moment than it usually does there, by service', labelNames: ['service'], registers })
+  }
+
   /** Counts a request that was refused because it has crashed runners. */
   noteQuarantined (request: ServedRequest): void {
     this.quarantined.inc({ route: request.route.name })
--- a/packages/figquayctl/src/FigquayctlClient.ts
+++ b/packages/figquayctl/src/FigquayctlClient.ts
@@ -1,6 +1,7 @@
 /** Client of a daemon's operator port. */
 import { request as sendRequest } from 'undici'
 import { makeFailure, makeSuccess, type Outcome } from 'figquay'
+import type { RunnerSpeedReport } from './FigquayctlViews.js'
 
 /** Address and credentials of a daemon's operator port. */
 export interface OperatorAddress {
@@ -52,3 +53,20 @@
     }
   }
 }
+
+/**
+ * Fetches the runners as a daemon on the users' platform sees them.
+ *
+ * @param url `http://ip:port` of the daemon's metrics.
+ * @example
+ * const runners = await fetchRunnerSpeeds('http://127.0.0.1:9091')
+ */
+export async function fetchRunnerSpeeds (url: string): Promise<Outcome<readonly RunnerSpeedReport[], OperatorFailure>> {
+  try {
+    const response = await sendRequest(`${url}/runners`, { signal: AbortSignal.timeout(CALL_TIMEOUT_MS) })
+    const body = await response.body.text()
+    return response.statusCode === OK ? makeSuccess(JSON.parse(body) as RunnerSpeedReport[]) : makeFailure({ kind: 'refused', message: `HTTP status ${response.statusCode}` })
+  } catch (error) {
+    return makeFailure({ kind: 'unreachable', message: `${url}: ${(error as Error).message || 'no response'}` })
+  }
+}
--- a/packages/figquayctl/src/FigquayctlViews.ts
+++ b/packages/figquayctl/src/FigquayctlViews.ts
@@ -15,6 +15,22 @@
   }
 }
 
+/** A runner as a daemon on the users' platform sees it. */
+export interface RunnerSpeedReport {
+  readonly runner: string
+  readonly service: string
+  readonly zone: string
+  readonly isLeaving: boolean
+  readonly isHealthy: boolean
+  readonly slowdown: number | null
+  readonly usualSlowdown: number | null
+  readonly requests: number
+  readonly slots: number
+  readonly pendingTokens: number
+  readonly maxPendingTokens: number | null
+  readonly models: readonly string[]
+}
+
 /** An order that placement gave to a runner, as returned by `moves.list`. */
 export interface MoveRecord {
   readonly at: string
@@ -51,6 +67,23 @@
   return formatTable(['runner', 'zone', 'state', 'active', 'step ms', 'adapters', 'models'], rows)
 }
 
+/**
+ * Formats the runners with their speeds and limits as a table; a model is followed by the number of its copies.
+ *
+ * @example
+ * formatRunnerSpeeds(reports)
+ */
+export function formatRunnerSpeeds (runners: readonly RunnerSpeedReport[]): string {
+  const copies = new Map<string, number>()
+  for (const model of runners.flatMap(({ models }) => models)) copies.set(model, (copies.get(model) ?? 0) + 1)
+  const formatRatio = (ratio: number | null): string => ratio === null ? '-' : ratio.toFixed(2)
+  const rows = [...runners].sort((a, b) => a.service === b.service ? (a.runner < b.runner ? -1 : 1) : a.service < b.service ? -1 : 1).map((runner) => [
+    runner.runner, runner.service, runner.zone, runner.isLeaving ? 'leaving' : runner.isHealthy ? 'up' : 'unhealthy', formatRatio(runner.usualSlowdown), formatRatio(runner.slowdown),
+    `${runner.requests}/${runner.slots}`, `${runner.pendingTokens}/${runner.maxPendingTokens ?? '-'}`, runner.models.map((model) => `${model} (${copies.get(model)})`).join(' ')
+  ])
+  return formatTable(['runner', 'service', 'zone', 'state', 'usual time', 'time now', 'active', 'pending tokens', 'models (copies)'], rows)
+}
+
 /** Formats the copies of each model as a table. */
 export function formatModels (runners: readonly RunnerReport[]): string {
   const copies = new Map<string, string[]>()
--- a/packages/figquayctl/src/main.ts
+++ b/packages/figquayctl/src/main.ts
@@ -4,10 +4,10 @@
 import { array, binary, command, flag, multioption, option, optional, positional, restPositionals, run, string, subcommands } from 'cmd-ts'
 import { formatBurnRateHtml, formatBurnRateText, formatTable, type BurnRateReport, type StatusReport } from 'figquay-report'
 import { applyFile, listChanges } from './FigquayctlApply.js'
-import { OperatorClient } from './FigquayctlClient.js'
+import { fetchRunnerSpeeds, OperatorClient } from './FigquayctlClient.js'
 import { explainLogs, formatExplanation, parseLog } from './FigquayctlExplain.js'
 import { EXIT_CODES, exitWith, writeResult } from './FigquayctlOutput.js'
-import { formatHistory, formatModels, formatMoves, formatRunners, formatStatus, formatTrace, type MoveRecord, type RunnerReport } from './FigquayctlViews.js'
+import { formatHistory, formatModels, formatMoves, formatRunnerSpeeds, formatRunners, formatStatus, formatTrace, type MoveRecord, type RunnerReport } from './FigquayctlViews.js'
 
 const connectionArgs = {
   url: option({ type: string, long: 'url', env: 'FIGQUAY_URL', defaultValue: () => 'http://127.0.0.1:9090', description: 'operator port of any daemon (FIGQUAY_URL)' }),
@@ -109,6 +109,22 @@
   }
 })
 
+const status = command({
+  name: 'status',
+  description: 'Show the state of all daemons or, on the users\' platform, the speed, load and limit of each runner',
+  args: { ...connectionArgs, metrics: option({ type: optional(string), long: 'metrics', description: 'metrics address of a daemon on the users\' platform, as http://ip:port' }) },
+  handler: async (options) => {
+    if (options.metrics === undefined) {
+      const report = await callOrExit<StatusReport>(options, 'status.get')
+      writeResult(options.json, report, () => formatStatus(report))
+      return
+    }
+    const runners = await fetchRunnerSpeeds(options.metrics)
+    if (!runners.ok) exitWith(EXIT_CODES.failed, runners.error.message)
+    writeResult(options.json, runners.value, () => formatRunnerSpeeds(runners.value))
+  }
+})
+
 const app = subcommands({
   name: 'figquayctl',
   description: 'Command-line tool for operators of figquay. Exit codes: 0 success, 1 failure, 2 invalid file or usage, 3 change rejected, 4 outcome unknown.',
@@ -118,7 +134,7 @@
     explain,
     drain,
     history: makeQueryCommand<Parameters<typeof formatHistory>[0]>('history', 'List configuration changes and their verdicts', 'config.history', formatHistory),
-    status: makeQueryCommand<StatusReport>('status', 'Show the state of all daemons', 'status.get', formatStatus),
+    status,
     runners: makeQueryCommand<RunnerReport[]>('runners', 'List runners with their load and loaded models', 'runners.list', formatRunners),
     models: makeQueryCommand<RunnerReport[]>('models', 'List the copies of each model', 'runners.list', formatModels),
     moves: makeQueryCommand<MoveRecord[]>('moves', 'List placement orders to runners, with reasons and results', 'moves.list', formatMoves),
