Spread requests to plain services over what other daemons send unheard

Cause: a request to a plain service takes 43 ms, so that what other daemons report of them 0.3 to 0.6 s later says nothing; counting 75 ms of unheard sends still let many daemons choose the same runner.

Change: for requests without a model 500 ms of unheard sends are counted.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTimeChoice.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTimeChoice.ts
@@ -64,6 +64,8 @@
  * count less and less; in replays 50 to 100 ms gave the fewest late requests, and 400 ms hid differences between runners.
  */
 const UNKNOWN_SENDS_MS = 75
+/** The same for requests to plain services, in milliseconds: they are over before other daemons hear of them. */
+const UNKNOWN_PLAIN_SENDS_MS = 500
 /** Work that is always expected to be unknown, in milliseconds: candidates that differ by less count as equal. */
 const MIN_UNKNOWN_WORK_MS = 1
 /** Differences in cost that are as likely as not to be errors of the estimate, in milliseconds. */
@@ -94,10 +96,12 @@
 }
 
 /** Work that other daemons send to the candidates before this one hears of it, at the usual speed, in milliseconds. */
-function estimateUnknownWorkMs (offers: readonly Offer[], requestMs: number): number {
+function estimateUnknownWorkMs (offers: readonly Offer[], plainWorkMs: number | undefined): number {
+  const requestMs = Math.max(1, plainWorkMs ?? STREAM_WORK_MS)
+  const unknownMs = plainWorkMs === undefined ? UNKNOWN_SENDS_MS : UNKNOWN_PLAIN_SENDS_MS
   let workMs = MIN_UNKNOWN_WORK_MS
   for (const { view: { load } } of offers) {
-    workMs += estimatePrefillMs(load.recentTokens, 1) * UNKNOWN_SENDS_MS / RECENT_TOKENS_DECAY_MS + load.requests * RUNNING_REQUEST_MS * UNKNOWN_SENDS_MS / requestMs
+    workMs += estimatePrefillMs(load.recentTokens, 1) * unknownMs / RECENT_TOKENS_DECAY_MS + load.requests * RUNNING_REQUEST_MS * unknownMs / requestMs
   }
   return workMs
 }
@@ -133,7 +137,7 @@
   const all = candidates.map((candidate) => makeOffer(candidate, request, plainWorkMs))
   const within = all.filter(({ isWithinBudget }) => isWithinBudget)
   const offers = within.length > 0 ? within : all
-  const level = findFillLevel(offers, estimateUnknownWorkMs(offers, Math.max(1, plainWorkMs ?? STREAM_WORK_MS)))
+  const level = findFillLevel(offers, estimateUnknownWorkMs(offers, plainWorkMs))
   const costsMs = offers.map(({ commonMs, savedMs }) => Math.max(commonMs, level) - savedMs)
   const lowestMs = Math.min(...costsMs)
   const weights = offers.map(({ commonMs, view }, index) => (Math.max(0, level - commonMs) + MIN_UNKNOWN_WORK_MS) / view.slowdown * Math.exp((lowestMs - costsMs[index]!) / COST_ERROR_MS))
--- a/packages/figquay-fleet/src/__tests__/standins/ChoiceReplay.ts
+++ b/packages/figquay-fleet/src/__tests__/standins/ChoiceReplay.ts
@@ -30,7 +30,8 @@
 const PARTS_PER_MODEL = 12
 const SPELL_FACTOR = 2.5
 
-class ReplayClock implements Clock {
+/** Clock that a replay advances. */
+export class ReplayClock implements Clock {
   nowMs = 1_000
   now (): Date { return new Date(this.nowMs) }
   readMonotonicMs (): number { return this.nowMs }
@@ -38,7 +39,7 @@
 }
 
 /** Slowdown of a VM over time, with spells of 0.3 to 1 s for a quarter of the time. */
-function makeSlowdown (usual: number, random: () => number): (nowMs: number) => number {
+export function makeSlowdown (usual: number, random: () => number): (nowMs: number) => number {
   let startMs = 0
   let endMs = 0
   return (nowMs) => {
--- a/packages/figquay-fleet/src/__tests__/unit/RunnerTimeChoice.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerTimeChoice.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl'
 import { assessRunner, chooseRunner, type ChoiceRequest, type ReusableState, type RunnerLoad, type RunnerView } from '../../index.js'
 import { hideSpeeds, replayChoices, type ReplayOptions } from '../standins/ChoiceReplay.js'
+import { replayPlainRequests } from '../standins/PlainReplay.js'
 import { makeRandom } from '../standins/SeededRandom.js'
 
 function makeView (id: string, load: Partial<RunnerLoad> = {}, changes: Partial<RunnerView> = {}): RunnerView {
@@ -122,6 +123,12 @@
     expect([after.late < before.late / 10, after.longPauses <= before.longPauses]).toEqual([true, true])
   })
 
+  it('shares the requests of 80 daemons to a plain service, whose requests end before the others hear of them', () => {
+    const plain = { seed: 1, seconds: 20, daemons: 80, exchangeMs: 300, slowdowns: [1, 1, 1], requestsPerSecond: 124 }
+    const [before, after] = [replayPlainRequests({ ...plain, adaptViews: hideSpeeds }), replayPlainRequests(plain)]
+    expect([after.late < before.late / 2, after.rejected <= before.rejected, after.rejected < after.arrivals / 100]).toEqual([true, true, true])
+  })
+
   it('copes with a runner that claims to be faster than it is, and keeps one in use that claims to be slow', () => {
     const { arrivals, lateLong, lateShort, longPauses, processed } = replayChoices({ ...UNEVEN, models: 1, report: (runner, slowdown) => runner === 1 ? 0.01 : runner === 2 ? 90 : slowdown })
     expect([lateLong + lateShort < arrivals / 100, longPauses < arrivals / 50, processed[2]! > 0]).toEqual([true, true, true])
