Prefer runners that are on time to an idle one that is too slow

Cause: an idle runner is within its budget however slow it is, so that a runner whose work takes 20 times as long went before a busy one that would have been on time.

Change: the choice prefers runners that are within their budget and expected to be on time; assessRunner is unchanged. The new test has a runner of each kind.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTimeChoice.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTimeChoice.ts
@@ -37,7 +37,8 @@
   readonly commonMs: number
   /** What this request saves at this runner, in milliseconds. */
   readonly savedMs: number
-  readonly isWithinBudget: boolean
+  /** Within the budget of the runner, and on time: an idle runner is within its budget however slow it is. */
+  readonly isPreferred: boolean
 }
 
 /** Cost of sharing a runner with one running request, in milliseconds: its share of every decode step. */
@@ -83,16 +84,16 @@
 
 function makeOffer ({ view, cachedTokens, isConnected }: TimedCandidate, request: TimedRequest, plainWorkMs: number | undefined): Offer {
   const { load, slowdown, failureRate } = view
-  const { maxPauseMs = 0 } = request
+  const { maxPauseMs = 0, objectiveMs = Number.POSITIVE_INFINITY } = request
   const cached = Math.min(cachedTokens, request.promptTokens)
   const uncachedTokens = request.promptTokens - cached
-  const { firstOutputMs, pauseMs, isWithinBudget } = assessRunner(view, { uncachedTokens, plainWorkMs, objectiveMs: request.objectiveMs, maxPauseMs })
+  const { firstOutputMs, pauseMs, isWithinBudget } = assessRunner(view, { uncachedTokens, plainWorkMs, objectiveMs, maxPauseMs })
   const pausedStreams = uncachedTokens > MAX_SHORT_PROMPT_TOKENS ? Math.min(load.requests, MAX_COUNTED_STREAMS) * estimatePauseRisk(pauseMs, view.strictestPauseMs ?? maxPauseMs) : 0
   const ownPauseRisk = estimatePauseRisk(estimatePauseMs(load.recentTokens, slowdown), maxPauseMs)
   const savedMs = estimatePrefillMs(cached, slowdown) + (isConnected ? NEW_CONNECTION_MS : 0)
   const costMs = firstOutputMs + load.requests * RUNNING_REQUEST_MS * slowdown + (pausedStreams + ownPauseRisk) * BROKEN_STREAM_MS +
     failureRate * FAILURE_RATE_MS + (view.runner.zone === request.zone ? 0 : CROSS_ZONE_MS) + (isConnected ? 0 : NEW_CONNECTION_MS)
-  return { view, commonMs: costMs + savedMs, savedMs, isWithinBudget }
+  return { view, commonMs: costMs + savedMs, savedMs, isPreferred: isWithinBudget && firstOutputMs <= objectiveMs }
 }
 
 /** Work that other daemons send to the candidates before this one hears of it, at the usual speed, in milliseconds. */
@@ -126,7 +127,7 @@
 
 /**
  * Draws a runner: those whose costs can't be told apart in proportion to what they can take, others the less the more they
- * cost. Runners within the budget of `assessRunner` go before others; undefined if there are no candidates.
+ * cost. Runners that are within the budget of `assessRunner` and on time go before others; undefined if there are no candidates.
  *
  * @param draw Returns a random number from 0 to 1.
  * @example
@@ -135,8 +136,8 @@
 export function drawRunner (candidates: readonly TimedCandidate[], request: TimedRequest, draw: () => number): RunnerView | undefined {
   const plainWorkMs = estimatePlainWorkMs(request)
   const all = candidates.map((candidate) => makeOffer(candidate, request, plainWorkMs))
-  const within = all.filter(({ isWithinBudget }) => isWithinBudget)
-  const offers = within.length > 0 ? within : all
+  const preferred = all.filter(({ isPreferred }) => isPreferred)
+  const offers = preferred.length > 0 ? preferred : all
   const level = findFillLevel(offers, estimateUnknownWorkMs(offers, plainWorkMs))
   const costsMs = offers.map(({ commonMs, savedMs }) => Math.max(commonMs, level) - savedMs)
   const lowestMs = Math.min(...costsMs)
--- a/packages/figquay-fleet/src/__tests__/unit/RunnerTimeChoice.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerTimeChoice.test.ts
@@ -70,6 +70,11 @@
     expect(connected?.runner.id).toEqual('r2')
   })
 
+  it('leaves an idle runner alone that is too slow for the objective, while a busy one is faster', () => {
+    const views = [makeView('idle', {}, { slowdown: 20, usualSlowdown: 20 }), makeView('busy', { requests: 20, pendingTokens: 14_000 }, { slowdown: 1.5, usualSlowdown: 1.2 })]
+    expect(countShares(views, LONG).idle).toEqual(0)
+  })
+
   it('takes the cheapest runner if all of them are beyond their budgets', () => {
     const views = [3, 6].map((slowdown) => makeView(`r${slowdown}`, { requests: 4, pendingTokens: 9_000 }, { slowdown, usualSlowdown: slowdown }))
     expect(countShares(views, LONG).r3! > 0.99).toEqual(true)
