--- a/packages/figquay-fleet/src/FigquayFleetRunnerSpeeds.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerSpeeds.ts
@@ -33,6 +33,8 @@
 const RETENTION_MS = 1_200
 /** Largest age of a figure in a message, in milliseconds; an older one says nothing of the present. */
 const MAX_AGE_MS = 60_000
+/** Rows of one message, the newest ones: several times what 100 runners need, and 3 KB/s in a fleet of 330 daemons. */
+const MAX_ROWS = 64
 /** Peers whose messages are counted: more than a daemon exchanges loads with. */
 const MAX_PEERS = 1_000
 const PERCENT = 100
@@ -103,7 +105,7 @@
 
   /**
    * Makes the rows that a peer hasn't been sent yet, the newest of each runner; those that came from an excluded branch are
-   * left out. A message that is lost loses its rows.
+   * left out, and older ones if there are too many. A message that is lost loses its rows.
    *
    * @example
    * speeds.takeRows('daemon-2', (branch) => branch !== 'daemon-2')
@@ -115,10 +117,12 @@
     for (let index = Math.max(0, (this.sentCounts.get(peer) ?? 0) - this.droppedChanges); index < this.changes.length; index += 1) {
       const { runner, slowdown, observedAtMs, branch } = this.changes[index]!
       const { usualSlowdown } = this.estimate(runner, nowMs)
-      if (isIncluded(branch)) rows.set(runner, [runner, Math.round(slowdown * PERCENT), Math.round(nowMs - observedAtMs), Math.round((usualSlowdown ?? 0) * PERCENT)])
+      if (!isIncluded(branch)) continue
+      rows.delete(runner)
+      rows.set(runner, [runner, Math.round(slowdown * PERCENT), Math.round(nowMs - observedAtMs), Math.round((usualSlowdown ?? 0) * PERCENT)])
     }
     setBounded(this.sentCounts, peer, this.droppedChanges + this.changes.length, MAX_PEERS)
-    return [...rows.values()]
+    return [...rows.values()].slice(-MAX_ROWS)
   }
 
   /** Forgets a runner that was removed. */
--- a/packages/figquay-fleet/src/__tests__/unit/RunnerSpeed.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerSpeed.test.ts
@@ -143,6 +143,13 @@
     expect([takeRows('a'), takeRows('b'), takeRows('b')]).toEqual([[], [['r', 300, 150, 120]], []])
   })
 
+  it('are bounded in each message, however many runners there are', () => {
+    const speeds = RunnerSpeeds.create(new ManualClock())
+    for (let runner = 0; runner < 7_400; runner += 1) speeds.noteFigure(`r${runner}`, 1.2)
+    const rows = speeds.takeRows('peer', () => true)
+    expect([rows.length, rows.at(-1)?.[0], speeds.takeRows('peer', () => true)]).toEqual([64, 'r7399', []])
+  })
+
   it('are ignored where a peer sends something else', () => {
     const speeds = RunnerSpeeds.create(new ManualClock())
     for (const rows of [undefined, 'none', [null], [['r', 'fast', 0, 0]], [['r', 100, Infinity, 0]], [['gone', 300, 0, 0]]]) speeds.applyRows('peer', rows, (runner) => runner === 'r')
