--- a/packages/figquay-fleet/src/__tests__/unit/RunnerTimeChoice.test.ts
+++ b/packages/figquay-fleet/src/__tests__/unit/RunnerTimeChoice.test.ts
@@ -134,6 +134,13 @@
     expect([after.late < before.late / 2, after.rejected <= before.rejected, after.rejected < after.arrivals / 100]).toEqual([true, true, true])
   })
 
+  it('doesn\'t empty a runner of which one report in twenty is slow', () => {
+    const even: ReplayOptions = { ...UNEVEN, seconds: 12, slowdowns: Array.from({ length: 21 }, () => 0.8), models: 1, longPerSecond: 13, shortPerSecond: 55 }
+    let reports = 0
+    const [honest, flapping] = [replayChoices(even), replayChoices({ ...even, report: (runner, slowdown) => runner === 0 && ++reports % 20 === 0 ? 6 : slowdown })]
+    expect(flapping.processed[0]! > honest.processed[0]! / 2).toEqual(true)
+  })
+
   it('copes with a runner that claims to be faster than it is, and keeps one in use that claims to be slow', () => {
     const { arrivals, lateLong, lateShort, longPauses, processed } = replayChoices({ ...UNEVEN, models: 1, report: (runner, slowdown) => runner === 1 ? 0.01 : runner === 2 ? 90 : slowdown })
     expect([lateLong + lateShort < arrivals / 100, longPauses < arrivals / 50, processed[2]! > 0]).toEqual([true, true, true])
