--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -14,6 +14,7 @@
 import { ServingPeers, type ServingPeersOptions } from './FigquayServingPeers.js'
 import type { DrainWindow } from './FigquayServingRouteDurations.js'
 import { ServingRouter } from './FigquayServingRouter.js'
+import { listRunnerStatus, type RunnerStatus } from './FigquayServingRunnerStatus.js'
 import { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { VersionHistory } from './FigquayServingVersionHistory.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
@@ -173,6 +174,7 @@
       noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
     })
+    this.traces.observeRunners(() => this.listRunnerStatus())
     this.traces.observeStoreAges((topic) => this.storeWatcher.measureTopicAge(topic))
     this.traces.observeUnplacedModels(() => this.placement.countUnplaced())
     this.router = ServingRouter.create({
@@ -302,6 +304,11 @@
     return this.table.listCandidates(service).map(({ runner }) => runner.id)
   }
 
+  /** The runners as this daemon sees them, for operators. */
+  listRunnerStatus (): RunnerStatus[] {
+    return listRunnerStatus(this.configurations.current, (service) => this.table.listViews(service))
+  }
+
   /** How this daemon follows the store now. */
   get storeRole (): StoreRole {
     return this.findStoreRole()
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -7,8 +7,10 @@
 import { isPartKey, type CrashHistory } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
+import { PauseMeter } from './FigquayServingPauseMeter.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
+import { describeRunnerWork } from './FigquayServingRunnerWork.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
@@ -47,6 +49,8 @@
 interface RequestProgress extends AccessSubject {
   /** What the gate for suspects knows of the request. */
   readonly gated: GatedRequest
+  /** Undefined if the route declares no longest pause. */
+  readonly pauses: PauseMeter | undefined
   /** Replaced once the version that began a stream is known, which its caller resumes. */
   stream: StreamProgress
   readonly sink: ResponseSink
@@ -124,7 +128,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, access: undefined, accessRefusal: undefined, isAttempting: false, endWait: () => deadline.cancel(), gated: this.suspectGate.prepareRequest(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
+    const progress: RequestProgress = { request, access: undefined, accessRefusal: undefined, isAttempting: false, endWait: () => deadline.cancel(), gated: this.suspectGate.prepareRequest(request), pauses: makePauseMeter(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
     const unregisterSubject = this.options.accessGate.registerSubject(progress)
     try {
@@ -220,7 +224,7 @@
       if (drainRefusal !== undefined) return drainRefusal
       if (!await this.acquireRequestPermit(request, choice)) continue
       const isolation = await this.suspectGate.isolateRequest(progress.gated, choice, signal)
-      if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request with the same prompt part is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
+      if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request like it, or with the same prompt part, is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
         await this.options.clock.waitFor(ISOLATION_RETRY_DELAY_MS, signal)
@@ -298,6 +302,7 @@
       model: request.model,
       pendingTokens: Math.max(0, request.promptTokens - memory.countCachedTokens(runner.id, weightsKey, request.parts)),
       sentAtMs: clock.readMonotonicMs(),
+      maxPauseMs: request.route.isStream ? request.route.maxPauseMs : 0,
       hasOutput: false
     }
     const release = table.trackRequest(runner.id, openRequest)
@@ -337,6 +342,7 @@
     } else if (reason === 'silent') attemptTracker.noteUnanswered(attempt)
     else attemptTracker.untrackAttempt(runner, attempt)
     if (result.type === 'done') this.noteAnsweredParts(progress)
+    if (result.type === 'done' && progress.forwardedStatus === OK) crashHistory.noteAnswered(request.fingerprint)
     if (result.type === 'done' && crashHistory.countCrashes(request.fingerprint).inAll > 0) publishAcquittal(request.fingerprint)
   }
 
@@ -369,6 +375,7 @@
       if (event.type === 'head') {
         silenceDeadline.stopTimer()
         if (!namesLimit) this.noteUnlimited(request, runner, openRequest.sentAtMs)
+        if (event.load !== undefined) this.options.table.noteReportedLoad(runner.id, event.load)
       }
       if (event.type === 'data') this.options.attemptTracker.noteOutput(attempt)
       // Whole events restart the timer, partial ones don't: a stall is detected while the caller still waits and another runner can resume.
@@ -438,10 +445,31 @@
     openRequest.hasOutput = true
     if (progress.request.route.isResumable && !progress.stream.hasEvents) this.options.streamOrigins.noteBegin(progress.request, runner)
     if (progress.request.route.isStream) progress.stream.noteEvents(event, runner)
-    await progress.sink.writeBytes(event.bytes)
+    await this.writeEvents(progress, runner, event.bytes)
     return undefined
   }
 
+  /** Writes bytes to the caller, and measures the pause before them. */
+  private async writeEvents (progress: RequestProgress, runner: Runner, bytes: Buffer): Promise<void> {
+    const { clock } = this.options
+    const nowMs = clock.readMonotonicMs()
+    this.notePause(progress, runner, nowMs)
+    const waiting = progress.sink.writeBytes(bytes)
+    if (waiting === undefined) return
+    await waitUnlessAborted(waiting, progress.signal)
+    progress.pauses?.noteCallerWait(clock.readMonotonicMs() - nowMs)
+  }
+
+  /** Records the pause before events that have arrived, and logs the first one of a stream that is too long. */
+  private notePause ({ request, pauses }: RequestProgress, runner: Runner, nowMs: number): void {
+    const { table, telemetry } = this.options
+    const pauseMs = pauses?.noteEvents(nowMs)
+    if (pauseMs === undefined) return
+    telemetry.notePause(request, pauseMs)
+    if (!pauses!.isFirstTooLong(pauseMs)) return
+    telemetry.recordDecision('stream paused for too long', request, { runner: runner.id, pauseMs: Math.round(pauseMs), maxPauseMs: request.route.maxPauseMs, ...describeRunnerWork(table, runner.id, nowMs - pauseMs) })
+  }
+
   /** Logs a first byte later than the objective, with the time waited in this daemon and at the runner. */
   private noteFirstByte ({ request, triedRunners }: RequestProgress, sentAtMs: number): void {
     const nowMs = this.options.clock.readMonotonicMs()
@@ -506,3 +534,19 @@
     if (reason === 'other-runner' || reason === 'unreachable') table.startCooldown(runner.id)
   }
 }
+
+/** Waits for a caller that reads slowly, but not beyond the deadline of its request: a caller may never read on. */
+async function waitUnlessAborted (waiting: Promise<void>, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return
+  let stopWaiting = (): void => {}
+  const aborted = new Promise<void>((resolve) => {
+    stopWaiting = resolve
+    signal.addEventListener('abort', stopWaiting, { once: true })
+  })
+  await Promise.race([waiting, aborted])
+  signal.removeEventListener('abort', stopWaiting)
+}
+
+function makePauseMeter ({ route }: ServedRequest): PauseMeter | undefined {
+  return route.isStream && route.maxPauseMs > 0 ? PauseMeter.create(route.maxPauseMs) : undefined
+}
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -1,6 +1,7 @@
 /** Request metrics, and a rate-limited log line for each decision that departs from the normal path. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { Clock, LogFields, Logger } from 'figquay'
+import { classifySpeed, isInSpell, type RunnerStatus } from './FigquayServingRunnerStatus.js'
 import { STORE_TOPICS, type ServedRequest, type ServedResult, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Log lines on decisions per second; suppressed lines are counted, and the next line reports their number. */
@@ -12,6 +13,9 @@
 /** What a log line says of a request. */
 export type LoggedRequest = Pick<ServedRequest, 'id' | 'route' | 'model' | 'adapter' | 'arrivedAtMs'>
 
+/** Upper bounds of the histogram of pauses, relative to the longest allowed one. */
+const PAUSE_BUCKETS = [0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 4]
+
 /** Logs and metrics of requests and runner probes. */
 export class ServingTelemetry {
   readonly registry = new Registry()
@@ -19,6 +23,7 @@
   private readonly attempts: Counter<'service' | 'outcome'>
   private readonly firstByteSeconds: Histogram<'route'>
   private readonly accessRefusals: Counter<'route' | 'reason'>
+  private readonly pauses: Histogram<'route'>
   private readonly quarantined: Counter<'route'>
   private readonly resumptions: Counter<'route' | 'origin'>
   private readonly storeReads: Counter<'topic' | 'outcome'>
@@ -37,6 +42,7 @@
     this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
     this.placementLoads = new Counter({ name: 'figquay_placement_loads_total', help: 'Loads of models and adapters that this daemon planned as the leader, by service and reason', labelNames: ['service', 'kind', 'reason'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
+    this.pauses = new Histogram({ name: 'figquay_stream_pause_ratio', help: 'Pauses between events of a stream, relative to the longest one for which the answer is on time', labelNames: ['route'], buckets: PAUSE_BUCKETS, registers })
   }
 
   /**
@@ -57,6 +63,11 @@
     this.firstByteSeconds.observe({ route: request.route.name }, (this.clock.readMonotonicMs() - request.arrivedAtMs) / MS_PER_SECOND)
   }
 
+  /** Records a pause between two events of a stream. */
+  notePause ({ route }: ServedRequest, pauseMs: number): void {
+    this.pauses.observe({ route: route.name }, pauseMs / route.maxPauseMs)
+  }
+
   /** Counts a finished request by its result. */
   noteResult (request: ServedRequest, result: ServedResult): void {
     this.results.inc({ route: request.route.name, result })
@@ -121,6 +132,43 @@
     this.accessRefusals.inc({ route: request.route.name, reason })
   }
 
+  /**
+   * Keeps a gauge of the bytes that are buffered for callers who read slowly.
+   *
+   * @example
+   * telemetry.observeBufferedBytes(() => budget.totalBytes)
+   */
+  observeBufferedBytes (countBytes: () => number): void {
+    const gauge: Gauge = new Gauge({ name: 'figquay_buffered_response_bytes', help: 'Bytes of responses that callers have not read yet', registers: [this.registry], collect: () => gauge.set(countBytes()) })
+  }
+
+  /**
+   * Keeps gauges of the runners of each service by their speed, and of those that are in a spell of slow work. There is none
+   * for each runner, as runners are too many and come and go.
+   *
+   * @example
+   * telemetry.observeRunners(() => daemon.listRunnerStatus())
+   */
+  observeRunners (listStatus: () => readonly RunnerStatus[]): void {
+    const registers = [this.registry]
+    const runners: Gauge<'service' | 'speed'> = new Gauge({
+      name: 'figquay_runners',
+      help: 'Runners by service and by speed apart from spells of slow work',
+      labelNames: ['service', 'speed'],
+      registers,
+      collect: () => {
+        runners.reset()
+        inSpell.reset()
+        for (const status of listStatus()) {
+          runners.inc({ service: status.service, speed: classifySpeed(status) })
+          inSpell.inc({ service: status.service }, isInSpell(status) ? 1 : 0)
+        }
+      }
+    })
+    // Registered later, so that it is rendered with what the other one has collected.
+    const inSpell = new Gauge({ name: 'figquay_runners_in_spell', help: 'Runners whose work takes much longer at the moment than it usually does there, by service', labelNames: ['service'], registers })
+  }
+
   /** Counts a request that was refused because it has crashed runners. */
   noteQuarantined (request: ServedRequest): void {
     this.quarantined.inc({ route: request.route.name })
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -43,12 +43,15 @@
   text = ''
   ending = 'open'
   refusal: Refusal | undefined
+  /** Whether the caller reads what is written. */
+  isRead = true
   override startResponse (status: number): void {
     this.text += `${status} `
   }
 
   override async writeBytes (bytes: Buffer): Promise<void> {
     this.text += bytes.toString()
+    if (!this.isRead) await new Promise(() => {})
   }
 
   override finishResponse (): void {
@@ -120,6 +123,8 @@
   /** Requested model; it is loaded on no runner. */
   readonly model?: string
   readonly deadlineMs?: number
+  /** Makes the caller; by default one that reads everything at once. */
+  readonly makeSink?: () => RecordingSink
   /** Number of times that the request is served, one after the other. */
   readonly calls?: number
   /** Called when prompt parts are known to have been answered. */
@@ -132,11 +137,11 @@
   readonly whileServing?: (router: ServingRouter, dispatcher: ServingDispatcher, configurations: ConfigurationHolder) => void
 }
 
-const NO_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {} }
+const DEFAULT_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {}, makeSink: () => new RecordingSink() }
 
-async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, customers, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly callers: readonly unknown[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number }> {
+async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, customers, whileServing, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly callers: readonly unknown[], readonly leaving: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number, readonly table: FleetRunnerTable, readonly telemetry: ServingTelemetry, readonly lines: readonly string[] }> {
   const clock = SystemClock.create()
-  const { noteTracker, noteSuccessfulParts } = { ...NO_CALLBACKS, ...callbacks }
+  const { noteTracker, noteSuccessfulParts, makeSink } = { ...DEFAULT_CALLBACKS, ...callbacks }
   const leaving: string[] = []
   const begun: Array<string | undefined> = []
   const table = FleetRunnerTable.create(clock)
@@ -156,8 +161,9 @@
     clock, table, exchanges, hasPartSucceeded: () => false, recordProbe: () => {}, reportPossibleCrash: () => {}, reportCrash: (runner, crash) => addFact({ type: 'crash', id: `crash-${runner.id}`, runner: runner.id, bornMs: runner.bornMs, atMs: clock.now().getTime(), ...crash })
   })
   noteTracker(attemptTracker)
+  const lines: string[] = []
+  const telemetry = ServingTelemetry.create(clock, JsonLogger.create('test', 'info', { write: (line: string) => lines.push(line) > 0 } as unknown as NodeJS.WritableStream))
   const budget = RetryBudget.create({ perRequest: 0, maxBalance: burst, initialBalance: burst })
-  const telemetry = ServingTelemetry.create(clock, JsonLogger.create('test', 'silent'))
   const router = ServingRouter.create({
     clock,
     configurations,
@@ -187,13 +193,13 @@
   const answers: RecordingSink[] = []
   let result = ''
   for (let call = 0; call < calls; call += 1) {
-    const sink = new RecordingSink()
+    const sink = makeSink()
     answers.push(sink)
     const serving = router.serveRequest(request, sink, new AbortController().signal)
     if (whileServing !== undefined) await clock.waitFor(100).then(() => whileServing(router, dispatcher, configurations))
     result = await serving
   }
-  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, callers: exchanges.callers, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs }
+  return { sink: answers.at(-1)!, answers, sent: exchanges.sent, callers: exchanges.callers, leaving, begun, result, tookMs: clock.readMonotonicMs() - arrivedAtMs, table, telemetry, lines }
 }
 
 describe('routing of a stream that its caller resumes', () => {
@@ -259,6 +265,36 @@
     expect([sink.text, sink.ending]).toEqual(['200 ok', 'finished'])
   })
 
+  it('records the speed that a runner reports with its answer', async () => {
+    const { table } = await serve([makeScript({ ...HEAD, load: { running: 1, waiting: 0, slots: 8, slowdown: 3 } }, END)])
+    expect(table.listViews('s').map(({ slowdown }) => Math.round(slowdown)).sort()).toEqual([1, 1, 3])
+  })
+
+  it('ends an answer at the deadline whose caller has stopped reading', async () => {
+    const streaming: Script = async function * (_runner, _options, signal) {
+      yield HEAD
+      for (let index = 0; index < 3 && !signal.aborted; index += 1) yield makeData('event ')
+    }
+    const { sink, result, tookMs } = await serve([streaming], { isStream: true }, { makeSink: () => Object.assign(new RecordingSink(), { isRead: false }) })
+    expect([sink.text, sink.ending, result, tookMs < 2_000]).toEqual(['200 event ', 'abandoned', 'broken', true])
+  })
+
+  it('counts the pauses of a stream, and logs the first one that is too long with what its runner does', async () => {
+    const pausing: Script = async function * () {
+      yield { ...HEAD, load: { running: 1, waiting: 0, slots: 8, slowdown: 3 } } as ExchangeEvent
+      for (const id of ['1', '2', '3', '4']) {
+        yield makeData(id, id)
+        if (id !== '2') await new Promise((resolve) => setTimeout(resolve, 40))
+      }
+      yield END
+    }
+    const { telemetry, lines } = await serve([pausing], { isStream: true, maxPauseMs: 20 })
+    const metrics = await telemetry.registry.metrics()
+    expect(metrics.includes('figquay_stream_pause_ratio_count{route="r"} 3')).toEqual(true)
+    const logged = lines.map((line) => JSON.parse(line) as Record<string, unknown>).filter(({ message }) => message === 'stream paused for too long')
+    expect(logged.map(({ maxPauseMs, requests, slowdown }) => [maxPauseMs, requests, Number(slowdown) > 1.1])).toEqual([[20, 1, true]])
+  })
+
   it('never reports a request as not run if a silent runner may have run it', async () => {
     const { sink, sent } = await serve([neverRespond])
     expect([sink.ending, sent.length]).toEqual(['refused 504 unknown', 1])
