Bound the usual slowdown of a runner, and let a load outlast several evictions

Cause: a runner that reports no time for its work would have drawn all replicas (division by zero), and a load that evicts two busy replicas, with up to 8 s of draining each, expired before it began.

Change: the average counts 0.25 to 8. A pending load expires after one draining time per order.

--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -263,7 +263,7 @@
       runner: step.runner,
       bornMs: runner.bornMs,
       expectedAtMs: nowMs + step.readyInMs + orderCount * ORDER_MS,
-      expiresAtMs: nowMs + MAX_DRAIN_MS + spec.storeLoadMs * MAX_LOAD_SLOWDOWN,
+      expiresAtMs: nowMs + orderCount * MAX_DRAIN_MS + spec.storeLoadMs * MAX_LOAD_SLOWDOWN,
       isFromStore: storeLoad !== undefined,
       isOrdered: false
     }
@@ -284,7 +284,7 @@
     const { model, beneficiary, runner, action, furtherVictims, reason, savedRequests, evictionCost, readyInMs } = step
     const evicted = action === 'load' ? [] : [model, ...furtherVictims]
     this.options.noteLoad?.(service.name, 'model', reason)
-    this.options.logger.info('load planned', { model: beneficiary, runner, reason, evicted, savedRequests: roundTenth(savedRequests), evictionCost: roundTenth(evictionCost), expectedInMs: Math.round(readyInMs) })
+    this.options.logger.info('load planned', { model: beneficiary, runner, reason, evicted, savedRequests: formatTenth(savedRequests), evictionCost: formatTenth(evictionCost), expectedInMs: Math.round(readyInMs) })
   }
 
   private async evictReplicas (step: ModelPlanStep, pool: EnginePool): Promise<boolean> {
@@ -310,7 +310,7 @@
   }
 }
 
-function roundTenth (value: number): number {
+function formatTenth (value: number): number {
   return Math.round(value * 10) / 10
 }
 
--- a/packages/figquay-fleet/src/FigquayFleetSlowdownAverages.ts
+++ b/packages/figquay-fleet/src/FigquayFleetSlowdownAverages.ts
@@ -5,6 +5,9 @@
 const AVERAGE_MS = 8_000
 /** Runners that are remembered, removed ones included. */
 const MAX_RUNNERS = 10_000
+/** Bounds of a slowdown that counts: a runner that reports more, or less, is mistaken, and must not draw all replicas to it. */
+const MIN_SLOWDOWN = 0.25
+const MAX_SLOWDOWN = 8
 
 interface Average {
   slowdown: number
@@ -31,7 +34,8 @@
    * @example
    * averages.measureUsual('runner-1', view.slowdown)
    */
-  measureUsual (runner: string, slowdown: number): number {
+  measureUsual (runner: string, reported: number): number {
+    const slowdown = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, reported))
     const nowMs = this.clock.readMonotonicMs()
     const known = this.averages.get(runner)
     if (known === undefined) {
--- a/packages/figquay-fleet/src/FigquayFleetVictims.ts
+++ b/packages/figquay-fleet/src/FigquayFleetVictims.ts
@@ -50,7 +50,7 @@
   chooseVictims (runner: PlannerRunner, neededMb: number): VictimSet | undefined {
     const victims = this.listVictims(runner)
     const single = victims.find(({ weightsMb }) => runner.freeMb + weightsMb >= neededMb)
-    const several = this.accumulateVictims(victims, neededMb - runner.freeMb)
+    const several = this.collectVictims(victims, neededMb - runner.freeMb)
     const sets = [...single === undefined ? [] : [makeSet([single])], ...several === undefined ? [] : [makeSet(several)]]
     return sets.sort((a, b) => Number(a.isInUse) - Number(b.isInUse) || a.evictionCost - b.evictionCost)[0]
   }
@@ -72,7 +72,7 @@
     return victims
   }
 
-  private accumulateVictims (victims: readonly Victim[], missingMb: number): readonly Victim[] | undefined {
+  private collectVictims (victims: readonly Victim[], missingMb: number): readonly Victim[] | undefined {
     const chosen: Victim[] = []
     let freedMb = 0
     for (const victim of victims) {
