--- a/packages/figquay-fleet/src/FigquayFleetPlacement.ts
+++ b/packages/figquay-fleet/src/FigquayFleetPlacement.ts
@@ -6,7 +6,6 @@
 import type { FleetRunnerTable, RunnerView } from './FigquayFleetRunnerTable.js'
 import { estimateRemainingMs, PendingLoads, type PendingLoad } from './FigquayFleetPendingLoads.js'
 import { StoreLoadLimiter, type StoreLoad } from './FigquayFleetStoreLoadLimiter.js'
-import { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
 import { AdapterPlacement, type AdapterPlacementOptions } from './FigquayFleetAdapterPlacement.js'
 import type { ModelForecast } from './FigquayFleetForecast.js'
 import { ModelForecasts } from './FigquayFleetModelForecasts.js'
@@ -53,7 +52,6 @@
 /** Plans and runs loads and unloads while this daemon is the leader. */
 export class FleetPlacement {
   private readonly storeLoadLimiter = StoreLoadLimiter.create()
-  private readonly slowdowns: SlowdownAverages
   private readonly pendingLoads = PendingLoads.create()
   /** Time at which this daemon finished loading a model, by runner and model. */
   private readonly loadedAtMs = new Map<string, number>()
@@ -66,7 +64,6 @@
   private lastPlanFencingToken: number | undefined
 
   private constructor (private readonly options: FleetPlacementOptions) {
-    this.slowdowns = SlowdownAverages.create(options.clock)
     this.adapters = AdapterPlacement.create({ noteLoad: () => {}, ...options, trackUnavailability: (key) => this.trackUnavailability(key, true, options.clock.readMonotonicMs()) })
   }
 
@@ -236,7 +233,7 @@
       freeInMs: this.computeFreeInMs(view, orders, pendingLoads.get(runner.id)),
       isServing: !runner.isLeaving,
       freeMb: pool.weightsMb - measureUsedMb(runner.holdings?.models ?? [], pool),
-      slowdown: this.slowdowns.measureUsual(runner.id, view.slowdown),
+      slowdown: view.usualSlowdown ?? 1,
       replicas,
       loading: pendingLoads.get(runner.id)?.model,
       inMemory: holdings?.inMemory ?? [],
--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -509,7 +509,7 @@
 
   /** How long a runner's work takes at the moment, relative to the usual; 1 when nothing is known. */
   readSlowdown (id: string): number {
-    return this.entries.get(id)?.reported?.slowdown ?? 1
+    return this.speeds.estimate(id, this.clock.readMonotonicMs()).slowdown
   }
 
   /** This daemon's requests in flight at a runner. */
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -20,7 +20,6 @@
 export { planModels } from './FigquayFleetModelPlan.js'
 export { type LoadReason, type ModelPlanInput, type ModelPlanStep, type PlannerModel, type PlannerReplica, type PlannerRunner, type UnplacedModel, type UnplacedReason } from './FigquayFleetModelPlanTypes.js'
 export { estimateLatePerSecond, estimateProcessedTokens, type LatenessLimits, type RunnerWork } from './FigquayFleetReplicaLateness.js'
-export { SlowdownAverages } from './FigquayFleetSlowdownAverages.js'
 export { ReplicaValues } from './FigquayFleetReplicaValue.js'
 export { VictimChooser, type VictimSet } from './FigquayFleetVictims.js'
 export { computePlanDelayMs } from './FigquayFleetPlanPace.js'
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -11,11 +11,12 @@
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
 import { describeRunnerWork } from './FigquayServingRunnerWork.js'
+import { RunnerNotices } from './FigquayServingRunnerNotices.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
 import type { ServingTelemetry } from './FigquayServingTelemetry.js'
-import type { ResponseSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, RunnerNotice, ServedRequest, ServedResult } from './FigquayServingTypes.js'
+import type { ResponseSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, ServedRequest, ServedResult } from './FigquayServingTypes.js'
 
 /** Dependencies of the router. */
 export interface ServingRouterOptions {
@@ -102,12 +103,14 @@
 export class ServingRouter {
   private readonly openDeadlines = new Set<Deadline>()
   private readonly suspectGate: SuspectGate
+  private readonly notices: RunnerNotices
   private readonly durations = RouteDurations.create()
   private drain: DrainWindow | undefined
   private isStopping = false
 
   private constructor (private readonly options: ServingRouterOptions) {
     this.suspectGate = SuspectGate.create(options)
+    this.notices = RunnerNotices.create(options)
   }
 
   /**
@@ -368,13 +371,13 @@
     for await (const event of events) {
       this.options.table.noteActivity(runner.id)
       if (event.type === 'notice') {
-        this.applyNotice(request, runner, event.notice)
+        this.notices.applyNotice(request, runner, event.notice)
         namesLimit = event.notice.requestsPerSecond !== undefined
         continue
       }
       if (event.type === 'head') {
         silenceDeadline.stopTimer()
-        if (!namesLimit) this.noteUnlimited(request, runner, openRequest.sentAtMs)
+        if (!namesLimit) this.notices.noteUnlimited(request, runner, openRequest.sentAtMs)
         if (event.load !== undefined) this.options.table.noteReportedLoad(runner.id, event.load)
       }
       if (event.type === 'data') this.options.attemptTracker.noteOutput(attempt)
@@ -390,24 +393,6 @@
     return { type: 'failed', failure: { execution: 'unknown', reason: 'silent', message: silenceDeadline.hasExpired ? 'no response in time' : 'the caller disconnected' } }
   }
 
-  /** Applies a runner's notice: draining is announced to the peers, a back-off request concerns this daemon only. */
-  private applyNotice (request: ServedRequest, runner: Runner, { isLeaving, refusesForMs, requestsPerSecond }: RunnerNotice): void {
-    const { table, telemetry, announceLeaving, requestLimiter } = this.options
-    if (isLeaving && table.markLeaving(runner.id, runner.bornMs)) {
-      telemetry.recordDecision('runner reported that it is draining', request, { runner: runner.id, bornMs: runner.bornMs })
-      announceLeaving(runner.id, runner.bornMs)
-    }
-    if (requestsPerSecond !== undefined && requestLimiter.noteLimit(runner, requestsPerSecond)) telemetry.recordDecision('runner named a request limit', request, { runner: runner.id, bornMs: runner.bornMs, requestsPerSecond })
-    if (refusesForMs === undefined) return
-    table.noteBackoff(runner.id, runner.bornMs, refusesForMs)
-    telemetry.recordDecision('runner asked for backoff', request, { runner: runner.id, refusesForMs })
-  }
-
-  private noteUnlimited (request: ServedRequest, runner: Runner, sentAtMs: number): void {
-    const { requestLimiter, telemetry } = this.options
-    if (requestLimiter.noteNoLimit(runner, sentAtMs)) telemetry.recordDecision('runner no longer limits requests', request, { runner: runner.id, bornMs: runner.bornMs })
-  }
-
   /** Forwards an event to the caller; returns the result once the attempt is over. */
   private async forwardEvent (progress: RequestProgress, runner: Runner, event: Exclude<ExchangeEvent, { type: 'notice' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -1,10 +1,11 @@
 /** Responses to callers, and the number of attempts per request, for every kind of runner behaviour. */
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { JsonLogger, SystemClock, type Refusal } from 'figquay'
+import { JsonLogger, SystemClock } from 'figquay'
 import { ConfigurationHolder, type Customer, FleetDemand, FleetRunnerTable, PromptCacheIndex, type Fact, type FleetConfiguration, type ModelSpec, type Route, type Runner } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
-import { AccessGate, ResponseSink, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest, type StreamOrigin } from '../../index.js'
+import { AccessGate, AttemptTracker, CrashHistory, RequestLimiter, RunnerExchangeClient, ServingDispatcher, ServingRouter, ServingTelemetry, type ExchangeEvent, type ExchangeFailure, type ExchangeOptions, type LivenessProbeResult, type ServedRequest, type StreamOrigin } from '../../index.js'
+import { RecordingSink } from '../standins/RecordingSink.js'
 
 const ROUTE: Route = {
   name: 'r', host: 'h', pathPrefix: '/', repeat: 'at-most-once', isStream: false, isResumable: false, timeoutMs: 300, objectiveMs: 100, patienceMs: 2_000, maxPauseMs: 0, isPublic: false, priority: 0, targets: [], maxAttempts: 1
@@ -39,35 +40,6 @@
   }
 }
 
-class RecordingSink extends ResponseSink {
-  text = ''
-  ending = 'open'
-  refusal: Refusal | undefined
-  /** Whether the caller reads what is written. */
-  isRead = true
-  override startResponse (status: number): void {
-    this.text += `${status} `
-  }
-
-  override async writeBytes (bytes: Buffer): Promise<void> {
-    this.text += bytes.toString()
-    if (!this.isRead) await new Promise(() => {})
-  }
-
-  override finishResponse (): void {
-    this.ending = 'finished'
-  }
-
-  override abortResponse (): void {
-    this.ending = 'abandoned'
-  }
-
-  override refuseRequest (refusal: Refusal): void {
-    this.refusal = refusal
-    this.ending = `refused ${refusal.status} ${refusal.execution}`
-  }
-}
-
 const HEAD: ExchangeEvent = { type: 'head', status: 200, isEventStream: true, head: [], load: undefined }
 const JSON_HEAD: ExchangeEvent = { type: 'head', status: 200, isEventStream: false, head: [], load: undefined }
 const ERROR_HEAD: ExchangeEvent = { type: 'head', status: 500, isEventStream: false, head: [], load: undefined }
