--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -13,7 +13,7 @@
 import { describeRunnerWork } from './FigquayServingRunnerWork.js'
 import { RunnerNotices } from './FigquayServingRunnerNotices.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
-import { StreamProgress } from './FigquayServingStreamProgress.js'
+import { EMPTY_RESUMPTION, MISPLACED_RESUMPTION, StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type GatedRequest, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
 import type { ServingTelemetry } from './FigquayServingTelemetry.js'
 import type { ResponseSink, ExchangeEvent, ExchangeFailure, RunnerExchangeClient, ServedRequest, ServedResult } from './FigquayServingTypes.js'
@@ -95,10 +95,6 @@
 /** Priority of the least urgent requests at a runner. */
 const LOWEST_PRIORITY = 9
 
-/** A runner that goes back behind the position that it was given would repeat events. */
-const MISPLACED_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'crossed', message: 'the runner resumed the stream before the requested position' }
-/** A runner that takes up a stream sends events of it. */
-const EMPTY_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'truncated', message: 'the runner resumed the stream without an event' }
 /** Routes requests to runners. */
 export class ServingRouter {
   private readonly openDeadlines = new Set<Deadline>()
--- a/packages/figquay-serving/src/FigquayServingStreamProgress.ts
+++ b/packages/figquay-serving/src/FigquayServingStreamProgress.ts
@@ -1,12 +1,17 @@
 /** Where the caller of a stream is, and which answer may go on from there. No clock, no I/O. */
 import type { Runner } from 'figquay-fleet'
-import type { ExchangeEvent } from './FigquayServingTypes.js'
+import type { ExchangeEvent, ExchangeFailure } from './FigquayServingTypes.js'
 import { nameVersion } from './FigquayServingVersionHistory.js'
 
 const OK = 200
 /** Event ids that can be compared: decimal numbers that a double represents exactly. */
 const COMPARABLE_ID = /^\d{1,15}$/
 
+/** A runner that goes back behind the position that it was given would repeat events. */
+export const MISPLACED_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'crossed', message: 'the runner resumed the stream before the requested position' }
+/** A runner that takes up a stream sends events of it. */
+export const EMPTY_RESUMPTION: ExchangeFailure = { execution: 'unknown', reason: 'truncated', message: 'the runner resumed the stream without an event' }
+
 type HeadEvent = Extract<ExchangeEvent, { type: 'head' }>
 type DataEvent = Extract<ExchangeEvent, { type: 'data' }>
 
