--- a/packages/figquay-serving/src/FigquayServingPauseMeter.ts
+++ b/packages/figquay-serving/src/FigquayServingPauseMeter.ts
@@ -1,4 +1,5 @@
 /** Measures the pauses between the events of one stream. Pure: time is a parameter. */
+import type { Route } from 'figquay-fleet'
 
 /** Pauses of one stream. */
 export class PauseMeter {
@@ -43,3 +44,13 @@
     return true
   }
 }
+
+/**
+ * Makes the meter of a request; undefined if its route declares no longest pause.
+ *
+ * @example
+ * const pauses = makePauseMeter(request.route)
+ */
+export function makePauseMeter ({ isStream, maxPauseMs }: Pick<Route, 'isStream' | 'maxPauseMs'>): PauseMeter | undefined {
+  return isStream && maxPauseMs > 0 ? PauseMeter.create(maxPauseMs) : undefined
+}
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -7,7 +7,7 @@
 import { isPartKey, type CrashHistory } from './FigquayServingCrashHistory.js'
 import { chooseMaxIdleMs } from './FigquayServingConnectionReuse.js'
 import type { ServingDispatcher } from './FigquayServingDispatcher.js'
-import { PauseMeter } from './FigquayServingPauseMeter.js'
+import { makePauseMeter, type PauseMeter } from './FigquayServingPauseMeter.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
 import { describeRunnerWork } from './FigquayServingRunnerWork.js'
@@ -127,7 +127,7 @@
     this.options.findRetryBudget(request.service).recordRequest()
     if (request.model !== undefined) this.options.demand.noteArrival(request.model, request.promptTokens)
     const deadline = Deadline.create(request.deadlineAtMs - this.options.clock.readMonotonicMs(), signal)
-    const progress: RequestProgress = { request, access: undefined, accessRefusal: undefined, isAttempting: false, endWait: () => deadline.cancel(), gated: this.suspectGate.prepareRequest(request), pauses: makePauseMeter(request), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
+    const progress: RequestProgress = { request, access: undefined, accessRefusal: undefined, isAttempting: false, endWait: () => deadline.cancel(), gated: this.suspectGate.prepareRequest(request), pauses: makePauseMeter(request.route), stream: StreamProgress.create(request.resumeAfterEventId), sink, signal: deadline.signal, triedRunners: new Set(), countedRuns: 0, hasLastRunnerEnded: false, forwardedStatus: undefined, declinedAttempts: 0, hasResponseStarted: false, mayHaveRun: false }
     this.openDeadlines.add(deadline)
     const unregisterSubject = this.options.accessGate.registerSubject(progress)
     try {
@@ -527,7 +527,3 @@
   await Promise.race([waiting, aborted])
   signal.removeEventListener('abort', stopWaiting)
 }
-
-function makePauseMeter ({ route }: ServedRequest): PauseMeter | undefined {
-  return route.isStream && route.maxPauseMs > 0 ? PauseMeter.create(route.maxPauseMs) : undefined
-}
