Log how late a daemon's event loop runs, and how old what it decides by is

The logs couldn't tell whether a request was sent late because the daemon was held up, because its connection was being opened, or because the news was late: no line said how long the event loop had stood still, how old the daemon's knowledge was, or that a request had got 404.

- 'event loop was held up' from 300 ms on, and a histogram of all delays.
- Each line on a decision holds storeAgeMs and inputAgeMs.

One more timer each 100 ms, beside several of that interval.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,5 +1,5 @@
 /** Composes the components of a serving daemon, starts and stops them, and schedules its placement runs. */
-import { makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
+import { EventLoopMonitor, makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
 import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Route, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
 import { AccessGate } from './FigquayServingAccessGate.js'
@@ -70,6 +70,7 @@
   readonly router: ServingRouter
   private readonly contact: RunnerContact
   private readonly tasks: TaskGroup
+  private readonly eventLoop: EventLoopMonitor
   private readonly table: FleetRunnerTable
   private readonly peers: ServingPeers
   private readonly storeWatcher: StoreWatcher
@@ -97,6 +98,7 @@
     const { configurations } = this
     this.tasks = TaskGroup.create(clock, logger)
     this.traces = ServingTelemetry.create(clock, logger)
+    this.eventLoop = EventLoopMonitor.create({ clock, noteDelay: (delayMs) => this.traces.noteEventLoopDelay(delayMs) })
     this.table = FleetRunnerTable.create(clock)
     const facts = FleetFacts.create(clock)
     this.facts = facts
@@ -186,6 +188,7 @@
     })
     this.traces.observeRunners(() => this.listRunnerStatus())
     this.traces.observeStoreAges((topic) => this.storeWatcher.measureTopicAge(topic))
+    this.traces.observeStateAges(() => ({ storeAgeMs: this.peers.storeAgeMs, inputAgeMs: this.eventLoop.inputAgeMs }))
     this.traces.observeUnplacedModels(() => this.placement.countUnplaced())
     this.router = ServingRouter.create({
       clock,
@@ -249,6 +252,7 @@
    * await daemon.start()
    */
   async start (): Promise<void> {
+    this.eventLoop.start(this.tasks)
     await this.peers.start()
     this.storeWatcher.startTasks(this.tasks)
     this.configurationSync.start()
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -162,6 +162,11 @@
     return this.zoneByDaemon.size > MAX_FULL_MESH_DAEMONS
   }
 
+  /** Time since the store was last read, by whichever daemon, as far as this one has what was read, in milliseconds. */
+  get storeAgeMs (): number {
+    return this.relay.storeAges.storeAgeMs
+  }
+
   /** Time limits of this daemon's reads of the store. */
   get timing (): StoreTiming {
     return computeStoreTiming(this.options.bounds, this.spread)
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -10,9 +10,25 @@
 /** Upper bounds of the latency histogram, in seconds, around the objectives of interactive and batch work. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15]
 
+/** A delay of the event loop is logged from here on, in milliseconds: the time limits of daemons allow for shorter ones. */
+const LOGGED_EVENT_LOOP_DELAY_MS = 300
+/** Upper bounds of the histogram of these delays, in seconds. */
+const EVENT_LOOP_DELAY_BUCKETS = [0.01, 0.05, 0.1, 0.3, 0.6, 1, 2, 4]
+
 /** What a log line says of a request. */
 export type LoggedRequest = Pick<ServedRequest, 'id' | 'route' | 'model' | 'adapter' | 'arrivedAtMs'>
 
+/** The same of a request that may have no route. */
+export type LoggedArrival = Pick<LoggedRequest, 'id' | 'arrivedAtMs'> & Partial<LoggedRequest>
+
+/** How old what a daemon decides by is, in milliseconds; infinite if unknown. */
+export interface StateAges {
+  /** Time since the store was last read, as far as this daemon has what was read. */
+  readonly storeAgeMs: number
+  /** Upper bound on the time for which what is read now may have waited in its socket. */
+  readonly inputAgeMs: number
+}
+
 /** Upper bounds of the histogram of pauses, relative to the longest allowed one. */
 const PAUSE_BUCKETS = [0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 4]
 
@@ -29,6 +45,8 @@
   private readonly forwardings: Counter<'route' | 'outcome'>
   private readonly storeReads: Counter<'topic' | 'outcome'>
   private readonly placementLoads: Counter<'service' | 'kind' | 'reason'>
+  private readonly eventLoopDelays: Histogram
+  private readStateAges: (() => StateAges) | undefined
   private windowStartMs = 0
   private linesInWindow = 0
   private suppressed = 0
@@ -44,6 +62,7 @@
     this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
     this.placementLoads = new Counter({ name: 'figquay_placement_loads_total', help: 'Loads of models and adapters that this daemon planned as the leader, by service and reason', labelNames: ['service', 'kind', 'reason'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
+    this.eventLoopDelays = new Histogram({ name: 'figquay_event_loop_delay_seconds', help: 'Time by which periodic work of this process was overdue', buckets: EVENT_LOOP_DELAY_BUCKETS, registers })
     this.pauses = new Histogram({ name: 'figquay_stream_pause_ratio', help: 'Pauses between events of a stream, relative to the longest one for which the answer is on time', labelNames: ['route'], buckets: PAUSE_BUCKETS, registers })
   }
 
@@ -115,6 +134,16 @@
     })
   }
 
+  /**
+   * Adds the ages of what this daemon decides by to the lines on its decisions.
+   *
+   * @example
+   * telemetry.observeStateAges(() => ({ storeAgeMs: peers.storeAgeMs, inputAgeMs: monitor.inputAgeMs }))
+   */
+  observeStateAges (readStateAges: () => StateAges): void {
+    this.readStateAges = readStateAges
+  }
+
   /**
    * Keeps a gauge of how long ago this daemon last read each topic of the store itself.
    *
@@ -191,13 +220,25 @@
     this.logger.info(message, fields)
   }
 
+  /**
+   * Counts a delay of this process's event loop, and logs a long one.
+   *
+   * @param delayMs Milliseconds by which periodic work was overdue.
+   * @example
+   * telemetry.noteEventLoopDelay(12)
+   */
+  noteEventLoopDelay (delayMs: number): void {
+    this.eventLoopDelays.observe(delayMs / MS_PER_SECOND)
+    if (delayMs >= LOGGED_EVENT_LOOP_DELAY_MS) this.logger.info('event loop was held up', { delayMs: Math.round(delayMs) })
+  }
+
   /**
    * Logs a decision about a request, unless the limit on such lines is reached.
    *
    * @example
    * telemetry.recordDecision('attempt failed', request, { runner: runner.id, reason: 'reset' })
    */
-  recordDecision (decision: string, request: LoggedRequest, fields: LogFields): void {
+  recordDecision (decision: string, request: LoggedArrival, fields: LogFields): void {
     const nowMs = this.clock.readMonotonicMs()
     if (nowMs - this.windowStartMs >= MS_PER_SECOND) {
       this.windowStartMs = nowMs
@@ -209,7 +250,14 @@
       return
     }
     const ageMs = Math.round(nowMs - request.arrivedAtMs)
-    this.logger.info(decision, { request: request.id, route: request.route.name, model: request.model, adapter: request.adapter, ageMs, suppressed: this.suppressed === 0 ? undefined : this.suppressed, ...fields })
+    this.logger.info(decision, { request: request.id, route: request.route?.name, model: request.model, adapter: request.adapter, ageMs, suppressed: this.suppressed === 0 ? undefined : this.suppressed, ...this.formatStateAges(), ...fields })
     this.suppressed = 0
   }
+
+  /** Ages as log fields; JSON can't represent infinity. */
+  private formatStateAges (): LogFields {
+    if (this.readStateAges === undefined) return {}
+    const { storeAgeMs, inputAgeMs } = this.readStateAges()
+    return { storeAgeMs: Number.isFinite(storeAgeMs) ? Math.round(storeAgeMs) : undefined, inputAgeMs: Math.round(inputAgeMs) }
+  }
 }
--- /dev/null
+++ b/packages/figquay/src/FigquayEventLoopMonitor.ts
@@ -0,0 +1,66 @@
+/** Measures how late the event loop of this process runs, as the process lacks processor time or was suspended. */
+import type { Clock } from './FigquayClock.js'
+import type { TaskGroup } from './FigquayTasks.js'
+
+/** Interval between two ticks, in milliseconds. */
+const TICK_INTERVAL_MS = 100
+
+/** Dependencies of a monitor. */
+export interface EventLoopMonitorOptions {
+  readonly clock: Clock
+  /** Called with how long a tick was overdue, in milliseconds, whenever that is above 0. */
+  readonly noteDelay: (delayMs: number) => void
+}
+
+/** Ticks at a fixed interval: what has arrived before a tick is read from its socket before the next one. */
+export class EventLoopMonitor {
+  private previousTickAtMs: number
+  private lastTickAtMs: number
+
+  private constructor (private readonly options: EventLoopMonitorOptions) {
+    this.lastTickAtMs = options.clock.readMonotonicMs()
+    this.previousTickAtMs = this.lastTickAtMs
+  }
+
+  /**
+   * @example
+   * const monitor = EventLoopMonitor.create({ clock, noteDelay: (delayMs) => histogram.observe(delayMs / 1_000) })
+   */
+  static create (options: EventLoopMonitorOptions): EventLoopMonitor {
+    return new EventLoopMonitor(options)
+  }
+
+  /**
+   * Upper bound on the time for which what is read now may have waited in its socket, in milliseconds. While the process gets
+   * enough processor time, it is below two intervals.
+   *
+   * @example
+   * const arrivedAfterMs = clock.readMonotonicMs() - monitor.inputAgeMs
+   */
+  get inputAgeMs (): number {
+    return this.options.clock.readMonotonicMs() - this.previousTickAtMs
+  }
+
+  /**
+   * Starts to tick.
+   *
+   * @example
+   * monitor.start(tasks)
+   */
+  start (tasks: TaskGroup): void {
+    tasks.startTask('event loop monitor', async (signal) => {
+      while (!signal.aborted) {
+        await this.options.clock.waitFor(TICK_INTERVAL_MS, signal)
+        this.tick()
+      }
+    })
+  }
+
+  private tick (): void {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const delayMs = nowMs - this.lastTickAtMs - TICK_INTERVAL_MS
+    this.previousTickAtMs = this.lastTickAtMs
+    this.lastTickAtMs = nowMs
+    if (delayMs > 0) this.options.noteDelay(delayMs)
+  }
+}
