Let a process that was held up read its sockets before its timers fire

The event loop runs timers before it reads sockets. After a daemon had got no processor time for longer than a timeout, it took calls for failed whose replies had arrived: the exchange with its parent failed, the parent wasn't asked again for a second, and connections to all peers were closed as silent although the peers had written. So a daemon that was late cut itself off from the news just when it needed them.

Timers that fire late (clock waits, deadlines, timeouts of calls between daemons) now let the loop read its sockets first, and a connection is closed as silent only if nothing is read after the check.

--- a/packages/figquay-peers/src/FigquayPeerConnection.ts
+++ b/packages/figquay-peers/src/FigquayPeerConnection.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { createInterface } from 'node:readline'
 import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0'
-import { compareSecrets, makeFailure, makeId, makeSuccess, signText, type Clock, type Outcome } from 'figquay'
+import { compareSecrets, makeFailure, makeId, makeSuccess, signText, startTimer, type Clock, type Outcome, type Timer } from 'figquay'
 
 /** JSON-RPC method handlers, by method name. */
 export type PeerMethods = Readonly<Record<string, (params: never) => unknown>>
@@ -25,6 +25,8 @@
 /** Each end writes at least once per interval, so that silence indicates a broken connection. */
 const HEARTBEAT_INTERVAL_MS = 500
 const CALL_TIMEOUT_MS = 1_000
+/** A call that has timed out is forgotten after this time, in milliseconds; until then, its reply is recognised and dropped. */
+const FORGET_CALL_MS = 60_000
 const HANDSHAKE_TIMEOUT_MS = 1_000
 /** A connection is closed when nothing has been received for this long. */
 const HEARTBEAT_TIMEOUT_MS = 1_500
@@ -97,8 +99,19 @@
    */
   async callMethod<T> (method: string, params: unknown, timeoutMs = CALL_TIMEOUT_MS): Promise<Outcome<T, string>> {
     if (!this.isUsable) return makeFailure('peer is not connected')
+    const reply = this.awaitReply<T>(this.rpc.timeout(FORGET_CALL_MS).request(method, params))
+    let timer: Timer | undefined
+    const timeout = new Promise<Outcome<T, string>>((resolve) => {
+      timer = startTimer(() => resolve(makeFailure('Request timeout')), timeoutMs)
+    })
+    const outcome = await Promise.race([reply, timeout])
+    timer?.cancel()
+    return outcome
+  }
+
+  private async awaitReply<T> (reply: PromiseLike<unknown>): Promise<Outcome<T, string>> {
     try {
-      return makeSuccess(await this.rpc.timeout(timeoutMs).request(method, params) as T)
+      return makeSuccess(await reply as T)
     } catch (error) {
       return makeFailure(error instanceof Error ? error.message : String(error))
     }
@@ -127,11 +140,18 @@
 
   /** Writes a heartbeat unless something else was written, and closes the connection to a silent peer. */
   private runHeartbeat (): void {
-    if (this.options.clock.readMonotonicMs() - this.lastReceivedAtMs > HEARTBEAT_TIMEOUT_MS) this.close()
+    const { lastReceivedAtMs } = this
+    const isSilent = this.options.clock.readMonotonicMs() - lastReceivedAtMs > HEARTBEAT_TIMEOUT_MS
+    // If this process was held up, what the peer has sent is still in the socket, which is read before the check.
+    if (isSilent) setImmediate(() => this.closeUnlessHeardSince(lastReceivedAtMs))
     if (!this.hasWrittenSinceHeartbeat) this.writeMessage({})
     this.hasWrittenSinceHeartbeat = false
   }
 
+  private closeUnlessHeardSince (atMs: number): void {
+    if (this.lastReceivedAtMs === atMs) this.close()
+  }
+
   private readLines (): void {
     const { socket } = this.options
     let partialLineBytes = 0
--- a/packages/figquay/src/FigquayClock.ts
+++ b/packages/figquay/src/FigquayClock.ts
@@ -1,4 +1,5 @@
 /** Clock abstraction, injected so that tests can control time. */
+import { startTimer } from './FigquayTimer.js'
 
 /** Source of wall-clock time, monotonic time and delays. */
 export interface Clock {
@@ -32,11 +33,11 @@
     if (signal?.aborted) return Promise.resolve()
     return new Promise((resolve) => {
       const finish = (): void => {
-        clearTimeout(timer)
+        timer.cancel()
         signal?.removeEventListener('abort', finish)
         resolve()
       }
-      const timer = setTimeout(finish, ms)
+      const timer = startTimer(finish, ms)
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
--- a/packages/figquay/src/FigquayDeadline.ts
+++ b/packages/figquay/src/FigquayDeadline.ts
@@ -1,9 +1,10 @@
 /** Time limits for exchanges, without the garbage that composite abort signals leave behind on a long-lived parent signal. */
+import { startTimer, type Timer } from './FigquayTimer.js'
 
 /** Provides a signal that aborts after a timeout or with a parent signal; must be disposed of. */
 export class Deadline {
   private readonly controller = new AbortController()
-  private timer: NodeJS.Timeout
+  private timer: Timer
   private isExpired = false
 
   private constructor (timeoutMs: number, private readonly parent: AbortSignal | undefined, private readonly computeExtensionMs: () => number) {
@@ -40,12 +41,12 @@
    * deadline.restartTimer(2_000)
    */
   restartTimer (timeoutMs: number): void {
-    clearTimeout(this.timer)
+    this.timer.cancel()
     this.timer = this.startTimer(timeoutMs)
   }
 
-  private startTimer (timeoutMs: number): NodeJS.Timeout {
-    return setTimeout(() => {
+  private startTimer (timeoutMs: number): Timer {
+    return startTimer(() => {
       const extensionMs = this.computeExtensionMs()
       if (extensionMs > 0) {
         this.timer = this.startTimer(extensionMs)
@@ -53,12 +54,12 @@
       }
       this.isExpired = true
       this.controller.abort()
-    }, Math.max(1, Math.ceil(timeoutMs)))
+    }, timeoutMs)
   }
 
   /** Removes the time limit; the parent signal still aborts the exchange. */
   stopTimer (): void {
-    clearTimeout(this.timer)
+    this.timer.cancel()
   }
 
   /** Aborts the exchange before the timeout. */
@@ -68,7 +69,7 @@
 
   /** Clears the timer and removes the listener from the parent signal. */
   dispose (): void {
-    clearTimeout(this.timer)
+    this.timer.cancel()
     this.parent?.removeEventListener('abort', this.abort)
   }
 
--- /dev/null
+++ b/packages/figquay/src/FigquayTimer.ts
@@ -0,0 +1,35 @@
+/** Timers that don't overtake input. */
+
+/** A timer that fires later than this lets the event loop read its sockets first, in milliseconds: it was held up, not just busy. */
+const LATE_MS = 20
+
+/** A timer that was started. */
+export interface Timer {
+  /** Keeps the timer from firing; without effect once it has. */
+  cancel (): void
+}
+
+/**
+ * Calls `callback` once after a time. The event loop runs timers before it reads its sockets. After the process was held up,
+ * a timeout would fire although the answer that it waits for has arrived; so a timer that is late fires after that.
+ *
+ * @param delayMs Any number of milliseconds; fractions are rounded up.
+ * @example
+ * const timer = startTimer(() => controller.abort(), 400)
+ * try { await answer } finally { timer.cancel() }
+ */
+export function startTimer (callback: () => void, delayMs: number): Timer {
+  const waitMs = Math.max(1, Math.ceil(delayMs))
+  const dueAtMs = performance.now() + waitMs
+  let immediate: NodeJS.Immediate | undefined
+  const timeout = setTimeout(() => {
+    if (performance.now() - dueAtMs > LATE_MS) immediate = setImmediate(callback)
+    else callback()
+  }, waitMs)
+  return {
+    cancel: () => {
+      clearTimeout(timeout)
+      clearImmediate(immediate)
+    }
+  }
+}
