Count the age of a read from the question, not from when its answer is handled

Every limit on what a daemon may act on goes by the age of the newest read of the store. That age was counted from the moment at which an answer or a report was handled, so the time for which it had waited in the socket of a daemon that lacked processor time didn't count: after 4 s without processor time a report of a read 0.1 s old made 4.1 s look like 0.1 s, and nothing was taken for old.

A report that was asked for now counts from the request, one that a peer sends by itself from when the sockets were last read for certain (EventLoopMonitor), and the store's answers from the later of the two. In calm the ages are as before but for the time of a call. Messages between daemons are unchanged.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -158,6 +158,7 @@
         configurationSync.noteAnnouncement(peer, progress)
         this.storeWatcher.comparePeerProgress(peer, progress)
       },
+      estimateArrivalMs: () => this.eventLoop.estimateArrivalMs(),
       findOwnRead: () => this.storeWatcher.ownRead,
       bounds: options.bounds,
       streamOrigins: () => this.streamOrigins,
@@ -182,6 +183,7 @@
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
       findStoreRole: () => this.findStoreRole(),
+      estimateArrivalMs: () => this.eventLoop.estimateArrivalMs(),
       computeTiming: () => this.peers.timing,
       noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
--- a/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
+++ b/packages/figquay-serving/src/FigquayServingNewestStoreRead.ts
@@ -58,12 +58,13 @@
   /**
    * Notes a read that was reported.
    *
+   * @param reportedAtMs Monotonic time after which the report was made, in milliseconds.
    * @example
-   * newest.noteReport({ storeAgeMs: 120, storeRead: 'boot-1/17' })
+   * newest.noteReport({ storeAgeMs: 120, storeRead: 'boot-1/17' }, requestedAtMs)
    */
-  noteReport ({ storeAgeMs, storeRead }: StoreReadReport): void {
+  noteReport ({ storeAgeMs, storeRead }: StoreReadReport, reportedAtMs = this.clock.readMonotonicMs()): void {
     if (!Number.isFinite(storeAgeMs) || storeAgeMs >= UNKNOWN_AGE_MS) return
-    const atMs = this.clock.readMonotonicMs() - Math.max(0, storeAgeMs)
+    const atMs = reportedAtMs - Math.max(0, storeAgeMs)
     const isSameRead = storeRead !== undefined && storeRead === this.id
     if (isSameRead) this.atMs = Math.min(this.atMs, atMs)
     else if (atMs > this.atMs) {
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -42,6 +42,8 @@
   /** Returns the newest version of the configuration that this daemon knows to exist. */
   readonly findNewestVersion: () => number
   readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
+  /** Returns the earliest monotonic time, in milliseconds, at which what is read from sockets now may have arrived. */
+  readonly estimateArrivalMs: () => number
   /** Returns the newest read of the store by this daemon, or by the source of its state. */
   readonly findOwnRead: () => NewestStoreRead
   /** Times within which changes must take effect. */
@@ -119,6 +121,7 @@
       configurations,
       news: this.news,
       mesh: this.mesh,
+      estimateArrivalMs: options.estimateArrivalMs,
       findOwnRead,
       computeTiming: () => this.timing,
       countDaemons,
@@ -299,7 +302,7 @@
         this.noteSender(hints.from)
         this.hints.applyHints(hints)
         this.correctDaemonCount(hints)
-        this.relay.recordStoreRead(hints)
+        this.relay.recordStoreRead(hints, this.options.estimateArrivalMs())
         this.options.comparePeerProgress(hints.from, { ...hints, ...decodeProgress(hints) })
         this.factExchange.reconcilePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.schedulePlanning()
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -57,6 +57,8 @@
   readonly configurations: ConfigurationHolder
   readonly news: RunnerUpdateBuffer
   readonly mesh: RelayMesh
+  /** Returns the earliest monotonic time, in milliseconds, at which what is read from sockets now may have arrived. */
+  readonly estimateArrivalMs: () => number
   /** Returns the newest read of the store by this daemon, or by the source of its state. */
   readonly findOwnRead: () => NewestStoreRead
   /** Computes the time limits of this daemon's reads of the store. */
@@ -179,13 +181,15 @@
    * Records a read that a peer has reported. It says nothing of this daemon's copy while that lacks what the peer has: then
    * the age grows until the copy is complete, or this daemon reads the store itself. A read of this daemon that comes back
    * from its peers isn't one of another daemon.
+   *
+   * @param reportedAtMs Monotonic time after which the report was made, in milliseconds.
    */
-  recordStoreRead ({ era, position, changedAt, ...report }: StoreReadReport & Pick<RelayMessage, 'era' | 'position' | 'changedAt'>): void {
+  recordStoreRead ({ era, position, changedAt, ...report }: StoreReadReport & Pick<RelayMessage, 'era' | 'position' | 'changedAt'>, reportedAtMs: number): void {
     const { table, bootId } = this.options
     if (isReadBy(report.storeRead, bootId)) return
     const isOfOlderEra = readEra(decodePosition({ era, position })) < readEra(table.position)
     if (isOfOlderEra || decodePosition({ era, position: changedAt }) > table.position) return
-    this.reportedRead.noteReport(report)
+    this.reportedRead.noteReport(report, reportedAtMs)
   }
 
   /**
@@ -253,6 +257,7 @@
   private async exchangeWith (peer: string): Promise<void> {
     const { mesh, clock, logger } = this.options
     const sentRevision = this.options.news.revision
+    const requestedAtMs = clock.readMonotonicMs()
     const message = { ...this.makeMessage(peer, this.listSubtreeLoads()), speeds: this.takeSubtreeSpeeds(peer) }
     const response = await mesh.callPeer<RelayMessage>(peer, 'fleet.exchange', message, EXCHANGE_TIMEOUT_MS)
     if (!response.ok) {
@@ -266,18 +271,18 @@
     this.options.table.putPeerLoads(branch, parseLoads(value.loads))
     this.options.table.putPeerSpeeds(branch, value.speeds)
     if (isParent) this.parentHeardAtMs = clock.readMonotonicMs()
-    this.recordAck(value, sentRevision)
+    this.recordAck(value, sentRevision, requestedAtMs)
     // The child reconciles facts, as a parent has many children and no connection to them.
     this.options.reconcileFacts(peer, value.facts)
   }
 
   /** News that came with the response isn't sent back; a peer that has restarted gets everything again. */
-  private recordAck (response: RelayMessage, sentRevision: number): void {
+  private recordAck (response: RelayMessage, sentRevision: number, requestedAtMs: number): void {
     const { news } = this.options
     const previous = this.receivedRevisions.get(response.from)
     const hasRestarted = previous !== undefined && previous.bootId !== response.bootId
     const isRevisionUnchanged = news.revision === sentRevision
-    this.applyMessage(response)
+    this.applyMessage(response, requestedAtMs)
     this.ackedRevisions.set(response.from, hasRestarted ? 0 : isRevisionUnchanged ? news.revision : sentRevision)
   }
 
@@ -297,13 +302,13 @@
     this.ackedRevisions.set(message.from, isSameProcess ? message.heard!.revision : 0)
     const response = this.makeMessage(message.from, isChild ? table.exportLoads((peer) => peer !== branch) : this.listSubtreeLoads())
     const speeds = isChild ? table.takeSpeeds(message.from, (peer) => peer !== branch) : this.takeSubtreeSpeeds(message.from)
-    this.applyMessage(message)
+    this.applyMessage(message, this.options.estimateArrivalMs())
     return { ...response, speeds, revision: news.revision }
   }
 
-  private applyMessage (message: RelayMessage): void {
+  private applyMessage (message: RelayMessage, madeAfterMs: number): void {
     const { news, applyUpdate: applyNews, leadership, comparePeerProgress } = this.options
-    this.recordStoreRead(message)
+    this.recordStoreRead(message, madeAfterMs)
     for (const item of message.news.filter(isRunnerUpdate)) {
       if (news.addUpdate(item)) applyNews(item)
     }
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -29,6 +29,8 @@
   /** Called with the data centre of each daemon, by address, after a change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
   readonly findStoreRole: () => StoreRole
+  /** Returns the earliest monotonic time, in milliseconds, at which what is read from sockets now may have arrived. */
+  readonly estimateArrivalMs: () => number
   /** Computes the time limits of this daemon's reads, which depend on the size of the fleet. */
   readonly computeTiming: () => StoreTiming
   /** Tells the peers at once that a runner is leaving, before they compare their progress. */
@@ -512,22 +514,27 @@
   private async fetchFromPeer (peer?: string): Promise<void> {
     const { table, logger } = this.options
     this.isFetching = true
+    const requestedAtMs = this.options.clock.readMonotonicMs()
     try {
       const snapshot = await this.options.requestSnapshot({ ...encodePosition(table.position), needsFacts: !this.hasFacts }, peer)
       if (snapshot === undefined) return
-      this.applySnapshot(snapshot)
+      this.applySnapshot(snapshot, requestedAtMs)
       logger.debug('snapshot received from a peer', { position: table.position })
     } finally {
       this.isFetching = false
     }
   }
 
-  /** Applies the snapshot of a peer. */
-  applySnapshot (snapshot: FleetSnapshot): void {
+  /**
+   * Applies the snapshot of a peer.
+   *
+   * @param madeAfterMs Monotonic time after which it was made, in milliseconds.
+   */
+  applySnapshot (snapshot: FleetSnapshot, madeAfterMs = this.options.clock.readMonotonicMs()): void {
     const { table } = this.options
     const position = decodePosition(snapshot)
     if (applyRunnerSnapshot(table, snapshot, this.hasReadRunners ? EXPIRY_GRACE_MS : undefined)) {
-      this.newestRead.noteReport(snapshot)
+      this.newestRead.noteReport(snapshot, madeAfterMs)
     }
     if (position !== BEFORE_LOG) {
       this.noteEra(readEra(position), 'snapshot')
@@ -546,7 +553,7 @@
     const { clock, logger, noteStoreRead } = this.options
     const nowMs = clock.readMonotonicMs()
     if (reading.ok) {
-      const failingSinceMs = this.topicReads.noteSuccess(topic, nowMs)
+      const failingSinceMs = this.topicReads.noteSuccess(topic, Math.max(startedAtMs, this.options.estimateArrivalMs()))
       if (failingSinceMs !== undefined) {
         logger.info('reads of the store succeed again', { topic, failedForMs: Math.round(nowMs - failingSinceMs) })
         this.abortRetryDelays()
--- a/packages/figquay-serving/src/FigquayServingTopicReads.ts
+++ b/packages/figquay-serving/src/FigquayServingTopicReads.ts
@@ -78,11 +78,15 @@
     this.states.get(topic)!.isImmediate = false
   }
 
-  /** Notes a successful read; returns since when reads had failed, if they had. */
-  noteSuccess (topic: StoreTopic, nowMs: number): number | undefined {
+  /**
+   * Notes a successful read; returns since when reads had failed, if they had.
+   *
+   * @param answeredAfterMs Monotonic time after which the store answered, in milliseconds.
+   */
+  noteSuccess (topic: StoreTopic, answeredAfterMs: number): number | undefined {
     const state = this.states.get(topic)!
     const { failingSinceMs } = state
-    Object.assign(state, { confirmedAtMs: nowMs, failingSinceMs: undefined, isImmediate: false })
+    Object.assign(state, { confirmedAtMs: answeredAfterMs, failingSinceMs: undefined, isImmediate: false })
     return failingSinceMs
   }
 
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedClock.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedClock.ts
@@ -47,6 +47,11 @@
     })
   }
 
+  /** Advances the time without running what is due, as for a process that is held up. */
+  skip (ms: number): void {
+    this.nowMs += ms
+  }
+
   /** Runs everything that is due within the next `ms` milliseconds. */
   async runFor (ms: number): Promise<void> {
     const untilMs = this.nowMs + ms
--- a/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
@@ -69,6 +69,7 @@
     serveConfiguration: () => ({ type: 'none' }),
     findNewestVersion: () => -1,
     comparePeerProgress: () => {},
+    estimateArrivalMs: () => clock.readMonotonicMs(),
     findOwnRead: () => NewestStoreRead.create(clock),
     bounds: { drainWithinMs: 2_000, applyWithinMs: 2_000 },
     countDaemons: () => DAEMON_COUNT,
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -41,6 +41,7 @@
     serveConfiguration: (request) => source.serveRequest(request),
     findNewestVersion: () => -1,
     comparePeerProgress: () => {},
+    estimateArrivalMs: () => clock.readMonotonicMs(),
     findOwnRead: () => NewestStoreRead.create(clock),
     bounds: { drainWithinMs: 2_000, applyWithinMs: 2_000 },
     countDaemons: () => 1,
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -60,6 +60,7 @@
       news,
       configurations: ConfigurationHolder.create(),
       mesh: new TestMesh(self, nodes, lost, garbled),
+      estimateArrivalMs: () => clock.readMonotonicMs(),
       findOwnRead: () => NewestStoreRead.create(clock),
       computeTiming: () => computeStoreTiming({ drainWithinMs: 3_000, applyWithinMs: 3_000 }, { spreadMs: 550, reportIntervalMs: 200 }),
       countDaemons: () => count,
--- a/packages/figquay/src/FigquayEventLoopMonitor.ts
+++ b/packages/figquay/src/FigquayEventLoopMonitor.ts
@@ -4,6 +4,8 @@
 
 /** Interval between two ticks, in milliseconds. */
 const TICK_INTERVAL_MS = 100
+/** The process counts as held up while what it reads may be older than this, in milliseconds. */
+const HELD_UP_MS = 300
 
 /** Dependencies of a monitor. */
 export interface EventLoopMonitorOptions {
@@ -41,6 +43,18 @@
     return this.options.clock.readMonotonicMs() - this.previousTickAtMs
   }
 
+  /**
+   * Earliest monotonic time, in milliseconds, at which what is read now may have arrived: the present unless the process was
+   * held up.
+   *
+   * @example
+   * read.noteReport(report, monitor.estimateArrivalMs())
+   */
+  estimateArrivalMs (): number {
+    const { inputAgeMs } = this
+    return this.options.clock.readMonotonicMs() - (inputAgeMs > HELD_UP_MS ? inputAgeMs : 0)
+  }
+
   /**
    * Starts to tick.
    *
