--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -1,10 +1,11 @@
 /** Keeps a daemon's copy of the platform's store up to date, from peers while the store is unreachable. */
 import { describeError, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
-import { BEFORE_LOG, decodePosition, encodePosition, LEADER_KEY, isFact, readEra, type ConfigurationHolder, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate, type SharedRecordBatch } from 'figquay-fleet'
+import { BEFORE_LOG, decodePosition, encodePosition, isFact, readEra, type ConfigurationHolder, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
 
 import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
-import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
+import type { FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { makeReadName, NewestStoreRead } from './FigquayServingNewestStoreRead.js'
+import { SharedRecords } from './FigquayServingSharedRecords.js'
 import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
 import { ROLE_CHECK_MS, type StoreTiming } from './FigquayServingStoreTiming.js'
@@ -83,7 +84,7 @@
   /** Whether this daemon lacked shared records at the last check, so that its read of them may be waiting in vain. */
   private hasLackedRecords = false
   private configurationPosition = BEFORE_LOG
-  private sharedPosition = BEFORE_LOG
+  private readonly sharedRecords: SharedRecords
   /** Newest era of the store that this daemon or a peer has read; undefined until one has. */
   private newestEra: number | undefined
   private hasReadShared = false
@@ -107,6 +108,7 @@
 
   private constructor (private readonly options: StoreWatcherOptions) {
     this.newestRead = NewestStoreRead.create(options.clock)
+    this.sharedRecords = SharedRecords.create(options)
   }
 
   /**
@@ -134,7 +136,7 @@
 
   /** Whether the shared records were last read before the store was restored. */
   get isSharedOutdated (): boolean {
-    return readEra(this.sharedPosition) < (this.newestEra ?? 0)
+    return readEra(this.sharedRecords.position) < (this.newestEra ?? 0)
   }
 
   /**
@@ -335,10 +337,10 @@
   private async readSharedRecords (waitMs: number, signal: AbortSignal): Promise<boolean> {
     const { store, clock, leadership } = this.options
     const startedAtMs = clock.readMonotonicMs()
-    const reading = await store.readShared(this.sharedPosition, waitMs, signal)
+    const reading = await store.readShared(this.sharedRecords.position, waitMs, signal)
     if (!this.noteRead('shared', reading, startedAtMs)) return false
     this.noteEra(readEra(reading.value.end), 'store')
-    this.applySharedRecords(reading.value)
+    this.sharedRecords.applyBatch(reading.value)
     this.hasReadShared = true
     this.hasFacts = true
     leadership.updateRecordsEnd(reading.value.end)
@@ -347,31 +349,6 @@
     return true
   }
 
-  private applySharedRecords (reading: SharedRecordBatch): void {
-    const { daemonRecords, factStore, leadership, setDaemons } = this.options
-    const isRestored = reading.isComplete && readEra(reading.end) > readEra(this.sharedPosition)
-    let hasChanged = false
-    for (const { key, value, position } of reading.records) {
-      this.sharedPosition = Math.max(this.sharedPosition, position)
-      if (key === LEADER_KEY && value !== undefined) leadership.applyLeaderRecord(value, position)
-      if (key.startsWith(FACT_KEY_PREFIX)) factStore.applyRecord(key, value)
-      if (!key.startsWith(DAEMON_KEY_PREFIX)) continue
-      hasChanged = true
-      daemonRecords.applyRecord(key, value)
-    }
-    if (isRestored) this.noteLostRecords(reading)
-    this.sharedPosition = Math.max(this.sharedPosition, reading.end - 1)
-    if (hasChanged) setDaemons(daemonRecords.daemons)
-  }
-
-  /** What daemons wrote since the copy was made is missing from the restored store; the leader writes it again. */
-  private noteLostRecords ({ records }: SharedRecordBatch): void {
-    const { daemonRecords, factStore } = this.options
-    const keys = records.map(({ key }) => key)
-    factStore.replaceRecords(keys.filter((key) => key.startsWith(FACT_KEY_PREFIX)))
-    daemonRecords.replaceRecords(keys.filter((key) => key.startsWith(DAEMON_KEY_PREFIX)))
-  }
-
   private async watchRunners (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isTakeover = this.takeoverTopics.delete('runners')
