Have requests wait for news when a daemon comes late (DRAIN, CONFIG)

Cause: a daemon acts on what it knows without asking how old that is. After its event loop has stood still, callers' requests and the news about runners and routes lie in its sockets together; requests that are read first, or wake up from a wait first, are decided by what was known before.

Ruled out: that the order of sockets alone is at fault.

Now a daemon whose newest known read of the store is older than the bound allows, and that has had no answer of a peer or the store lately or knows that it lacks a change, has requests wait, before they are routed and before they are sent, until it has news, for a second at most. It holds for frozen, starved and cut-off daemons alike. While nobody can read the store, peers still answer, so nothing waits. 404 and 401 are given only while the store was read lately; before, they could be given at any age.

--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -29,6 +29,8 @@
   readonly listConnected: () => readonly string[]
   /** Computes how long a daemon that is behind asks its peers before it reads the store, in milliseconds. */
   readonly computeFallbackMs: () => number
+  /** Whether the store was read lately, by whichever daemon, as far as this one knows. */
+  readonly isStoreReadRecent: () => boolean
   /** Reads the newest configuration from the store; undefined if it can't be read. */
   readonly readFromStore: (signal: AbortSignal) => Promise<FleetConfiguration | undefined>
 }
@@ -62,6 +64,8 @@
   private readonly peerVersions = new Map<string, number>()
   private readonly retryAtMs = new Map<string, number>()
   private newest = { version: -1, sinceMs: 0 }
+  /** Time at which this daemon learned that it is behind. */
+  private behindSinceMs = 0
   private nextStoreReadAtMs = Number.POSITIVE_INFINITY
   private isFetching = false
   /** Peers that have announced their versions since this daemon started; cleared once the configuration is confirmed. */
@@ -92,9 +96,18 @@
     return version < 0 || this.newest.version > version
   }
 
-  /** Whether the active configuration is the newest that is known, and was compared with those of the peers. */
+  /** Time for which a newer configuration than the active one has been known, in milliseconds; 0 if none is, or none is active. */
+  get behindForMs (): number {
+    const isOutdated = this.isBehind && this.options.configurations.version >= 0
+    return isOutdated ? Math.max(1, this.options.clock.readMonotonicMs() - this.behindSinceMs) : 0
+  }
+
+  /**
+   * Whether the active configuration is the newest that is known, and was compared with those of the peers. While the store
+   * has not been read for too long, a newer one may exist.
+   */
   get isNewest (): boolean {
-    return !this.isBehind && this.confirmVersion()
+    return !this.isBehind && this.confirmVersion() && this.options.isStoreReadRecent()
   }
 
   /**
@@ -177,6 +190,7 @@
   private noteNewest (peer: string, version: number): void {
     const { clock, logger, configurations } = this.options
     const nowMs = clock.readMonotonicMs()
+    if (!this.isBehind) this.behindSinceMs = nowMs
     if (!this.isBehind) this.nextStoreReadAtMs = nowMs + this.options.computeFallbackMs() + FALLBACK_JITTER_MS * Math.random()
     this.newest = { version, sinceMs: nowMs }
     logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -19,6 +19,7 @@
 import { listRunnerStatus, type RunnerStatus } from './FigquayServingRunnerStatus.js'
 import { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { VersionHistory } from './FigquayServingVersionHistory.js'
+import { StalenessGuard, type StateCurrency } from './FigquayServingStalenessGuard.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
 import type { ChangeBounds } from './FigquayServingStoreTiming.js'
 import { StoreWatcher } from './FigquayServingStoreWatcher.js'
@@ -69,6 +70,7 @@
   readonly accessGate: AccessGate
   readonly router: ServingRouter
   private readonly contact: RunnerContact
+  private readonly staleness: StalenessGuard
   private readonly tasks: TaskGroup
   private readonly eventLoop: EventLoopMonitor
   private readonly table: FleetRunnerTable
@@ -131,6 +133,7 @@
       callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs),
       listConnected: () => this.peers.connectedPeers,
       computeFallbackMs: () => this.peers.timing.configurationFallbackMs,
+      isStoreReadRecent: () => this.peers.storeAges.storeAgeMs <= this.peers.stalenessLimits.maxStateAgeMs,
       readFromStore: (signal) => this.storeWatcher.readNewestConfiguration(signal)
     })
     const { configurationSync } = this
@@ -188,9 +191,10 @@
       noteStoreRead: (topic, outcome) => this.traces.noteStoreRead(topic, outcome),
       announceLeaving
     })
+    this.staleness = StalenessGuard.create({ clock, readCurrency: () => this.readCurrency(), computeLimits: () => this.peers.stalenessLimits, recordChange: (message, fields) => logger.info(message, fields) })
     this.traces.observeRunners(() => this.listRunnerStatus())
     this.traces.observeStoreAges((topic) => this.storeWatcher.measureTopicAge(topic))
-    this.traces.observeStateAges(() => ({ storeAgeMs: this.peers.storeAgeMs, inputAgeMs: this.eventLoop.inputAgeMs }))
+    this.traces.observeStateAges(() => ({ storeAgeMs: this.peers.storeAges.storeAgeMs, inputAgeMs: this.eventLoop.inputAgeMs }))
     this.traces.observeUnplacedModels(() => this.placement.countUnplaced())
     this.router = ServingRouter.create({
       clock,
@@ -202,6 +206,7 @@
       dispatcher: this.dispatcher,
       exchanges,
       contact,
+      staleness: this.staleness,
       forwarder: options.forwarding === undefined ? undefined : RequestForwarder.create({ self: address, zone, clock, client: options.forwarding.client, listDaemons: () => this.peers.daemonZones, listConnected: () => this.peers.connectedPeers, callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs), telemetry: this.traces }),
       attemptTracker: this.attemptWatch,
       crashHistory: this.crashHistory,
@@ -242,6 +247,17 @@
     return this.configurationSync.resolveRoute(host, path)
   }
 
+  /**
+   * Resolves once what this daemon knows of routes and runners is current enough to act on, or news can't be had in time.
+   *
+   * @param signal Ends the wait.
+   * @example
+   * await daemon.waitUntilCurrent(signal)
+   */
+  async waitUntilCurrent (signal: AbortSignal): Promise<void> {
+    if (this.staleness.isStale) await this.staleness.waitUntilCurrent(signal)
+  }
+
   /** Whether draining or the stop has begun. */
   get isStopping (): boolean {
     return this.stopping
@@ -262,6 +278,9 @@
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
     this.tasks.startLoop('unresolved attempts', FACTS_INTERVAL_MS, async () => this.attemptWatch.refresh())
     this.tasks.startLoop('contact with runners', CONTACT_INTERVAL_MS, async () => this.contact.refresh())
+    this.tasks.startLoop('staleness', CONTACT_INTERVAL_MS, async () => {
+      this.staleness.refresh()
+    })
     this.tasks.startLoop('facts', FACTS_INTERVAL_MS, () => this.factStore.flush())
     this.tasks.startLoop('records of daemons', FACTS_INTERVAL_MS, () => this.daemonRecords.flush())
     this.tasks.startLoop('software versions', FACTS_INTERVAL_MS, async () => this.refreshVersions())
@@ -314,6 +333,15 @@
     })
   }
 
+  private readCurrency (): StateCurrency {
+    const { peers, storeWatcher, configurationSync } = this
+    // A daemon that starts has no state yet; it isn't ready, and refuses requests by itself.
+    if (!storeWatcher.isSynced) return { storeAgeMs: 0, contactAgeMs: 0, behindForMs: 0, lacksChanges: false }
+    const { storeAgeMs, ownAgeMs } = peers.storeAges
+    const contactAgeMs = Math.min(this.options.clock.readMonotonicMs() - peers.contactAtMs, ownAgeMs)
+    return { storeAgeMs, contactAgeMs, behindForMs: configurationSync.behindForMs, lacksChanges: storeWatcher.lacksChanges }
+  }
+
   /** Ids of the runners of a service that requests may be sent to. */
   listRunners (service: string): string[] {
     return this.table.listViews(service).map(({ runner }) => runner.id)
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -10,9 +10,10 @@
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import type { StreamMemory, StreamOrigins, StreamQuery } from './FigquayServingStreamOrigins.js'
 import type { NewestStoreRead } from './FigquayServingNewestStoreRead.js'
+import type { StalenessLimits } from './FigquayServingStalenessGuard.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
-import { chooseStoreRole, type StoreRole } from './FigquayServingStoreRole.js'
+import { chooseStoreRole, type StoreAges, type StoreRole } from './FigquayServingStoreRole.js'
 import { computeStoreTiming, type ChangeBounds, type FleetSpread, type StoreTiming } from './FigquayServingStoreTiming.js'
 
 /** How far a daemon has read the store, as it tells a peer. */
@@ -74,6 +75,11 @@
 /** Interval at which a daemon of a large fleet reports demand to the leader, in milliseconds: well within the time in which demand shifts. */
 const REPORT_INTERVAL_MS = 400
 
+/** Reports that a daemon may miss in a row before it counts as having no contact. */
+const MISSED_REPORTS = 3
+/** The same as a time, in milliseconds, where reports are frequent: the loss of a parent is noticed within it. */
+const MIN_CONTACT_LIMIT_MS = 800
+
 /** Daemons that are remembered because they were heard, before the store names them: more than a fleet has. */
 const MAX_HEARD_DAEMONS = 1_000
 /** `ip:port`, which is a daemon's id. */
@@ -99,6 +105,8 @@
   private hintsSentAtMs = Number.NEGATIVE_INFINITY
   private isHintScheduled = false
   private newsSerial = 0
+  /** Time after which the last hints of a peer were sent. */
+  private hintsHeardAtMs = Number.NEGATIVE_INFINITY
 
   private constructor (private readonly options: ServingPeersOptions) {
     const { self, bootId, clock, logger, table, demand, configurations, listNeeds, noteAdapterUse, comparePeerProgress, findOwnRead, countDaemons, findNewestVersion, leadership, facts } = options
@@ -165,9 +173,20 @@
     return this.zoneByDaemon.size > MAX_FULL_MESH_DAEMONS
   }
 
-  /** Time since the store was last read, by whichever daemon, as far as this one has what was read, in milliseconds. */
-  get storeAgeMs (): number {
-    return this.relay.storeAges.storeAgeMs
+  /** How long ago the store was last read, as far as this daemon knows and has what was read. */
+  get storeAges (): StoreAges {
+    return this.relay.storeAges
+  }
+
+  /** Monotonic time at which this daemon last heard from a peer that tells it of news, in milliseconds. */
+  get contactAtMs (): number {
+    return Math.max(this.relay.contactAtMs, this.hintsHeardAtMs)
+  }
+
+  /** Limits on the age of what this daemon acts on. */
+  get stalenessLimits (): StalenessLimits {
+    const { reportIntervalMs } = this.spread
+    return { maxStateAgeMs: this.timing.maxAgeMs, maxContactAgeMs: Math.max(MIN_CONTACT_LIMIT_MS, MISSED_REPORTS * reportIntervalMs) }
   }
 
   /** Time limits of this daemon's reads of the store. */
@@ -302,7 +321,8 @@
         this.noteSender(hints.from)
         this.hints.applyHints(hints)
         this.correctDaemonCount(hints)
-        this.relay.recordStoreRead(hints, this.options.estimateArrivalMs())
+        this.hintsHeardAtMs = this.options.estimateArrivalMs()
+        this.relay.recordStoreRead(hints, this.hintsHeardAtMs)
         this.options.comparePeerProgress(hints.from, { ...hints, ...decodeProgress(hints) })
         this.factExchange.reconcilePeer(hints.from, hints.facts)
         if (hints.needs.length > 0) this.options.schedulePlanning()
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -109,6 +109,8 @@
   private searchDepthAtMs = Number.NEGATIVE_INFINITY
   private daemonCount = 1
   private parentHeardAtMs = Number.NEGATIVE_INFINITY
+  /** Time at which the last exchange that succeeded began. */
+  private lastContactAtMs = Number.NEGATIVE_INFINITY
   /** Newest read of the store by another daemon, as reported by peers. */
   private readonly reportedRead: NewestStoreRead
   private readonly retryAtMs = new Map<string, number>()
@@ -168,6 +170,11 @@
     return { reportedAgeMs, storeAgeMs: Math.min(ownRead.ageMs, reportedAgeMs), ownAgeMs: ownRead.isBy(this.options.bootId) ? ownRead.ageMs : Number.POSITIVE_INFINITY }
   }
 
+  /** Monotonic time at which this daemon last asked its parent, or another root, and was answered, in milliseconds. */
+  get contactAtMs (): number {
+    return this.lastContactAtMs
+  }
+
   /** How fast the daemons tell each other what they have read. */
   get spread (): FleetSpread {
     return { spreadMs: SPREAD_EXCHANGES * this.intervalMs + FETCH_MS, reportIntervalMs: this.intervalMs }
@@ -271,6 +278,7 @@
     this.options.table.putPeerLoads(branch, parseLoads(value.loads))
     this.options.table.putPeerSpeeds(branch, value.speeds)
     if (isParent) this.parentHeardAtMs = clock.readMonotonicMs()
+    this.lastContactAtMs = requestedAtMs
     this.recordAck(value, sentRevision, requestedAtMs)
     // The child reconciles facts, as a parent has many children and no connection to them.
     this.options.reconcileFacts(peer, value.facts)
--- a/packages/figquay-serving/src/FigquayServingRequestProgress.ts
+++ b/packages/figquay-serving/src/FigquayServingRequestProgress.ts
@@ -1,5 +1,5 @@
 /** State of a request that is being served, across its attempts. */
-import type { Deadline } from 'figquay'
+import { Refusal, type Deadline } from 'figquay'
 import type { AccessSubject } from './FigquayServingAccessGate.js'
 import { makePauseMeter, type PauseMeter } from './FigquayServingPauseMeter.js'
 import { StreamProgress } from './FigquayServingStreamProgress.js'
@@ -64,3 +64,25 @@
     mayHaveRun: false
   }
 }
+
+/**
+ * Sets the execution of a refusal to `unknown` if an earlier attempt may have run: it must not claim `not-run`.
+ *
+ * @example
+ * adjustExecution(progress, Refusal.create('overloaded', 'no runner has capacity'))
+ */
+export function adjustExecution ({ mayHaveRun }: RequestProgress, refusal: Refusal): Refusal {
+  return mayHaveRun ? Refusal.create('upstream_failed', refusal.message, { execution: 'unknown' }) : refusal
+}
+
+/**
+ * Whether the route of a request allows another attempt after `extraRuns` more than the counted ones.
+ *
+ * @example
+ * if (canRunAgain(progress, 1)) return 'retry'
+ */
+export function canRunAgain ({ request, countedRuns, hasResponseStarted, stream }: RequestProgress, extraRuns: number): boolean {
+  const { route } = request
+  const canRepeat = route.isStream ? route.isResumable && stream.canResume : route.repeat === 'idempotent' && !hasResponseStarted
+  return canRepeat && countedRuns + extraRuns < route.maxAttempts
+}
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -12,10 +12,11 @@
 import type { ForwardedState, RequestForwarder } from './FigquayServingForwarder.js'
 import type { RequestLimiter } from './FigquayServingRequestLimiter.js'
 import { decideWhileDraining, RouteDurations, type DrainWindow } from './FigquayServingRouteDurations.js'
-import { makeRequestProgress, type AttemptResult, type RequestProgress } from './FigquayServingRequestProgress.js'
+import { adjustExecution, canRunAgain, makeRequestProgress, type AttemptResult, type RequestProgress } from './FigquayServingRequestProgress.js'
 import { ResponseReports } from './FigquayServingResponseReports.js'
 import type { RunnerContact } from './FigquayServingRunnerContact.js'
 import { RunnerNotices } from './FigquayServingRunnerNotices.js'
+import type { StalenessGuard } from './FigquayServingStalenessGuard.js'
 import type { StreamOrigins } from './FigquayServingStreamOrigins.js'
 import { EMPTY_RESUMPTION, MISPLACED_RESUMPTION, StreamProgress } from './FigquayServingStreamProgress.js'
 import { shortenFingerprint, SuspectGate, type IsolationResult, type SuspectGateOptions } from './FigquayServingSuspectGate.js'
@@ -33,6 +34,7 @@
   readonly dispatcher: ServingDispatcher
   readonly exchanges: RunnerExchangeClient
   readonly contact: RunnerContact
+  readonly staleness: Pick<StalenessGuard, 'isStale' | 'waitUntilCurrent'>
   /** Undefined if this daemon forwards no requests. */
   readonly forwarder: RequestForwarder | undefined
   /** Returns the retry budget of a service. */
@@ -206,12 +208,17 @@
       if (forwarding !== 'unneeded') return forwarding.refusal
       const choice = await this.options.dispatcher.findRunner(request, new Set([...progress.triedRunners, ...occupiedRunners]), signal, progress.stream.softwareVersion)
       if (signal.aborted) break
-      if (choice instanceof Refusal) return this.adjustExecution(progress, choice)
+      if (choice instanceof Refusal) return adjustExecution(progress, choice)
+      // Whatever the request waited for, the choice is made anew by what has been heard meanwhile.
+      if (this.options.staleness.isStale) {
+        await this.options.staleness.waitUntilCurrent(signal)
+        continue
+      }
       const drainRefusal = this.refuseBeyondDrain(progress)
       if (drainRefusal !== undefined) return drainRefusal
       if (!await this.acquireRequestPermit(request, choice)) continue
       const isolation = await this.suspectGate.isolateRequest(progress.gated, choice, signal)
-      if (isolation === 'withheld') return this.adjustExecution(progress, Refusal.create('overloaded', 'a request like it, or with the same content or prompt part, is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
+      if (isolation === 'withheld') return adjustExecution(progress, Refusal.create('overloaded', 'a request like it, or with the same content or prompt part, is being tried, as some have crashed runners', { retryAfterMs: FAILED_RETRY_AFTER_MS }))
       if (isolation === 'refused') {
         occupiedRunners = new Set([choice.id])
         await this.options.clock.waitFor(ISOLATION_RETRY_DELAY_MS, signal)
@@ -242,7 +249,7 @@
     const result = await forwarder.forwardRequest(request, makeState, progress.access?.areKeysNeeded === true, sink, signal)
     progress.isAttempting = false
     if (result.type === 'unavailable') return 'unneeded'
-    if (result.type === 'refused') return { refusal: this.adjustExecution(progress, result.refusal) }
+    if (result.type === 'refused') return { refusal: adjustExecution(progress, result.refusal) }
     progress.hasResponseStarted = result.type === 'answered' || result.hasResponseStarted
     if (result.type === 'answered') {
       progress.forwardedStatus = result.status
@@ -250,7 +257,7 @@
     }
     progress.mayHaveRun = true
     if (signal.aborted) return 'unneeded'
-    const mayRepeat = this.canRunAgain(progress, 1)
+    const mayRepeat = canRunAgain(progress, 1)
     progress.countedRuns += 1
     if (mayRepeat && this.options.findRetryBudget(request.service).tryConsumeRetry()) return await this.forwardRequest(progress)
     return { refusal: Refusal.create('upstream_failed', `the daemon that the request was forwarded to was lost: ${result.message}`, { execution: 'unknown' }) }
@@ -261,7 +268,7 @@
     const refusal = this.options.accessGate.checkAccess(progress)
     if (refusal === undefined) return undefined
     this.suspectGate.releasePermits(progress.gated)
-    return this.adjustExecution(progress, refusal)
+    return adjustExecution(progress, refusal)
   }
 
   /** Refuses a request that hasn't been sent and would be cut off at the end of a planned stop. */
@@ -279,7 +286,7 @@
     this.options.telemetry.noteQuarantined(progress.request)
     const partKey = this.suspectGate.findQuarantinedPart(progress.gated)
     if (partKey === undefined) return Refusal.create('upstream_failed', 'the request has crashed runners', { execution: 'unknown' })
-    return this.adjustExecution(progress, Refusal.create('upstream_failed', `requests with the same ${partKey} have crashed runners`, { execution: 'not-run' }))
+    return adjustExecution(progress, Refusal.create('upstream_failed', `requests with the same ${partKey} have crashed runners`, { execution: 'not-run' }))
   }
 
   /** Without a permit, a runner that limits its requests gets none from this daemon until one may be available. */
@@ -293,18 +300,12 @@
   }
 
   private makeTimeoutRefusal (progress: RequestProgress): Refusal {
-    if (progress.accessRefusal !== undefined) return this.adjustExecution(progress, progress.accessRefusal)
+    if (progress.accessRefusal !== undefined) return adjustExecution(progress, progress.accessRefusal)
     if (progress.mayHaveRun) return Refusal.create('outcome_unknown', this.isStopping ? 'the daemon is shutting down' : 'no response in time', { execution: 'unknown' })
     if (this.isStopping) return Refusal.create('draining', 'the daemon is shutting down', { retryAfterMs: 0 })
     return Refusal.create('deadline_unreachable', 'no runner accepted the request in time', { retryAfterMs: FAILED_RETRY_AFTER_MS })
   }
 
-  /** Sets the execution of a refusal to `unknown` if an earlier attempt may have run: it must not claim `not-run`. */
-  private adjustExecution (progress: RequestProgress, refusal: Refusal): Refusal {
-    if (!progress.mayHaveRun) return refusal
-    return Refusal.create('upstream_failed', refusal.message, { execution: 'unknown' })
-  }
-
   private async runAttempt (progress: RequestProgress, runner: Runner, isolation: IsolationResult): Promise<AttemptResult> {
     const { request } = progress
     const { table, clock, memory, attemptTracker } = this.options
@@ -376,7 +377,7 @@
   /** Further time for a silent runner, in milliseconds: a stream that can go on nowhere else is not broken off for a pause of its runner. */
   private computeSilenceExtension (progress: RequestProgress): number {
     const { request, hasResponseStarted } = progress
-    const isRetryPossible = this.canRunAgain(progress, 1) && this.options.findRetryBudget(request.service).hasRetry
+    const isRetryPossible = canRunAgain(progress, 1) && this.options.findRetryBudget(request.service).hasRetry
     return hasResponseStarted && !isRetryPossible ? request.deadlineAtMs - this.options.clock.readMonotonicMs() : 0
   }
 
@@ -424,7 +425,7 @@
 
   private forwardHead (progress: RequestProgress, event: Extract<ExchangeEvent, { type: 'head' }>): AttemptResult | undefined {
     const isErrorWithinStream = progress.hasResponseStarted && !progress.stream.canContinueWith(event)
-    if (isErrorWithinStream || (event.status >= SERVER_ERROR && this.canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
+    if (isErrorWithinStream || (event.status >= SERVER_ERROR && canRunAgain(progress, 1))) return { type: 'runner-error', status: event.status }
     if (!progress.hasResponseStarted) progress.sink.startResponse(event.status, event.head)
     progress.stream.noteHead(event)
     progress.forwardedStatus = event.status
@@ -472,13 +473,6 @@
     table.noteResult(runner.id, hasFailed)
   }
 
-  /** Whether the route allows another attempt after `extraRuns` more than the counted ones. */
-  private canRunAgain ({ request, countedRuns, hasResponseStarted, stream }: RequestProgress, extraRuns: number): boolean {
-    const { route } = request
-    const canRepeat = route.isStream ? route.isResumable && stream.canResume : route.repeat === 'idempotent' && !hasResponseStarted
-    return canRepeat && countedRuns + extraRuns < route.maxAttempts
-  }
-
   /** Decides on a retry: undefined if another attempt may be made, otherwise the final refusal. */
   private async planRetry (progress: RequestProgress, runner: Runner, result: AttemptResult): Promise<Refusal | undefined> {
     const { request } = progress
@@ -489,7 +483,7 @@
     this.noteFailure(progress, runner, reason)
     if (execution === 'not-run') return await this.planRetryAfterDecline(progress, reason)
     const runsToCount = progress.hasLastRunnerEnded ? 0 : 1
-    const mayRepeat = this.canRunAgain(progress, runsToCount)
+    const mayRepeat = canRunAgain(progress, runsToCount)
     progress.countedRuns += runsToCount
     if (mayRepeat && this.options.findRetryBudget(request.service).tryConsumeRetry()) return undefined
     return Refusal.create('upstream_failed', `${reason}: ${message}`, { execution: 'unknown' })
@@ -502,7 +496,7 @@
     if (needsNoBudget) progress.unreachableAttempts += 1
     if (progress.declinedAttempts > MAX_DECLINED_ATTEMPTS || !(needsNoBudget || this.options.findRetryBudget(request.service).tryConsumeRetry())) {
       const refusal = Refusal.create('overloaded', `no runner accepted the request: ${reason}`, { retryAfterMs: FAILED_RETRY_AFTER_MS })
-      return this.adjustExecution(progress, refusal)
+      return adjustExecution(progress, refusal)
     }
     await this.options.clock.waitFor(DECLINED_RETRY_DELAY_MS, progress.signal)
     return undefined
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -99,6 +99,8 @@
   private laggingSinceMs: number | undefined
   private peerAhead: string | undefined
   private isFetching = false
+  /** Newest change of the list of runners that a peer has announced. */
+  private announcedChange = BEFORE_LOG
   /** Newest read of the list of runners, by this daemon or by the source of a snapshot. */
   private readonly newestRead: NewestStoreRead
   private readCount = 0
@@ -303,6 +305,11 @@
     else if (this.updateRole() !== 'reader') this.isProbing = false
   }
 
+  /** Whether a peer has announced a change of the list of runners that this daemon doesn't have. */
+  get lacksChanges (): boolean {
+    return this.announcedChange > this.options.table.position
+  }
+
   /** Time since this daemon last read a topic itself, in milliseconds; infinite if it never has. */
   measureTopicAge (topic: StoreTopic): number {
     return this.topicReads.measureAge(topic, this.options.clock.readMonotonicMs())
@@ -471,6 +478,7 @@
     const { table, clock } = this.options
     if (position !== BEFORE_LOG) this.noteEra(readEra(position), peer)
     const nowMs = clock.readMonotonicMs()
+    this.announcedChange = Math.max(this.announcedChange, changedAt)
     if (changedAt <= table.position && daemonCount <= this.daemonCount) {
       // The peer has read nothing but heartbeats beyond this daemon's position.
       if (this.hasReadRunners) table.advancePosition(position)
--- a/packages/figquay-serving/src/__tests__/standins/ScriptedRouter.ts
+++ b/packages/figquay-serving/src/__tests__/standins/ScriptedRouter.ts
@@ -156,6 +156,7 @@
     memory,
     exchanges,
     contact,
+    staleness: { isStale: false, waitUntilCurrent: async () => {} },
     forwarder,
     demand: FleetDemand.create(clock),
     dispatcher,
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -36,7 +36,7 @@
     await clock.waitFor(1)
     return JSON.parse(JSON.stringify(respond(peer, request as ConfigurationRequest))) as Outcome<T, string>
   }
-  const sync = ConfigurationSync.create({ self: 'self', clock, logger, tasks, configurations, callPeer, listConnected: () => ['a', 'b'], computeFallbackMs: () => FALLBACK_MS, readFromStore: async () => stored })
+  const sync = ConfigurationSync.create({ self: 'self', clock, logger, tasks, configurations, callPeer, listConnected: () => ['a', 'b'], computeFallbackMs: () => FALLBACK_MS, isStoreReadRecent: () => true, readFromStore: async () => stored })
   return { sync, configurations, calls, tasks }
 }
 
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -51,7 +51,7 @@
   const tasks = TaskGroup.create(clock, logger)
   const source = ConfigurationSource.create({ clock, configurations: peerConfigurations, listPeersWith: () => [] })
   const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
-  const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], computeFallbackMs: () => 1_000, readFromStore: async () => undefined })
+  const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], computeFallbackMs: () => 1_000, isStoreReadRecent: () => true, readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
     bootId: 'b', isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => typeof role === 'function' ? role() : role, computeTiming: () => TIMING, estimateArrivalMs: () => clock.readMonotonicMs(), noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
