Look at the choice of a runner again right before the first byte goes out (DRAIN)

A runner was chosen, and then the request waited for a permit (0.3 s), for its isolation, or for the connection to be opened (0.5 s and, without processor time, as long as that lasts); it was sent whatever had been heard of the runner meanwhile.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -377,6 +377,18 @@
     return this.entries.get(id)?.runner
   }
 
+  /**
+   * Whether a process of a runner is listed and takes new requests.
+   *
+   * @example
+   * if (!table.canTakeRequests(runner.id, runner.bornMs)) return 'withdrawn'
+   */
+  canTakeRequests (id: string, bornMs: number): boolean {
+    this.applyDueRemovals()
+    const runner = this.entries.get(id)?.runner
+    return runner !== undefined && runner.bornMs === bornMs && !runner.isLeaving
+  }
+
   /** Runners whose announcement changed after a position, with the positions of their latest announcements. */
   listAnnouncements (after: LogPosition): Array<{ readonly runner: Runner, readonly position: LogPosition }> {
     return [...this.entries.values()].filter((entry) => entry.distinctPosition > after).map(({ runner, position }) => ({ runner, position }))
--- a/packages/figquay-serving/src/FigquayServingExchangeEvents.ts
+++ b/packages/figquay-serving/src/FigquayServingExchangeEvents.ts
@@ -38,7 +38,7 @@
     for await (const event of events) {
       if (isSentByRunner(event)) table.noteActivity(runner.id)
       if (isAnswer(event)) contact.noteResponse(exchange)
-      else contact.noteFailure(exchange)
+      else if (event.type === 'failed' && event.failure.reason !== 'withdrawn') contact.noteFailure(exchange)
       yield event
     }
   } finally {
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -385,7 +385,7 @@
     const { request } = progress
     const remainingMs = request.deadlineAtMs - this.options.clock.readMonotonicMs()
     const priority = Math.min(LOWEST_PRIORITY, request.priority)
-    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, areKeysNeeded: progress.access?.areKeysNeeded === true, maxIdleMs: chooseMaxIdleMs(request.route.repeat) }, silenceDeadline.signal)
+    const events = this.options.exchanges.runExchange(runner, request, { remainingMs, resumeAfterEventId: progress.stream.lastEventId, priority, areKeysNeeded: progress.access?.areKeysNeeded === true, maxIdleMs: chooseMaxIdleMs(request.route.repeat), isWithdrawn: () => this.isWithdrawn(runner) }, silenceDeadline.signal)
     let namesLimit = false
     let areAnsweredPartsNoted = false
     for await (const event of observeExchange(events, runner, this.options)) {
@@ -412,6 +412,11 @@
     return { type: 'failed', failure: { execution: 'unknown', reason: 'silent', message: silenceDeadline.hasExpired ? 'no response in time' : 'the caller disconnected' } }
   }
 
+  /** Whether a runner was lost as a candidate since it was chosen, or this daemon can't tell. */
+  private isWithdrawn ({ id, bornMs }: Runner): boolean {
+    return !this.options.table.canTakeRequests(id, bornMs) || this.options.staleness.isStale
+  }
+
   /** Forwards an event to the caller; returns the result once the attempt is over. */
   private async forwardEvent (progress: RequestProgress, runner: Runner, event: Exclude<ExchangeEvent, { type: 'notice' }>, openRequest: InFlightRequest): Promise<AttemptResult | undefined> {
     if (event.type === 'failed') return { type: 'failed', failure: event.failure }
@@ -481,6 +486,7 @@
     const execution = result.type === 'failed' ? result.failure.execution : 'unknown'
     this.options.telemetry.recordDecision('attempt failed', request, { runner: runner.id, bornMs: runner.bornMs, fingerprint: shortenFingerprint(request.fingerprint), crashes: this.options.crashHistory.countCrashes(request.fingerprint).inAll, reason, execution, detail: message })
     this.noteFailure(progress, runner, reason)
+    if (reason === 'withdrawn') return undefined
     if (execution === 'not-run') return await this.planRetryAfterDecline(progress, reason)
     const runsToCount = progress.hasLastRunnerEnded ? 0 : 1
     const mayRepeat = canRunAgain(progress, runsToCount)
--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -42,6 +42,8 @@
 export type ExchangeFailureReason =
   /** No connection could be established. */
   | 'unreachable'
+  /** It was no longer to be sent when its connection was open. */
+  | 'withdrawn'
   /** The runner is at capacity or draining. */
   | 'declined'
   /** The address now belongs to another runner. */
@@ -100,6 +102,8 @@
   readonly areKeysNeeded: boolean
   /** Longest idle time of a connection that may be reused, in milliseconds. */
   readonly maxIdleMs: number
+  /** Whether the request is no longer to be sent to the runner; asked right before its first byte, also once a new connection is open. */
+  readonly isWithdrawn?: () => boolean
 }
 
 /** Which process answered a liveness probe at a runner's address. */
--- a/packages/figquay-serving/src/__tests__/standins/ScriptedRouter.ts
+++ b/packages/figquay-serving/src/__tests__/standins/ScriptedRouter.ts
@@ -101,6 +101,8 @@
   readonly noteSuccessfulParts?: () => void
   /** Receives the attempt tracker, which outlives the request. */
   readonly noteTracker?: (tracker: AttemptTracker) => void
+  /** Receives the table of the runners before the request arrives. */
+  readonly noteTable?: (table: FleetRunnerTable) => void
   /** Results of forwarding, in turn; this daemon then reaches no runner. */
   readonly forwardings?: ForwardingResult[]
   /** Attempts of the daemon that has forwarded the request; undefined if it came from its caller. */
@@ -119,11 +121,11 @@
   return { contact, forwarder: { forwardRequest: async () => results.shift()! } as unknown as RequestForwarder }
 }
 
-const DEFAULT_CALLBACKS = { noteTracker: () => {}, noteSuccessfulParts: () => {}, makeSink: () => new RecordingSink() }
+const DEFAULT_CALLBACKS = { noteTracker: () => {}, noteTable: () => {}, noteSuccessfulParts: () => {}, makeSink: () => new RecordingSink() }
 
 export async function serve (scripts: Script[], changes: Partial<Route> = {}, { burst = 10, model, versions = [], deadlyPart, resumeAfterEventId, origin = { type: 'known', softwareVersion: '', source: 'single', ageMs: undefined }, deadlineMs = 300, calls = 1, customers, whileServing, forwardings, forwardedRuns, ...callbacks }: ServeOptions = {}): Promise<{ readonly sink: RecordingSink, readonly answers: readonly RecordingSink[], readonly sent: readonly string[], readonly callers: readonly unknown[], readonly leaving: readonly string[], readonly backoffs: readonly string[], readonly begun: ReadonlyArray<string | undefined>, readonly result: string, readonly tookMs: number, readonly table: FleetRunnerTable, readonly telemetry: ServingTelemetry, readonly lines: readonly string[] }> {
   const clock = SystemClock.create()
-  const { noteTracker, noteSuccessfulParts, makeSink } = { ...DEFAULT_CALLBACKS, ...callbacks }
+  const { noteTracker, noteTable, noteSuccessfulParts, makeSink } = { ...DEFAULT_CALLBACKS, ...callbacks }
   const leaving: string[] = []
   const backoffs: string[] = []
   const begun: Array<string | undefined> = []
@@ -131,6 +133,7 @@
   for (const [index, id] of ['r1', 'r2', 'r3'].entries()) {
     table.putRunner({ id, service: 's', softwareVersion: versions[index], address: '127.0.0.1:1', zone: 'z', slots: 8, isLeaving: false, bornMs: 0, holdings: model === undefined ? undefined : { models: [], coming: [], isBusy: false, inMemory: [], onDisk: [] } }, 0)
   }
+  noteTable(table)
   const configurations = ConfigurationHolder.create()
   configurations.adoptConfiguration({ ...CONFIGURATION, customers })
   const memory = PromptCacheIndex.create(clock)
--- a/packages/figquay-serving/src/__tests__/unit/Router.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Router.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { SystemClock } from 'figquay'
-import type { ConfigurationHolder, Customer } from 'figquay-fleet'
+import type { ConfigurationHolder, Customer, FleetRunnerTable } from 'figquay-fleet'
 import type { AttemptTracker, ExchangeEvent, ExchangeFailure, ServingDispatcher, ServingRouter } from '../../index.js'
 import { RecordingSink } from '../standins/RecordingSink.js'
 import { CUSTOMER, CUSTOMERS, END, ERROR_HEAD, HEAD, IDEMPOTENT, JSON_HEAD, LEAVING, makeData, makeFailure, makeScript, neverRespond, RESUMABLE, type Script, serve } from '../standins/ScriptedRouter.js'
@@ -70,6 +70,23 @@
     expect([sink.text, sink.ending]).toEqual(['200 ok', 'finished'])
   })
 
+  it('is sent to another runner when the chosen one leaves before the first byte goes out', async () => {
+    const withdrawIfLeaving: Script = async function * (runner, { isWithdrawn }) {
+      expect(isWithdrawn?.()).toEqual(false)
+      table.markLeaving(runner, Number.MAX_SAFE_INTEGER)
+      expect(isWithdrawn?.()).toEqual(true)
+      yield makeFailure('withdrawn', 'not-run')
+    }
+    let table!: FleetRunnerTable
+    const { sink, sent } = await serve([withdrawIfLeaving, makeScript(HEAD, END)], {}, {
+      burst: 0,
+      noteTable: (runners) => {
+        table = runners
+      }
+    })
+    expect([sink.ending, new Set(sent).size]).toEqual(['finished', 2])
+  })
+
   it('records the speed that a runner reports with its answer', async () => {
     const { table } = await serve([makeScript({ ...HEAD, load: { running: 1, waiting: 0, slots: 8, slowdown: 3 } }, END)])
     expect(table.listViews('s').map(({ slowdown }) => Math.round(slowdown)).sort()).toEqual([1, 1, 3])
