Count an overdue read of the configuration into the age that the reader tells (CONFIG)

The reader told its peers how old its read of the list of runners was, and they took that for the age of the configuration, too. Its read of the configuration waits for a change; while the answer, with a large document from a slow store, was on its way, the list was read every 1.3 s and all daemons took the older configuration for current, so that they answered 404 and nobody else read in the reader's place.

The time by which the reader's read of the configuration exceeds its longest wait now counts as the age. In calm it is below that of the list.

StoreWatcher.test.ts: before, an answer 1.5 s overdue left the age below 0.75 s; after, it doesn't.

--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -407,11 +407,20 @@
     while (!signal.aborted && this.updateRole() === 'looker' && clock.readMonotonicMs() - lastPollAtMs < LOOKER_POLL_INTERVAL_MS) await this.waitForRestart()
   }
 
-  /** Reads of the list of runners are told to peers only while those of all topics succeed and none is missing. */
+  /** Reads are told to peers only while those of all topics succeed and none is missing. */
   private noteOwnRead (): void {
     if (this.isProbing || this.takeoverTopics.size > 0 || this.topicReads.isIncomplete) return
     this.readCount += 1
-    this.newestRead.noteReport({ storeAgeMs: this.measureTopicAge('runners'), storeRead: makeReadName(this.options.bootId, this.readCount) })
+    this.newestRead.noteReport({ storeAgeMs: this.measureReadAge(), storeRead: makeReadName(this.options.bootId, this.readCount) })
+  }
+
+  /**
+   * Age of this daemon's reads, in milliseconds. The reader's read of the configuration waits for a change and is renewed
+   * after `configurationWaitMs`; one that takes longer may be bringing a change that peers must not be told to have.
+   */
+  private measureReadAge (): number {
+    const overdueMs = this.role === 'reader' ? this.measureTopicAge('configuration') - this.options.computeTiming().configurationWaitMs : 0
+    return Math.max(this.measureTopicAge('runners'), overdueMs)
   }
 
   private applyRunnerChanges (reading: RunnerRegistryUpdate): void {
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -15,6 +15,8 @@
 }
 const BOUNDS = { drainWithinMs: 2_000, applyWithinMs: 2_000 }
 const TIMING = computeStoreTiming(BOUNDS, { spreadMs: 300, reportIntervalMs: 200 })
+/** Time by which the answer to a read of the configuration is overdue, in milliseconds. */
+const HANGING_READ_MS = 1_500
 const EVERYTHING: SnapshotRequest = { position: -1, needsFacts: true }
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
@@ -55,10 +57,22 @@
   const watcher = StoreWatcher.create({
     bootId: 'b', isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => typeof role === 'function' ? role() : role, computeTiming: () => TIMING, estimateArrivalMs: () => clock.readMonotonicMs(), noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
-  return { configurationReads, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
+  return { configurationReads, store, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
 
 describe('store watcher', () => {
+  it('tells peers of no newer read while the reader\'s read of the configuration takes too long', async () => {
+    const clock = SystemClock.create()
+    const reader = makeWatcher(true, async () => undefined)
+    reader.watcher.startTasks(reader.tasks)
+    await clock.waitFor(150)
+    Object.assign(reader.store, { readConfiguration: (_after: number, waitMs: number, signal: AbortSignal) => clock.waitFor(waitMs + HANGING_READ_MS, signal).then(() => makeFailure(FAILURE)) })
+    await clock.waitFor(TIMING.configurationWaitMs + HANGING_READ_MS)
+    const { ageMs } = reader.watcher.ownRead
+    await reader.tasks.stop()
+    expect([reader.watcher.measureTopicAge('runners') < TIMING.runnersIntervalMs, ageMs > HANGING_READ_MS / 2]).toEqual([true, true])
+  })
+
   it('loads configuration, runners and daemons from the store and passes runners and daemons to peers in a snapshot', async () => {
     const reader = makeWatcher(true, async () => undefined)
     reader.watcher.startTasks(reader.tasks)
