Count the wait for news anew while a daemon is held up again and again

A daemon that lacks processor time for longer than a second at a time can't have heard from anybody within the second for which its requests wait, and then acted on what it knew. The second now counts from when the process was last held up. StalenessGuard.test.ts has the case; before, the wait ended after the first second. The getter that changed state is a method, refresh().

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -255,7 +255,7 @@
    * await daemon.waitUntilCurrent(signal)
    */
   async waitUntilCurrent (signal: AbortSignal): Promise<void> {
-    if (this.staleness.isStale) await this.staleness.waitUntilCurrent(signal)
+    if (this.staleness.refresh()) await this.staleness.waitUntilCurrent(signal)
   }
 
   /** Whether draining or the stop has begun. */
@@ -336,10 +336,10 @@
   private readCurrency (): StateCurrency {
     const { peers, storeWatcher, configurationSync } = this
     // A daemon that starts has no state yet; it isn't ready, and refuses requests by itself.
-    if (!storeWatcher.isSynced) return { storeAgeMs: 0, contactAgeMs: 0, behindForMs: 0, lacksChanges: false }
+    if (!storeWatcher.isSynced) return { storeAgeMs: 0, contactAgeMs: 0, behindForMs: 0, lacksChanges: false, isHeldUp: false }
     const { storeAgeMs, ownAgeMs } = peers.storeAges
     const contactAgeMs = Math.min(this.options.clock.readMonotonicMs() - peers.contactAtMs, ownAgeMs)
-    return { storeAgeMs, contactAgeMs, behindForMs: configurationSync.behindForMs, lacksChanges: storeWatcher.lacksChanges }
+    return { storeAgeMs, contactAgeMs, behindForMs: configurationSync.behindForMs, lacksChanges: storeWatcher.lacksChanges, isHeldUp: this.eventLoop.isHeldUp }
   }
 
   /** Ids of the runners of a service that requests may be sent to. */
--- a/packages/figquay-serving/src/FigquayServingRouter.ts
+++ b/packages/figquay-serving/src/FigquayServingRouter.ts
@@ -34,7 +34,7 @@
   readonly dispatcher: ServingDispatcher
   readonly exchanges: RunnerExchangeClient
   readonly contact: RunnerContact
-  readonly staleness: Pick<StalenessGuard, 'isStale' | 'waitUntilCurrent'>
+  readonly staleness: Pick<StalenessGuard, 'refresh' | 'waitUntilCurrent'>
   /** Undefined if this daemon forwards no requests. */
   readonly forwarder: RequestForwarder | undefined
   /** Returns the retry budget of a service. */
@@ -210,7 +210,7 @@
       if (signal.aborted) break
       if (choice instanceof Refusal) return adjustExecution(progress, choice)
       // Whatever the request waited for, the choice is made anew by what has been heard meanwhile.
-      if (this.options.staleness.isStale) {
+      if (this.options.staleness.refresh()) {
         await this.options.staleness.waitUntilCurrent(signal)
         continue
       }
@@ -414,7 +414,7 @@
 
   /** Whether a runner was lost as a candidate since it was chosen, or this daemon can't tell. */
   private isWithdrawn ({ id, bornMs }: Runner): boolean {
-    return !this.options.table.canTakeRequests(id, bornMs) || this.options.staleness.isStale
+    return !this.options.table.canTakeRequests(id, bornMs) || this.options.staleness.refresh()
   }
 
   /** Forwards an event to the caller; returns the result once the attempt is over. */
--- a/packages/figquay-serving/src/FigquayServingStalenessGuard.ts
+++ b/packages/figquay-serving/src/FigquayServingStalenessGuard.ts
@@ -11,6 +11,8 @@
   readonly behindForMs: number
   /** Whether peers have announced changes of the runners that it doesn't have. */
   readonly lacksChanges: boolean
+  /** Whether the process lacks processor time, or lacked it just now. */
+  readonly isHeldUp: boolean
 }
 
 /** Limits on the ages, in milliseconds. */
@@ -29,7 +31,7 @@
   readonly recordChange: (message: string, fields: LogFields) => void
 }
 
-/** Longest time for which requests wait for news, in milliseconds: connecting to a peer and an exchange take a fraction of it. */
+/** Longest time for which requests wait for news while the process gets processor time, in milliseconds: connecting to a peer and an exchange take a fraction of it. */
 const MAX_WAIT_MS = 1_000
 /** Interval at which a waiting request checks whether there was news, in milliseconds. */
 const CHECK_INTERVAL_MS = 20
@@ -38,6 +40,8 @@
 export class StalenessGuard {
   /** Time since which the state has been stale; undefined while it is current. */
   private staleSinceMs: number | undefined
+  /** Time from which the wait of requests counts. */
+  private waitSinceMs = 0
 
   private constructor (private readonly options: StalenessGuardOptions) {}
 
@@ -50,40 +54,37 @@
   }
 
   /**
-   * Whether the state is too old to act on, and news may be had soon. A daemon that gets none in time goes on with what it
-   * has, as do all while nobody can read the store.
+   * Notes how current the state is; returns whether requests are to wait, as it is too old to act on and news may be had soon.
+   * A daemon that gets none in time goes on with what it has. Also called periodically, so that the time for which requests
+   * wait is counted anew after each time in which the state was current.
    *
    * @example
-   * if (guard.isStale) await guard.waitUntilCurrent(signal)
+   * if (guard.refresh()) await guard.waitUntilCurrent(signal)
    */
-  get isStale (): boolean {
-    const { clock, readCurrency, computeLimits, recordChange } = this.options
+  refresh (): boolean {
+    const { clock, readCurrency, computeLimits } = this.options
     const currency = readCurrency()
     const { maxStateAgeMs, maxContactAgeMs } = computeLimits()
     const nowMs = clock.readMonotonicMs()
     const lacksNews = currency.contactAgeMs > maxContactAgeMs || currency.lacksChanges || currency.behindForMs > 0
-    if (!lacksNews) {
-      if (this.staleSinceMs !== undefined) recordChange('state is current again', { staleForMs: Math.round(nowMs - this.staleSinceMs) })
-      this.staleSinceMs = undefined
-      return false
-    }
-    if (this.staleSinceMs === undefined && Math.max(currency.storeAgeMs, currency.behindForMs) <= maxStateAgeMs) return false
-    if (this.staleSinceMs === undefined) {
-      this.staleSinceMs = nowMs
-      recordChange('state is too old to act on; requests wait for news', formatCurrency(currency))
-    }
-    return nowMs - this.staleSinceMs < MAX_WAIT_MS
+    const isTooOld = Math.max(currency.storeAgeMs, currency.behindForMs) > maxStateAgeMs
+    if (!lacksNews) this.noteCurrent(nowMs)
+    else if (isTooOld) this.noteStale(nowMs, currency)
+    if (currency.isHeldUp) this.waitSinceMs = nowMs
+    return this.staleSinceMs !== undefined && nowMs - this.waitSinceMs < MAX_WAIT_MS
   }
 
-  /**
-   * Notes whether the state is stale now; called periodically, so that the time for which requests wait is counted anew after
-   * each time in which it was current.
-   *
-   * @example
-   * tasks.startLoop('staleness', 100, async () => guard.refresh())
-   */
-  refresh (): boolean {
-    return this.isStale
+  private noteCurrent (nowMs: number): void {
+    if (this.staleSinceMs === undefined) return
+    this.options.recordChange('state is current again', { staleForMs: Math.round(nowMs - this.staleSinceMs) })
+    this.staleSinceMs = undefined
+  }
+
+  private noteStale (nowMs: number, currency: StateCurrency): void {
+    if (this.staleSinceMs !== undefined) return
+    this.staleSinceMs = nowMs
+    this.waitSinceMs = nowMs
+    this.options.recordChange('state is too old to act on; requests wait for news', formatCurrency(currency))
   }
 
   /**
@@ -94,11 +95,11 @@
    * await guard.waitUntilCurrent(signal)
    */
   async waitUntilCurrent (signal: AbortSignal): Promise<void> {
-    while (this.isStale && !signal.aborted) await this.options.clock.waitFor(CHECK_INTERVAL_MS, signal)
+    while (this.refresh() && !signal.aborted) await this.options.clock.waitFor(CHECK_INTERVAL_MS, signal)
   }
 }
 
-function formatCurrency ({ storeAgeMs, contactAgeMs, behindForMs, lacksChanges }: StateCurrency): LogFields {
+function formatCurrency ({ storeAgeMs, contactAgeMs, behindForMs, ...rest }: StateCurrency): LogFields {
   const formatAge = (ageMs: number): number | undefined => Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
-  return { storeAgeMs: formatAge(storeAgeMs), contactAgeMs: formatAge(contactAgeMs), behindForMs: Math.round(behindForMs), lacksChanges }
+  return { storeAgeMs: formatAge(storeAgeMs), contactAgeMs: formatAge(contactAgeMs), behindForMs: Math.round(behindForMs), ...rest }
 }
--- a/packages/figquay-serving/src/__tests__/standins/ScriptedRouter.ts
+++ b/packages/figquay-serving/src/__tests__/standins/ScriptedRouter.ts
@@ -159,7 +159,7 @@
     memory,
     exchanges,
     contact,
-    staleness: { isStale: false, waitUntilCurrent: async () => {} },
+    staleness: { refresh: () => false, waitUntilCurrent: async () => {} },
     forwarder,
     demand: FleetDemand.create(clock),
     dispatcher,
--- a/packages/figquay-serving/src/__tests__/unit/StalenessGuard.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StalenessGuard.test.ts
@@ -5,7 +5,7 @@
 import { SimulatedClock } from '../standins/SimulatedClock.js'
 
 const LIMITS = { maxStateAgeMs: 2_450, maxContactAgeMs: 800 }
-const CURRENT: StateCurrency = { storeAgeMs: 300, contactAgeMs: 200, behindForMs: 0, lacksChanges: false }
+const CURRENT: StateCurrency = { storeAgeMs: 300, contactAgeMs: 200, behindForMs: 0, lacksChanges: false, isHeldUp: false }
 /** After four seconds without processor time. */
 const HELD_UP: StateCurrency = { ...CURRENT, storeAgeMs: 4_300, contactAgeMs: 4_200 }
 const LONG_MS = 20_000
@@ -56,6 +56,20 @@
     expect(wait.hasEnded).toEqual(true)
   })
 
+  it('has them wait on while the daemon is held up again and again, as it can\'t have asked for news', async () => {
+    currency = HELD_UP
+    const wait = startWait()
+    for (let time = 0; time < 3; time += 1) {
+      await clock.runFor(900)
+      currency = { ...HELD_UP, isHeldUp: true }
+      await clock.runFor(100)
+      currency = HELD_UP
+    }
+    expect(wait.hasEnded).toEqual(false)
+    await clock.runFor(1_100)
+    expect(wait.hasEnded).toEqual(true)
+  })
+
   it('lets them go on when no news can be had, and has those of the next time wait again', async () => {
     for (let time = 0; time < 2; time += 1) {
       currency = HELD_UP
@@ -63,7 +77,7 @@
       await clock.runFor(900)
       expect(wait.hasEnded).toEqual(false)
       await clock.runFor(200)
-      expect([wait.hasEnded, guard.isStale]).toEqual([true, false])
+      expect([wait.hasEnded, guard.refresh()]).toEqual([true, false])
       currency = CURRENT
       guard.refresh()
     }
@@ -71,13 +85,13 @@
 
   it('has none wait while nobody can read the store, as peers tell', () => {
     currency = { ...CURRENT, storeAgeMs: LONG_MS }
-    expect(guard.isStale).toEqual(false)
+    expect(guard.refresh()).toEqual(false)
   })
 
   it('has none wait while a newer configuration is fetched, unless that takes too long', () => {
     currency = { ...CURRENT, behindForMs: 900 }
-    expect(guard.isStale).toEqual(false)
+    expect(guard.refresh()).toEqual(false)
     currency = { ...CURRENT, behindForMs: 2_600 }
-    expect(guard.isStale).toEqual(true)
+    expect(guard.refresh()).toEqual(true)
   })
 })
--- a/packages/figquay/src/FigquayEventLoopMonitor.ts
+++ b/packages/figquay/src/FigquayEventLoopMonitor.ts
@@ -43,6 +43,11 @@
     return this.options.clock.readMonotonicMs() - this.previousTickAtMs
   }
 
+  /** Whether the process lacks processor time, or lacked it when it last read its sockets. */
+  get isHeldUp (): boolean {
+    return this.inputAgeMs > HELD_UP_MS
+  }
+
   /**
    * Earliest monotonic time, in milliseconds, at which what is read now may have arrived: the present unless the process was
    * held up.
@@ -51,8 +56,7 @@
    * read.noteReport(report, monitor.estimateArrivalMs())
    */
   estimateArrivalMs (): number {
-    const { inputAgeMs } = this
-    return this.options.clock.readMonotonicMs() - (inputAgeMs > HELD_UP_MS ? inputAgeMs : 0)
+    return this.options.clock.readMonotonicMs() - (this.isHeldUp ? this.inputAgeMs : 0)
   }
 
   /**
