--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -9,6 +9,11 @@
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'a', slots: 8, isLeaving: false, bornMs: 0, holdings: undefined }
 const STEP_MS = 200
 
+/** As a daemon of 106c625 sends it while no speeds have changed. */
+const RELEASED_MESSAGE: RelayMessage = {
+  from: '10.0.0.1:80', zone: 'a', bootId: 'boot-1', holder: { daemon: '10.0.0.1:80', fence: 1 }, version: -1, newestVersion: -1, era: 0, position: 0, changedAt: 0, daemonCount: 2, facts: { revision: 0, digest: 0 }, storeAgeMs: 250, storeRead: 'boot-1/7', loads: [['r', 1, 100, 0]], news: [], revision: 0, heard: { bootId: 'boot-0', revision: 0 }
+}
+
 /** A clock that only the test advances; waiting returns at the next turn of the event loop. */
 class ManualClock implements Clock {
   nowMs = 1_000
@@ -103,6 +108,14 @@
     expect([...new Set(countRequests())]).toEqual([18])
   })
 
+  it('understands a message of the release before, and answers with the fields that this one has', () => {
+    const { nodes } = makeFleet(2)
+    const { relay, table } = nodes.get('10.0.0.0:80')!
+    const response = relay.handleExchange(JSON.parse(JSON.stringify(RELEASED_MESSAGE)) as RelayMessage)
+    expect(Object.keys(response).sort()).toEqual([...Object.keys(RELEASED_MESSAGE), 'speeds'].sort())
+    expect([table.listCandidates('s')[0]!.load.requests, relay.storeAges.reportedAgeMs]).toEqual([1, RELEASED_MESSAGE.storeAgeMs])
+  })
+
   it('brings a runner\'s speed to every daemon within a few exchanges', async () => {
     const { nodes, runRounds } = makeFleet(30)
     nodes.get('10.0.0.29:80')!.table.noteReportedLoad('r', { running: 1, waiting: 0, slots: 8, slowdown: 3 })
