One loop for the health of a daemon

The event loop monitor, the guard against stale state and the contact with runners share one timer of 100 ms, so that the monitor costs no wake-ups of its own. No change of behaviour.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,5 +1,5 @@
 /** Composes the components of a serving daemon, starts and stops them, and schedules its placement runs. */
-import { EventLoopMonitor, makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
+import { EVENT_LOOP_TICK_MS, EventLoopMonitor, makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
 import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Route, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
 import { AccessGate } from './FigquayServingAccessGate.js'
@@ -55,8 +55,6 @@
 const LEADERSHIP_INTERVAL_MS = 100
 /** Interval for writing facts and for checking unresolved attempts, in milliseconds: a fraction of the time after which a caller retries. */
 const FACTS_INTERVAL_MS = 200
-/** Interval at which the contact with the runners is looked at, in milliseconds: a fraction of the silence that calls for a check. */
-const CONTACT_INTERVAL_MS = 100
 /** Smallest number of daemons that the retry budget of a service is divided by, used while fewer are known. */
 const MIN_RETRY_SHARES = 8
 
@@ -270,17 +268,13 @@
    * await daemon.start()
    */
   async start (): Promise<void> {
-    this.eventLoop.start(this.tasks)
     await this.peers.start()
     this.storeWatcher.startTasks(this.tasks)
     this.configurationSync.start()
     this.tasks.startTask('announcement', (signal) => this.storeWatcher.announceSelf(this.options.address, this.options.zone, signal))
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
     this.tasks.startLoop('unresolved attempts', FACTS_INTERVAL_MS, async () => this.attemptWatch.refresh())
-    this.tasks.startLoop('contact with runners', CONTACT_INTERVAL_MS, async () => this.contact.refresh())
-    this.tasks.startLoop('staleness', CONTACT_INTERVAL_MS, async () => {
-      this.staleness.refresh()
-    })
+    this.tasks.startLoop('health', EVENT_LOOP_TICK_MS, async () => this.refreshHealth())
     this.tasks.startLoop('facts', FACTS_INTERVAL_MS, () => this.factStore.flush())
     this.tasks.startLoop('records of daemons', FACTS_INTERVAL_MS, () => this.daemonRecords.flush())
     this.tasks.startLoop('software versions', FACTS_INTERVAL_MS, async () => this.refreshVersions())
@@ -333,6 +327,13 @@
     })
   }
 
+  /** Notes how late this daemon is, how current its state, and whether it reaches runners. */
+  private refreshHealth (): void {
+    this.eventLoop.tick()
+    this.staleness.refresh()
+    this.contact.refresh()
+  }
+
   private readCurrency (): StateCurrency {
     const { peers, storeWatcher, configurationSync } = this
     // A daemon that starts has no state yet; it isn't ready, and refuses requests by itself.
--- a/packages/figquay-serving/src/__tests__/unit/NewestStoreRead.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/NewestStoreRead.test.ts
@@ -1,7 +1,7 @@
 /** The age of the newest read of the store, as daemons tell it to each other. */
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { EventLoopMonitor, JsonLogger, TaskGroup } from 'figquay'
+import { EVENT_LOOP_TICK_MS, EventLoopMonitor, JsonLogger, TaskGroup } from 'figquay'
 import { NewestStoreRead } from '../../index.js'
 import { SimulatedClock } from '../standins/SimulatedClock.js'
 
@@ -49,7 +49,7 @@
     const delays: number[] = []
     const monitor = EventLoopMonitor.create({ clock, noteDelay: (delayMs) => delays.push(delayMs) })
     const tasks = TaskGroup.create(clock, JsonLogger.create('held-up', 'error'))
-    monitor.start(tasks)
+    tasks.startLoop('event loop', EVENT_LOOP_TICK_MS, async () => monitor.tick())
     await clock.runFor(TICKS_MS)
     expect(monitor.estimateArrivalMs()).toEqual(clock.readMonotonicMs())
     clock.skip(HELD_UP_MS)
--- a/packages/figquay/src/FigquayEventLoopMonitor.ts
+++ b/packages/figquay/src/FigquayEventLoopMonitor.ts
@@ -1,9 +1,8 @@
 /** Measures how late the event loop of this process runs, as the process lacks processor time or was suspended. */
 import type { Clock } from './FigquayClock.js'
-import type { TaskGroup } from './FigquayTasks.js'
 
-/** Interval between two ticks, in milliseconds. */
-const TICK_INTERVAL_MS = 100
+/** Interval at which a monitor is to tick, in milliseconds. */
+export const EVENT_LOOP_TICK_MS = 100
 /** The process counts as held up while what it reads may be older than this, in milliseconds. */
 const HELD_UP_MS = 300
 
@@ -60,23 +59,14 @@
   }
 
   /**
-   * Starts to tick.
+   * Notes that the event loop runs.
    *
    * @example
-   * monitor.start(tasks)
+   * tasks.startLoop('event loop', EVENT_LOOP_TICK_MS, async () => monitor.tick())
    */
-  start (tasks: TaskGroup): void {
-    tasks.startTask('event loop monitor', async (signal) => {
-      while (!signal.aborted) {
-        await this.options.clock.waitFor(TICK_INTERVAL_MS, signal)
-        this.tick()
-      }
-    })
-  }
-
-  private tick (): void {
+  tick (): void {
     const nowMs = this.options.clock.readMonotonicMs()
-    const delayMs = nowMs - this.lastTickAtMs - TICK_INTERVAL_MS
+    const delayMs = nowMs - this.lastTickAtMs - EVENT_LOOP_TICK_MS
     this.previousTickAtMs = this.lastTickAtMs
     this.lastTickAtMs = nowMs
     if (delayMs > 0) this.options.noteDelay(delayMs)
--- a/packages/figquay/src/index.ts
+++ b/packages/figquay/src/index.ts
@@ -1,7 +1,7 @@
 export { setBounded } from './FigquayBoundedMap.js'
 export { Deadline } from './FigquayDeadline.js'
 export { SystemClock, type Clock } from './FigquayClock.js'
-export { EventLoopMonitor, type EventLoopMonitorOptions } from './FigquayEventLoopMonitor.js'
+export { EVENT_LOOP_TICK_MS, EventLoopMonitor, type EventLoopMonitorOptions } from './FigquayEventLoopMonitor.js'
 export { makeFailure, makeSuccess, type Outcome } from './FigquayOutcome.js'
 export { describeError, invariant, InvariantError, Refusal, type Execution, type RefusalCode, type RefusalOptions } from './FigquayErrors.js'
 export { JsonLogger, type LogFields, type Logger, type LogLevel } from './FigquayLogger.js'
