Ask the peer that has news for it, though it isn't connected

The peer that has news is asked again, and gets 0.3 s in place of 1 s if a connection to it has to be opened, so that the others are asked soon.

--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -80,6 +80,9 @@
 /** The same as a time, in milliseconds, where reports are frequent: the loss of a parent is noticed within it. */
 const MIN_CONTACT_LIMIT_MS = 800
 
+/** Timeout of a request to a peer to which a connection has to be opened first, in milliseconds: several times what that takes. */
+const UNCONNECTED_TIMEOUT_MS = 300
+
 /** Daemons that are remembered because they were heard, before the store names them: more than a fleet has. */
 const MAX_HEARD_DAEMONS = 1_000
 /** `ip:port`, which is a daemon's id. */
@@ -257,16 +260,15 @@
     return this.mesh.callPeer<T>(peer, method, params, timeoutMs)
   }
 
-  /** Requests what is newer than this daemon's copy from the preferred peer if it is connected, or else from a random one that is. */
+  /** Requests what is newer than this daemon's copy from the preferred peer, or from a random one if none is given. */
   async requestSnapshot (request: SnapshotRequest, preferredPeer: string | undefined): Promise<FleetSnapshot | undefined> {
     const peers = this.mesh.connectedPeers
-    // A connection that has to be opened first may take the whole timeout, in which nothing else is requested.
-    const isPreferredConnected = preferredPeer !== undefined && peers.includes(preferredPeer)
-    const peer = isPreferredConnected ? preferredPeer : peers[Math.floor(Math.random() * peers.length)] ?? preferredPeer
+    const peer = preferredPeer ?? peers[Math.floor(Math.random() * peers.length)]
     if (peer === undefined) return undefined
     const { clock, logger } = this.options
     const startedAtMs = clock.readMonotonicMs()
-    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', request)
+    // While a connection is opened, nothing is requested from other peers.
+    const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', request, peers.includes(peer) ? undefined : UNCONNECTED_TIMEOUT_MS)
     if (snapshot.ok) return snapshot.value
     logger.info('snapshot request to a peer failed', { peer, ...request, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
     return undefined
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -80,19 +80,19 @@
     expect([answer.ok ? answer.value.position : answer.error, unhandled.length]).toEqual([7, 0])
   })
 
-  it('is not waited for when it has news but is not connected, while others are', async () => {
-    const asked: string[] = []
+  it('is given less time for news if a connection to it has to be opened', async () => {
+    const timeouts = new Map<string, number | undefined>()
     const mesh = {
       connectedPeers: ['connected'],
-      callPeer: async (peer: string) => {
-        asked.push(peer)
+      callPeer: async (peer: string, _method: string, _request: unknown, timeoutMs?: number) => {
+        timeouts.set(peer, timeoutMs)
         return makeSuccess(snapshot)
       }
     } as unknown as ServingMesh
     const requester = ServingPeers.create({ ...options, createMesh: () => mesh })
     await requester.requestSnapshot({ position: 0, needsFacts: false }, 'unconnected')
     await requester.requestSnapshot({ position: 0, needsFacts: false }, 'connected')
-    expect(asked).toEqual(['connected', 'connected'])
+    expect([...timeouts]).toEqual([['unconnected', 300], ['connected', undefined]])
   })
 
   it('ignores malformed news items', async () => {
