Read the sockets once more before requests at a daemon that was held up (GONE)

Cause: the end of a connection is read in the turn of the event loop after its last bytes. After a daemon was held up, the request and its caller's close lie in the socket together; the request is read first and sent in the same turn. Staleness alone doesn't cover it: the daemon may have been held up for less than the bound on its state.

A daemon that was held up now lets its sockets be read once more before it routes a request.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -1,5 +1,5 @@
 /** Composes the components of a serving daemon, starts and stops them, and schedules its placement runs. */
-import { EVENT_LOOP_TICK_MS, EventLoopMonitor, makeId, TaskGroup, type Clock, type Logger, type Refusal } from 'figquay'
+import { EVENT_LOOP_TICK_MS, EventLoopMonitor, makeId, TaskGroup, waitForInput, type Clock, type Logger, type Refusal } from 'figquay'
 import { computePlanDelayMs, ConfigurationHolder, FleetDemand, FleetFacts, FleetLeadership, FleetPlacement, FleetRunnerTable, OrderDispatcher, PromptCacheIndex, type CrashFact, type Fact, type FleetStore, type Route, type Runner, type RunnerOrderClient } from 'figquay-fleet'
 import { RetryBudget } from 'figquay-routing'
 import { AccessGate } from './FigquayServingAccessGate.js'
@@ -253,6 +253,8 @@
    * await daemon.waitUntilCurrent(signal)
    */
   async waitUntilCurrent (signal: AbortSignal): Promise<void> {
+    // Behind the request, its caller's close may wait.
+    if (this.eventLoop.isHeldUp) await waitForInput()
     if (this.staleness.refresh()) await this.staleness.waitUntilCurrent(signal)
   }
 
--- a/packages/figquay/src/FigquayTimer.ts
+++ b/packages/figquay/src/FigquayTimer.ts
@@ -1,4 +1,5 @@
 /** Timers that don't overtake input. */
+import { setImmediate as setImmediateAsync } from 'node:timers/promises'
 
 /** A timer that fires later than this lets the event loop read its sockets first, in milliseconds: it was held up, not just busy. */
 const LATE_MS = 20
@@ -33,3 +34,16 @@
     }
   }
 }
+
+/**
+ * Resolves once the event loop has read its sockets again: what was in them now, such as the end of a connection behind its
+ * last bytes, has been handled by then.
+ *
+ * @example
+ * if (monitor.isHeldUp) await waitForInput()
+ */
+export async function waitForInput (): Promise<void> {
+  // The first turn may end without a read, if this one is past it.
+  await setImmediateAsync()
+  await setImmediateAsync()
+}
