Serve what has arrived rather than answer 408, and run nothing after such an answer

Cause: Node.js checks its time limit for headers in a timer, and timers run before sockets are read. On waking, a request that is whole in its socket counts as one that never came. The answer was written, and the connection stayed open for a second, with its parser, for its caller to read it; so the request was read after the answer and served like any other. Ruled out: another request under another id (the ids are the same), and a jump of the clock (connections without a hold-up aren't answered).

--- a/packages/figquay-gateway/src/FigquayGatewayCallerService.ts
+++ b/packages/figquay-gateway/src/FigquayGatewayCallerService.ts
@@ -6,7 +6,7 @@
 import { GatewayExchange } from './FigquayGatewayExchange.js'
 import { ServiceHandler } from './FigquayGatewayServices.js'
 import type { GatewayContext } from './FigquayGatewayTypes.js'
-import { answerClientError, Refusal } from 'figquay'
+import { registerClientErrorHandler, Refusal } from 'figquay'
 
 /** Address on which the gateway listens for callers. */
 export interface ListenAddress {
@@ -116,7 +116,7 @@
       server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS
       server.maxHeadersCount = 100
       server.setTimeout(0)
-      server.on('clientError', (error, socket) => answerClientError(error, socket, false))
+      registerClientErrorHandler(server)
       Object.assign(server, { maxHeaderSize: MAX_HEADERS_BYTES })
     }
   } as ServiceSchema)
--- a/packages/figquay-serving/src/FigquayServingTelemetry.ts
+++ b/packages/figquay-serving/src/FigquayServingTelemetry.ts
@@ -1,6 +1,6 @@
 /** Request metrics, and a rate-limited log line for each decision that departs from the normal path. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
-import type { Clock, LogFields, Logger } from 'figquay'
+import type { ClientErrorOutcome, Clock, LogFields, Logger } from 'figquay'
 import { classifySpeed, isInSpell, type RunnerStatus } from './FigquayServingRunnerStatus.js'
 import { STORE_TOPICS, type ServedRequest, type ServedResult, type StoreTopic } from './FigquayServingTypes.js'
 
@@ -50,6 +50,7 @@
   private readonly forwardings: Counter<'route' | 'outcome'>
   private readonly storeReads: Counter<'topic' | 'outcome'>
   private readonly placementLoads: Counter<'service' | 'kind' | 'reason'>
+  private readonly clientErrors: Counter<'listener' | 'code' | 'outcome'>
   private readonly eventLoopDelays: Histogram
   private readStateAges: (() => StateAges) | undefined
   private readonly labelledCustomers = new Set<string>()
@@ -69,6 +70,7 @@
     this.forwardings = new Counter({ name: 'figquay_forwarded_requests_total', help: 'Requests forwarded to other daemons, as no runner could be reached from here, by route and outcome', labelNames: ['route', 'outcome'], registers })
     this.storeReads = new Counter({ name: 'figquay_store_reads_total', help: 'Reads of the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers })
     this.placementLoads = new Counter({ name: 'figquay_placement_loads_total', help: 'Loads of models and adapters that this daemon planned as the leader, by service and reason', labelNames: ['service', 'kind', 'reason'], registers })
+    this.clientErrors = new Counter({ name: 'figquay_client_errors_total', help: 'Malformed or timed-out requests and idle connections by listener, by code of the error, and by what became of them', labelNames: ['listener', 'code', 'outcome'], registers })
     this.firstByteSeconds = new Histogram({ name: 'figquay_first_byte_seconds', help: 'Time to the first byte of the answer', labelNames: ['route'], buckets: LATENCY_BUCKETS, registers })
     this.eventLoopDelays = new Histogram({ name: 'figquay_event_loop_delay_seconds', help: 'Time by which periodic work of this process was overdue', buckets: EVENT_LOOP_DELAY_BUCKETS, registers })
     this.pauses = new Histogram({ name: 'figquay_stream_pause_ratio', help: 'Pauses between events of a stream, relative to the longest one for which the answer is on time', labelNames: ['route'], buckets: PAUSE_BUCKETS, registers })
@@ -112,6 +114,16 @@
     this.resumptions.inc({ route: request.route.name, origin })
   }
 
+  /**
+   * Counts an error on a connection by what became of it.
+   *
+   * @example
+   * telemetry.noteClientError('callers', 'ERR_HTTP_REQUEST_TIMEOUT', 'request-read')
+   */
+  noteClientError (listener: 'callers' | 'forwarding', code: string, outcome: ClientErrorOutcome): void {
+    this.clientErrors.inc({ listener, code, outcome })
+  }
+
   /** Counts a read of a topic of the store by its outcome. */
   noteStoreRead (topic: StoreTopic, outcome: 'ok' | 'failed'): void {
     this.storeReads.inc({ topic, outcome })
