Have no daemon skip removals that another one has left no trace of

Cause: a position in the list's log was taken for knowledge of all that lies before it. A daemon that starts reads the newest record of each key, in which a removal leaves no trace. Its peers skipped to its position, as its last change was older than theirs (hypothesis 1), or fetched its difference, which can't name a runner that it never knew (hypothesis 2). Both happen; which one depends on whether an entry was written since. Ruled out: a runner that is brought back (no announcement follows the removal), and a change of reader.

A copy now keeps the gaps of which it has read the result alone (LogProgress). A gap counts as a change, so nobody takes it for heartbeats; a peer whose own position lies within a gap gets the ids of all runners and drops the others. Same cause elsewhere, mended with it: a complete list after a 410 or a restore; a list of several pages, of which an entry written meanwhile moved the position past removals; removals of runners that a daemon never knew, which it didn't pass on; remembered removals are bounded and leave a gap.

Runners that live are kept: what a peer doesn't list is dropped at once only if reads of the store are known of, by whichever daemon, without a pause in which an entry can expire (StoreOutages).

Tests in StoreWatcher.test.ts.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -1,6 +1,7 @@
 /** State of each runner: its announcement, its holdings, and the load that daemons put on it. */
 import { setBounded, type Clock } from 'figquay'
 import { BEFORE_LOG, readEra, type LogPosition } from './FigquayFleetLogPosition.js'
+import { LogProgress } from './FigquayFleetLogProgress.js'
 import { PeerLoads, RECENT_TOKENS_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 import { RunnerSpeeds, type SpeedRow } from './FigquayFleetRunnerSpeeds.js'
 import type { LoadedModel, Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
@@ -51,8 +52,8 @@
 interface Tombstone {
   /** Position of the removal. */
   readonly position: LogPosition
-  /** Last announcement before it. */
-  readonly runner: Runner
+  /** Last announcement before it; undefined if this daemon has read none. */
+  readonly runner: Runner | undefined
 }
 
 interface RunnerEntry {
@@ -108,9 +109,8 @@
   private readonly peerLoads: PeerLoads
   private readonly speeds: RunnerSpeeds
   private readonly listeners = new Set<(change: RunnerTableChange) => void>()
-  private highestPosition = BEFORE_LOG
-  private newestChangePosition = BEFORE_LOG
-  private previousEraPosition = BEFORE_LOG
+  /** How far the registry's log was read. */
+  readonly progress = LogProgress.create()
 
   private constructor (private readonly clock: Clock) {
     this.peerLoads = PeerLoads.create(clock)
@@ -127,27 +127,22 @@
 
   /** Highest position of the registry's log that was applied to this table. */
   get position (): LogPosition {
-    return this.highestPosition
+    return this.progress.position
   }
 
-  /** Position of the last change other than a heartbeat. */
+  /** Position of the last change other than a heartbeat, or up to which there may have been one. */
   get lastChangePosition (): LogPosition {
-    return this.newestChangePosition
+    return this.progress.lastChangePosition
   }
 
   /** Position that was reached in the previous era of the registry's log; `BEFORE_LOG` if there was none. */
   get lastEraPosition (): LogPosition {
-    return this.previousEraPosition
+    return this.progress.lastEraPosition
   }
 
   /** Advances the position up to which the registry's log was read. */
   advancePosition (position: LogPosition): void {
-    if (readEra(position) > readEra(this.highestPosition)) {
-      this.previousEraPosition = this.highestPosition
-      // Positions of two eras can't tell peers what they lack, so the era itself counts as a change.
-      this.noteChange(position)
-    }
-    this.highestPosition = Math.max(this.highestPosition, position)
+    this.progress.advance(position)
   }
 
   /**
@@ -182,14 +177,14 @@
     const isLeaving = this.isKnownLeaving(runner.id, runner.bornMs)
     if (known === undefined || known.runner.bornMs !== runner.bornMs || known.runner.address !== runner.address) {
       if (known !== undefined) this.removeEntry(known)
-      this.noteChange(position)
+      this.progress.noteChange(position)
       this.addEntry(this.makeEntry({ ...runner, isLeaving }, position))
     } else {
       known.position = position
       // A renewed entry counts as a change even if it equals the last: it cancels a removal that peers were told of.
       if (isReannounced || !isSameAnnouncement(known.distinctAnnouncement, runner)) {
         Object.assign(known, { distinctAnnouncement: runner, distinctPosition: position })
-        this.noteChange(position)
+        this.progress.noteChange(position)
       }
       this.replaceRunner(known, { ...runner, isLeaving, holdings: this.chooseHoldings(known, runner.holdings) })
     }
@@ -199,7 +194,7 @@
   private isRestoredCopy (runner: Runner, position: LogPosition): boolean {
     const entry = this.entries.get(runner.id)
     const last = entry ?? this.tombstones.get(runner.id)
-    if (last === undefined || readEra(position) <= readEra(last.position) || runner.bornMs !== last.runner.bornMs) return false
+    if (last?.runner === undefined || readEra(position) <= readEra(last.position) || runner.bornMs !== last.runner.bornMs) return false
     const count = runner.announcementCount
     const lastCount = last.runner.announcementCount
     if (count === undefined || lastCount === undefined) return false
@@ -208,10 +203,6 @@
     return isRemoved ? count <= lastCount : count < lastCount
   }
 
-  private noteChange (position: LogPosition): void {
-    this.newestChangePosition = Math.max(this.newestChangePosition, position)
-  }
-
   private addEntry (entry: RunnerEntry): void {
     this.entries.set(entry.runner.id, entry)
     this.addToIndexes(entry)
@@ -282,18 +273,31 @@
   removeRunner (id: string, position: LogPosition, graceMs = 0): void {
     this.advancePosition(position)
     const known = this.entries.get(id)
+    // Peers may know a runner that was announced and removed where this daemon has read the result alone.
+    if (known === undefined && (this.tombstones.get(id)?.position ?? BEFORE_LOG) <= this.progress.lastGapEnd) this.addTombstone(id, { position, runner: undefined })
     if (known === undefined || known.position > position) return
-    this.noteChange(position)
+    this.progress.noteChange(position)
     if (graceMs > 0) {
       this.pendingRemovals.set(id, { position, dueAtMs: this.clock.readMonotonicMs() + graceMs })
       return
     }
     this.pendingRemovals.delete(id)
-    this.tombstones.set(id, { position, runner: known.runner })
+    this.addTombstone(id, { position, runner: known.runner })
     this.removeEntry(known)
     this.notifyListeners({ service: known.runner.service, runner: undefined })
   }
 
+  /** Remembers a removal; one that is forgotten leaves a gap for peers that haven't read it. */
+  private addTombstone (id: string, tombstone: Tombstone): void {
+    this.progress.noteChange(tombstone.position)
+    this.tombstones.delete(id)
+    this.tombstones.set(id, tombstone)
+    if (this.tombstones.size <= MAX_REMEMBERED_RUNNERS) return
+    const [oldestId, { position }] = this.tombstones.entries().next().value!
+    this.tombstones.delete(oldestId)
+    this.progress.noteGap({ after: BEFORE_LOG, upTo: position })
+  }
+
   /** Applies the removals whose grace period is over. */
   private applyDueRemovals (): void {
     const nowMs = this.clock.readMonotonicMs()
@@ -389,6 +393,11 @@
     return runner !== undefined && runner.bornMs === bornMs && !runner.isLeaving
   }
 
+  /** Ids of all known runners, those within a grace period included. */
+  listIds (): string[] {
+    return [...this.entries.keys()]
+  }
+
   /** Runners whose announcement changed after a position, with the positions of their latest announcements. */
   listAnnouncements (after: LogPosition): Array<{ readonly runner: Runner, readonly position: LogPosition }> {
     return [...this.entries.values()].filter((entry) => entry.distinctPosition > after).map(({ runner, position }) => ({ runner, position }))
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -27,6 +27,7 @@
 export { planAdapter, planAdapterCopy, type AdapterCandidate, type AdapterLoad, type AdapterPlanStep, type HeldAdapter } from './FigquayFleetAdapterPlan.js'
 export { FleetStore, RunnerOrderClient, STORE_SILENCE_MS, type FleetOrder, type FleetOrderReply, type NoteResponse, type RunnerChange, type RunnerRegistryUpdate, type RunnerState, type SharedRecordBatch, type SharedRecord, type SharedWrite, type WriteResult } from './FigquayFleetPlatform.js'
 export { BEFORE_LOG, decodePosition, encodePosition, makeLogPosition, readEra, readOffset, type EncodedPosition, type LogPosition } from './FigquayFleetLogPosition.js'
+export { LogProgress, type LogGap } from './FigquayFleetLogProgress.js'
 export { FleetLeadership, LEADER_KEY, type Leader, type LeadershipOptions } from './FigquayFleetLeadership.js'
 export { checkOrder, countUsedAdapterSlots, measureUsedMb, type CheckedOrder } from './FigquayFleetOrderCheck.js'
 export { OrderDispatcher, type OrderDispatcherOptions, type OrderRequest, type OrderResult } from './FigquayFleetOrderDispatcher.js'
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -23,6 +23,7 @@
 import { StalenessGuard, type StateCurrency } from './FigquayServingStalenessGuard.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
 import type { ChangeBounds } from './FigquayServingStoreTiming.js'
+import { StoreOutages } from './FigquayServingStoreOutages.js'
 import { StoreWatcher } from './FigquayServingStoreWatcher.js'
 import { shortenFingerprint } from './FigquayServingSuspectGate.js'
 import { ServingTelemetry } from './FigquayServingTelemetry.js'
@@ -46,6 +47,8 @@
   readonly processorCores?: number | undefined
   /** Times within which changes must take effect. */
   readonly bounds: ChangeBounds
+  /** Interval at which runners renew their entries in the list, in milliseconds. */
+  readonly heartbeatMs: number
   readonly clock: Clock
   readonly logger: Logger
   readonly store: FleetStore
@@ -157,6 +160,7 @@
       listDaemons: () => this.storeWatcher.isSynced ? new Set(this.peers.daemonZones.keys()) : undefined,
       telemetry: this.traces
     })
+    const outages = StoreOutages.create({ clock, heartbeatMs: options.heartbeatMs })
     this.peers = ServingPeers.create({
       self: { id: address, zone, address },
       bootId,
@@ -181,6 +185,7 @@
       },
       estimateArrivalMs: () => this.eventLoop.estimateArrivalMs(),
       findOwnRead: () => this.storeWatcher.ownRead,
+      noteStoreRead: (report, reportedAtMs) => outages.noteRead(report, reportedAtMs),
       bounds: options.bounds,
       streamOrigins: () => this.streamOrigins,
       countDaemons: () => this.storeWatcher.daemonCount,
@@ -205,6 +210,7 @@
       setDaemons: (daemons) => this.peers.setDaemons(daemons),
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
+      outages,
       findStoreRole: () => this.findStoreRole(),
       estimateArrivalMs: () => this.eventLoop.estimateArrivalMs(),
       computeTiming: () => this.peers.timing,
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -11,7 +11,7 @@
 import { RequestLimiter, type LimitEnd, type RequestPermitRequest } from './FigquayServingRequestLimiter.js'
 import { FleetRelay, type RelayMessage } from './FigquayServingRelay.js'
 import type { StreamMemory, StreamOrigins, StreamQuery } from './FigquayServingStreamOrigins.js'
-import type { NewestStoreRead } from './FigquayServingNewestStoreRead.js'
+import type { NewestStoreRead, StoreReadReport } from './FigquayServingNewestStoreRead.js'
 import type { StalenessLimits } from './FigquayServingStalenessGuard.js'
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
@@ -44,6 +44,8 @@
   readonly serveConfiguration: (request: ConfigurationRequest) => ConfigurationReply
   /** Returns the newest version of the configuration that this daemon knows to exist. */
   readonly findNewestVersion: () => number
+  /** Called with each read of the store that a peer reports, whether or not this daemon has what was read. */
+  readonly noteStoreRead?: ((report: StoreReadReport, reportedAtMs: number) => void) | undefined
   readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
   /** Returns the earliest monotonic time, in milliseconds, at which what is read from sockets now may have arrived. */
   readonly estimateArrivalMs: () => number
@@ -140,6 +142,7 @@
       mesh: this.mesh,
       estimateArrivalMs: options.estimateArrivalMs,
       findOwnRead,
+      noteStoreRead: options.noteStoreRead,
       computeTiming: () => this.timing,
       countDaemons,
       findNewestVersion,
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -61,6 +61,8 @@
   readonly estimateArrivalMs: () => number
   /** Returns the newest read of the store by this daemon, or by the source of its state. */
   readonly findOwnRead: () => NewestStoreRead
+  /** Called with each read of another daemon that is reported, whether or not this one has what was read. */
+  readonly noteStoreRead?: (report: StoreReadReport, reportedAtMs: number) => void
   /** Computes the time limits of this daemon's reads of the store. */
   readonly computeTiming: () => StoreTiming
   /** Returns the number of registered daemons that this one knows. */
@@ -194,6 +196,7 @@
   recordStoreRead ({ era, position, changedAt, ...report }: StoreReadReport & Pick<RelayMessage, 'era' | 'position' | 'changedAt'>, reportedAtMs: number): void {
     const { table, bootId } = this.options
     if (isReadBy(report.storeRead, bootId)) return
+    this.options.noteStoreRead?.(report, reportedAtMs)
     const isOfOlderEra = readEra(decodePosition({ era, position })) < readEra(table.position)
     if (isOfOlderEra || decodePosition({ era, position: changedAt }) > table.position) return
     this.reportedRead.noteReport(report, reportedAtMs)
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -5,9 +5,11 @@
 import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import type { FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { makeReadName, NewestStoreRead } from './FigquayServingNewestStoreRead.js'
+import { applyRunnerReading } from './FigquayServingRunnerReading.js'
 import { SharedRecords } from './FigquayServingSharedRecords.js'
 import { applyRunnerSnapshot, makeRunnerSnapshot, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import { StoreRead } from './FigquayServingStoreRead.js'
+import { EXPIRY_GRACE_MS, type StoreOutages } from './FigquayServingStoreOutages.js'
 import type { StoreRole } from './FigquayServingStoreRole.js'
 import { ROLE_CHECK_MS, type StoreTiming } from './FigquayServingStoreTiming.js'
 import { RETRY_DELAY_MS, TopicReads } from './FigquayServingTopicReads.js'
@@ -30,6 +32,8 @@
   readonly daemonRecords: DaemonRecords
   /** Called with the data centre of each daemon, by address, after a change. */
   readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
+  /** Reads of the store that are known of, whichever daemon made them. */
+  readonly outages: StoreOutages
   readonly findStoreRole: () => StoreRole
   /** Returns the earliest monotonic time, in milliseconds, at which what is read from sockets now may have arrived. */
   readonly estimateArrivalMs: () => number
@@ -69,11 +73,6 @@
 const BOOTSTRAP_TIMEOUT_MS = 1_500
 /** Delay between two such requests, in milliseconds: connecting to a peer takes as long. */
 const BOOTSTRAP_RETRY_MS = 100
-/**
- * Entries of runners expire during an outage of the store. On the platform, runners that are alive are listed again within
- * this time after the outage, in milliseconds.
- */
-const EXPIRY_GRACE_MS = 2_000
 /** A read that exceeds its long-poll timeout by this much has met an outage of the store, in milliseconds. */
 const OUTAGE_OVERRUN_MS = 500
 
@@ -194,12 +193,14 @@
 
   /** Makes a snapshot of what is newer than the requester's copy, with the facts if they are needed. */
   makeSnapshot ({ needsFacts, ...requested }: SnapshotRequest): FleetSnapshot {
-    const { table, daemonRecords, facts } = this.options
+    const { table, daemonRecords, facts, clock } = this.options
+    const runners = makeRunnerSnapshot(table, requested)
     return {
-      ...makeRunnerSnapshot(table, requested),
+      ...runners ?? { runners: [], removals: [], ...requested },
       daemons: [...daemonRecords.daemons],
       facts: needsFacts && this.hasFacts ? facts.listAfter(0) : undefined,
-      ...this.newestRead.report
+      // A copy to which nothing was added isn't as current as this daemon's.
+      ...runners === undefined ? NewestStoreRead.create(clock).report : this.newestRead.report
     }
   }
 
@@ -378,6 +379,7 @@
       const reading = await this.runRead('runners', longPollMs, pending, () => this.options.store.readRunners(this.options.table.position, longPollMs, pending.signal, pending.noteResponse))
       if (this.noteRead('runners', reading, startedAtMs, pending)) {
         const nowMs = this.options.clock.readMonotonicMs()
+        this.options.outages.noteRead({ storeAgeMs: this.measureTopicAge('runners') })
         this.noteRecovery(nowMs, nowMs - startedAtMs > longPollMs + OUTAGE_OVERRUN_MS)
         this.noteEra(readEra(reading.value.position), 'store')
         this.applyRunnerChanges(reading.value)
@@ -431,14 +433,9 @@
     const { table, clock, logger } = this.options
     if (this.hasReadRunners && readEra(reading.position) > readEra(table.position)) this.storeRecoveredAtMs = clock.readMonotonicMs()
     const graceMs = Math.max(0, this.storeRecoveredAtMs + EXPIRY_GRACE_MS - clock.readMonotonicMs())
-    for (const change of reading.changes) {
-      if (change.type === 'announced') this.applyAnnouncement(change.runner, change.position)
-      else table.removeRunner(change.id, change.position, graceMs)
-    }
-    if (reading.isComplete) table.removeUnlisted(new Set(reading.changes.flatMap((change) => change.type === 'announced' ? [change.runner.id] : [])), reading.position, graceMs)
+    applyRunnerReading(table, reading, graceMs, (runner, position) => this.applyAnnouncement(runner, position))
     const expiredIds = reading.changes.filter((change) => change.type === 'removed').map((change) => change.type === 'removed' ? change.id : '')
     if (graceMs > 0 && expiredIds.length > 0) logger.info('runner entries expired during a store outage; keeping the runners for a grace period', { runners: expiredIds, graceMs: Math.round(graceMs) })
-    table.advancePosition(reading.position)
     this.hasReadRunners = true
   }
 
@@ -457,6 +454,7 @@
     if (previous !== undefined && era <= previous) return
     this.newestEra = era
     if (previous === undefined) return
+    this.options.outages.noteRestore()
     this.options.logger.warn('store was restored from an older copy', { era, previous, source, version: this.options.configurations.version })
     this.abortLongPolls()
   }
@@ -514,7 +512,7 @@
     this.isFetching = true
     const requestedAtMs = this.options.clock.readMonotonicMs()
     try {
-      const snapshot = await this.options.requestSnapshot({ ...encodePosition(table.position), needsFacts: !this.hasFacts }, peer)
+      const snapshot = await this.options.requestSnapshot({ ...encodePosition(table.position), needsFacts: !this.hasFacts, acceptsIds: true }, peer)
       if (snapshot === undefined) return
       this.applySnapshot(snapshot, requestedAtMs)
       logger.debug('snapshot received from a peer', { position: table.position })
@@ -529,9 +527,11 @@
    * @param madeAfterMs Monotonic time after which it was made, in milliseconds.
    */
   applySnapshot (snapshot: FleetSnapshot, madeAfterMs = this.options.clock.readMonotonicMs()): void {
-    const { table } = this.options
+    const { table, outages } = this.options
     const position = decodePosition(snapshot)
-    if (applyRunnerSnapshot(table, snapshot, this.hasReadRunners ? EXPIRY_GRACE_MS : undefined)) {
+    outages.noteRead(snapshot, madeAfterMs)
+    if (snapshot.listedIds !== undefined) this.options.logger.info('a peer can\'t tell all removals; comparing the list of runners with its own', { ...encodePosition(table.position), peerPosition: snapshot.position, runners: table.listIds().length, peerRunners: snapshot.listedIds.length, graceMs: Math.round(outages.graceMs) })
+    if (applyRunnerSnapshot(table, snapshot, { newEraMs: this.hasReadRunners ? EXPIRY_GRACE_MS : undefined, unlistedMs: outages.graceMs })) {
       this.newestRead.noteReport(snapshot, madeAfterMs)
     }
     if (position !== BEFORE_LOG) {
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -451,6 +451,7 @@
       peerSecrets: ['a-secret-of-these-tests'],
       retries: { perRequest: 0.1, burst: 10 },
       quotas: { windowMs: 8_000, fraction: 0.1, slack: 0 },
+      heartbeatMs: RUNNER_HEARTBEAT_MS,
       bounds: this.options.bounds ?? { drainWithinMs: 3_000, applyWithinMs: 3_000 },
       clock,
       logger: this.options.createLogger?.(address) ?? JsonLogger.create(address, 'silent'),
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { JsonLogger, makeFailure, makeSuccess, SystemClock, TaskGroup, type CallFailure, type Outcome } from 'figquay'
-import { ConfigurationHolder, FleetFacts, FleetLeadership, FleetRunnerTable, makeLogPosition, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
-import { chooseStoreRole, computeStoreTiming, ConfigurationSource, ConfigurationSync, DaemonRecords, FactStoreSync, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
+import { ConfigurationHolder, encodePosition, FleetFacts, FleetLeadership, FleetRunnerTable, makeLogPosition, type Fact, type FleetConfiguration, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
+import { chooseStoreRole, computeStoreTiming, ConfigurationSource, ConfigurationSync, DaemonRecords, decodeProgress, FactStoreSync, StoreOutages, StoreWatcher, type ConfigurationRequest, type FleetSnapshot, type SnapshotRequest, type StoreRole } from '../../index.js'
 
 const FAILURE: CallFailure = { sent: 'maybe', reason: 'timeout', message: 'down' }
 const CONFIGURATION: FleetConfiguration = {
@@ -17,6 +17,8 @@
 const TIMING = computeStoreTiming(BOUNDS, { spreadMs: 300, reportIntervalMs: 200 })
 /** Time by which the answer to a read of the configuration is overdue, in milliseconds. */
 const HANGING_READ_MS = 1_500
+/** Interval at which runners renew their entries, in milliseconds. */
+const HEARTBEAT_MS = 1_200
 const EVERYTHING: SnapshotRequest = { position: -1, needsFacts: true }
 const RUNNER: Runner = { id: 'r', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, isLeaving: true, bornMs: 0, holdings: undefined }
 
@@ -55,7 +57,7 @@
   const callPeer = async <T>(_peer: string, _method: string, request: unknown): Promise<Outcome<T, string>> => makeSuccess(JSON.parse(JSON.stringify(source.serveRequest(request as ConfigurationRequest))) as T)
   const sync = ConfigurationSync.create({ self: 'a', clock, logger, tasks, configurations, callPeer, listConnected: () => ['b'], computeFallbackMs: () => 1_000, isStoreReadRecent: () => true, readFromStore: async () => undefined })
   const watcher = StoreWatcher.create({
-    bootId: 'b', isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => typeof role === 'function' ? role() : role, computeTiming: () => TIMING, estimateArrivalMs: () => clock.readMonotonicMs(), noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
+    bootId: 'b', isSeed, clock, logger, store, facts, factStore: FactStoreSync.create({ clock, logger, store, facts, isLeader: () => false }), daemonRecords: DaemonRecords.create({ clock, logger, store, canRestore: () => false }), configurations, table, leadership, outages: StoreOutages.create({ clock, heartbeatMs: HEARTBEAT_MS }), requestSnapshot, adoptConfiguration: (configuration) => configurations.adoptConfiguration(configuration), findStoreRole: () => typeof role === 'function' ? role() : role, computeTiming: () => TIMING, estimateArrivalMs: () => clock.readMonotonicMs(), noteStoreRead: () => {}, announceLeaving: (runner) => leaving.push(runner), setDaemons: (daemons) => seenDaemons.push(...daemons.keys())
   })
   return { configurationReads, store, watcher, sync, facts, configurations, table, seenDaemons, leaving, readings, tasks }
 }
@@ -223,6 +225,61 @@
     expect(asked).toEqual(2)
   })
 
+  // Guards against requests to a removed runner: a daemon that starts reads the newest record of each key, in which a removal leaves no trace, and its peers take its position for knowledge of all before it.
+  it('has a peer drop a runner that was removed before this daemon read the list for the first time', async () => {
+    for (const position of [6, 8]) {
+      const started = makeWatcher(true, async () => undefined)
+      started.readings.push(makeSuccess<RunnerRegistryUpdate>({ changes: [{ type: 'announced', runner: { ...RUNNER, isLeaving: false }, position: 7 }], isComplete: true, position: 9 }))
+      started.watcher.startTasks(started.tasks)
+      while (started.table.position < 9) await SystemClock.create().waitFor(5)
+      const other: ReturnType<typeof makeWatcher> = makeWatcher(false, async () => JSON.parse(JSON.stringify(started.watcher.makeSnapshot({ ...encodePosition(other.table.position), needsFacts: false, acceptsIds: true }))) as FleetSnapshot, 'listener')
+      other.watcher.applySnapshot({ runners: ['r', 'gone'].map((id) => ({ runner: { ...RUNNER, isLeaving: false, id }, position: 4 })), removals: [], position, daemons: [], facts: [], gaps: [], storeAgeMs: 0 })
+      other.watcher.comparePeerProgress('b', decodeProgress({ ...encodePosition(started.table.position), changedAt: started.table.lastChangePosition, daemonCount: 0 }))
+      await SystemClock.create().waitFor(20)
+      await started.tasks.stop()
+      expect([other.table.findRunner('gone'), other.table.findRunner('r')?.id, other.table.position]).toEqual([undefined, 'r', 9])
+    }
+  })
+
+  // Guards against the same from a daemon of the release before, which would take such a snapshot for the difference.
+  it('leaves a peer that takes no ids where it is, and has it count no read, while this daemon can\'t tell it all removals', () => {
+    const started = makeWatcher(false, async () => undefined)
+    started.watcher.applySnapshot({ runners: [{ runner: RUNNER, position: 7 }], removals: [], position: 9, daemons: [], facts: [], gaps: [{ after: { position: -1 }, upTo: { position: 9 } }], storeAgeMs: 0, storeRead: 'boot/1' })
+    const { runners, position, storeAgeMs } = started.watcher.makeSnapshot({ position: 8, needsFacts: false })
+    expect([runners, position, storeAgeMs]).toEqual([[], 8, Number.MAX_SAFE_INTEGER])
+    expect(started.watcher.makeSnapshot({ position: 9, needsFacts: false }).storeAgeMs < 1_000).toEqual(true)
+    expect([started.table.lastChangePosition, started.watcher.makeSnapshot(EVERYTHING).runners.length]).toEqual([9, 1])
+  })
+
+  it('takes the difference of a daemon of the release before, and vouches for nothing before the first one', () => {
+    const { watcher, table } = makeWatcher(false, async () => undefined)
+    const snapshot: FleetSnapshot = { runners: [{ runner: RUNNER, position: 4 }], removals: [], position: 5, daemons: [], facts: [], storeAgeMs: 0 }
+    watcher.applySnapshot(snapshot)
+    watcher.applySnapshot({ ...snapshot, runners: [], removals: [{ id: 'r', position: 7, graceMs: 0 }], position: 8 })
+    expect([table.findRunner('r'), table.position, table.progress.listedGaps]).toEqual([undefined, 8, [{ after: -1, upTo: 5 }]])
+  })
+
+  // Guards against a removal that is lost on the way: its sender has read only that the runner is gone, and its receiver has read of it.
+  it('passes on the removal of a runner that it never knew', () => {
+    const { watcher, table } = makeWatcher(false, async () => undefined)
+    watcher.applySnapshot({ runners: [], removals: [{ id: 'brief', position: 6, graceMs: 0 }], position: 7, daemons: [], facts: [], gaps: [], storeAgeMs: 0 })
+    expect([table.lastChangePosition, watcher.makeSnapshot({ position: 5, needsFacts: false }).removals.map(({ id }) => id)]).toEqual([6, ['brief']])
+  })
+
+  // Guards against removals that are skipped between the pages of a long list: entries written meanwhile lie beyond the position up to which everything was read.
+  it('reads on from the end of a complete list, whatever the positions of its entries', async () => {
+    const { watcher, table, tasks, readings } = makeWatcher(true, async () => undefined)
+    const announced = ['r', 'brief'].map((id, index) => ({ type: 'announced' as const, runner: { ...RUNNER, id, isLeaving: false }, position: 4 + 3 * index }))
+    const removal: RunnerRegistryUpdate = { changes: [{ type: 'removed', id: 'r', position: 6 }], isComplete: false, position: 7 }
+    readings.push(makeSuccess<RunnerRegistryUpdate>({ changes: announced, isComplete: true, position: 5 }), makeSuccess(removal), makeSuccess<RunnerRegistryUpdate>({ changes: [], isComplete: false, position: 7 }))
+    watcher.startTasks(tasks)
+    while (table.position < 5) await SystemClock.create().waitFor(5)
+    const positionAfterList = table.position
+    while (readings.length > 0) await SystemClock.create().waitFor(5)
+    await tasks.stop()
+    expect([positionAfterList, table.findRunner('r'), table.findRunner('brief')?.id]).toEqual([5, undefined, 'brief'])
+  })
+
   // Guards against requests to a removed runner from a daemon that takes over long after an outage which it has seen itself.
   it('applies a removal at once if another daemon has read the store since the outage', async () => {
     let role: StoreRole = 'reader'
