Take a daemon's own trouble for no outage of the store

Ruled out as causes: that nobody reads meanwhile (the removal is read 0.4 to 0.65 s after it), and that reports are held back.

An outage is now told from the reads that are known of, whichever daemon made them (StoreOutages): only a time without any that is long enough for an entry to expire, two heartbeats less their jitter, begins a grace period. Each daemon decides by its own knowledge; a grace period that comes with a removal is an upper bound.

The test for expired entries played an outage of 0.25 s, in which none can expire; it plays one of 2.5 s now, with the same checks.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerTable.ts
@@ -3,6 +3,7 @@
 import { BEFORE_LOG, readEra, type LogPosition } from './FigquayFleetLogPosition.js'
 import { LogProgress } from './FigquayFleetLogProgress.js'
 import { PeerLoads, RECENT_TOKENS_DECAY_MS, sumLoads, type RunnerLoad } from './FigquayFleetPeerLoads.js'
+import { RemovedRunners } from './FigquayFleetRemovedRunners.js'
 import { RunnerSpeeds, type SpeedRow } from './FigquayFleetRunnerSpeeds.js'
 import type { LoadedModel, Holdings, ReportedLoad, Runner } from './FigquayFleetTypes.js'
 
@@ -48,14 +49,6 @@
   readonly runner: Runner | undefined
 }
 
-/** A removed runner: earlier announcements don't add it again. */
-interface Tombstone {
-  /** Position of the removal. */
-  readonly position: LogPosition
-  /** Last announcement before it; undefined if this daemon has read none. */
-  readonly runner: Runner | undefined
-}
-
 interface RunnerEntry {
   /** Replaced only by `replaceRunner`, which keeps the indexes up to date. */
   runner: Runner
@@ -99,7 +92,6 @@
   /** The same by service, and by service and model, so that a request examines only runners that may serve it. */
   private readonly byService = new Map<string, Set<RunnerEntry>>()
   private readonly byModel = new Map<string, Set<RunnerEntry>>()
-  private readonly tombstones = new Map<string, Tombstone>()
   /** Removals within their grace period, in which the runner may announce itself again. */
   private readonly pendingRemovals = new Map<string, { readonly position: LogPosition, readonly dueAtMs: number }>()
   /** Start times of draining runners, by id: once a runner drains, it does so until it restarts. */
@@ -111,6 +103,7 @@
   private readonly listeners = new Set<(change: RunnerTableChange) => void>()
   /** How far the registry's log was read. */
   readonly progress = LogProgress.create()
+  private readonly removed = RemovedRunners.create(this.progress)
 
   private constructor (private readonly clock: Clock) {
     this.peerLoads = PeerLoads.create(clock)
@@ -168,9 +161,9 @@
   putRunner (runner: Runner, position: LogPosition): void {
     this.advancePosition(position)
     const known = this.entries.get(runner.id)
-    const lastPosition = known?.position ?? this.tombstones.get(runner.id)?.position ?? BEFORE_LOG
+    const lastPosition = known?.position ?? this.removed.find(runner.id)?.position ?? BEFORE_LOG
     if (lastPosition >= position || this.isRestoredCopy(runner, position)) return
-    this.tombstones.delete(runner.id)
+    this.removed.drop(runner.id)
     const isReannounced = this.pendingRemovals.delete(runner.id)
     if (runner.isLeaving) this.recordLeaving(runner.id, runner.bornMs)
     // The runner itself, or a peer, may have reported draining after this announcement: only a later start ends it.
@@ -193,7 +186,7 @@
   /** Whether an announcement that follows a restore of the registry is no newer than what was known before. */
   private isRestoredCopy (runner: Runner, position: LogPosition): boolean {
     const entry = this.entries.get(runner.id)
-    const last = entry ?? this.tombstones.get(runner.id)
+    const last = entry ?? this.removed.find(runner.id)
     if (last?.runner === undefined || readEra(position) <= readEra(last.position) || runner.bornMs !== last.runner.bornMs) return false
     const count = runner.announcementCount
     const lastCount = last.runner.announcementCount
@@ -273,8 +266,7 @@
   removeRunner (id: string, position: LogPosition, graceMs = 0): void {
     this.advancePosition(position)
     const known = this.entries.get(id)
-    // Peers may know a runner that was announced and removed where this daemon has read the result alone.
-    if (known === undefined && (this.tombstones.get(id)?.position ?? BEFORE_LOG) <= this.progress.lastGapEnd) this.addTombstone(id, { position, runner: undefined })
+    if (known === undefined) this.removed.addUnknown(id, position)
     if (known === undefined || known.position > position) return
     this.progress.noteChange(position)
     if (graceMs > 0) {
@@ -282,22 +274,11 @@
       return
     }
     this.pendingRemovals.delete(id)
-    this.addTombstone(id, { position, runner: known.runner })
+    this.removed.add(id, { position, runner: known.runner })
     this.removeEntry(known)
     this.notifyListeners({ service: known.runner.service, runner: undefined })
   }
 
-  /** Remembers a removal; one that is forgotten leaves a gap for peers that haven't read it. */
-  private addTombstone (id: string, tombstone: Tombstone): void {
-    this.progress.noteChange(tombstone.position)
-    this.tombstones.delete(id)
-    this.tombstones.set(id, tombstone)
-    if (this.tombstones.size <= MAX_REMEMBERED_RUNNERS) return
-    const [oldestId, { position }] = this.tombstones.entries().next().value!
-    this.tombstones.delete(oldestId)
-    this.progress.noteGap({ after: BEFORE_LOG, upTo: position })
-  }
-
   /** Applies the removals whose grace period is over. */
   private applyDueRemovals (): void {
     const nowMs = this.clock.readMonotonicMs()
@@ -407,7 +388,7 @@
   listRemovals (after: LogPosition): Array<{ readonly id: string, readonly position: LogPosition, readonly graceMs: number }> {
     this.applyDueRemovals()
     const nowMs = this.clock.readMonotonicMs()
-    const removed = [...this.tombstones].map(([id, { position }]) => ({ id, position, graceMs: 0 }))
+    const removed = this.removed.list().map((removal) => ({ ...removal, graceMs: 0 }))
     const pending = [...this.pendingRemovals].map(([id, { position, dueAtMs }]) => ({ id, position, graceMs: dueAtMs - nowMs }))
     return [...removed, ...pending].filter(({ position }) => position > after)
   }
--- a/packages/figquay-serving/src/FigquayServingSnapshot.ts
+++ b/packages/figquay-serving/src/FigquayServingSnapshot.ts
@@ -87,29 +87,29 @@
   }
 }
 
-/** Grace periods for runners that a snapshot doesn't list, in milliseconds. */
+/** Grace periods for runners that a snapshot doesn't list or has removed, in milliseconds. */
 export interface SnapshotGraces {
   /** For those that the first snapshot of a new era doesn't list; undefined before any list was read. */
   readonly newEraMs: number | undefined
-  /** For those whose removal the sender couldn't tell. */
-  readonly unlistedMs: number
+  /** For those whose removal the sender couldn't tell; for others at most, as the sender may take its own trouble for the store's. */
+  readonly removedMs: number
 }
 
 /**
  * Applies a peer's snapshot, unless the peer has read an older era: it may list runners that are gone. Returns whether it did.
  *
  * @example
- * applyRunnerSnapshot(table, snapshot, { newEraMs: 2_000, unlistedMs: 0 })
+ * applyRunnerSnapshot(table, snapshot, { newEraMs: 2_000, removedMs: 0 })
  */
-export function applyRunnerSnapshot (table: FleetRunnerTable, snapshot: RunnerSnapshot, { newEraMs, unlistedMs }: SnapshotGraces): boolean {
+export function applyRunnerSnapshot (table: FleetRunnerTable, snapshot: RunnerSnapshot, { newEraMs, removedMs }: SnapshotGraces): boolean {
   const position = decodePosition(snapshot)
   const previous = table.position
   const isNewEra = readEra(position) > readEra(previous)
   if (readEra(position) < readEra(previous)) return false
   for (const { runner, ...encoded } of snapshot.runners) table.putRunner(runner, decodePosition(encoded))
-  for (const { id, graceMs: removalGraceMs, ...encoded } of snapshot.removals) table.removeRunner(id, decodePosition(encoded), removalGraceMs)
+  for (const { id, graceMs, ...encoded } of snapshot.removals) table.removeRunner(id, decodePosition(encoded), Math.min(graceMs, removedMs))
   if (isNewEra && newEraMs !== undefined && snapshot.isComplete === true) table.removeUnlisted(new Set(snapshot.runners.map(({ runner }) => runner.id)), position, newEraMs)
-  if (snapshot.listedIds !== undefined && position > previous) table.removeUnlisted(new Set(snapshot.listedIds), position, unlistedMs)
+  if (snapshot.listedIds !== undefined && position > previous) table.removeUnlisted(new Set(snapshot.listedIds), position, removedMs)
   table.advancePosition(position)
   for (const gap of listGaps(snapshot, previous)) table.progress.noteGap(gap)
   return true
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -430,12 +430,13 @@
   }
 
   private applyRunnerChanges (reading: RunnerRegistryUpdate): void {
-    const { table, clock, logger } = this.options
+    const { table, clock, logger, outages } = this.options
     if (this.hasReadRunners && readEra(reading.position) > readEra(table.position)) this.storeRecoveredAtMs = clock.readMonotonicMs()
-    const graceMs = Math.max(0, this.storeRecoveredAtMs + EXPIRY_GRACE_MS - clock.readMonotonicMs())
+    // What only this daemon couldn't read says nothing of the entries.
+    const graceMs = Math.min(outages.graceMs, Math.max(0, this.storeRecoveredAtMs + EXPIRY_GRACE_MS - clock.readMonotonicMs()))
     applyRunnerReading(table, reading, graceMs, (runner, position) => this.applyAnnouncement(runner, position))
     const expiredIds = reading.changes.filter((change) => change.type === 'removed').map((change) => change.type === 'removed' ? change.id : '')
-    if (graceMs > 0 && expiredIds.length > 0) logger.info('runner entries expired during a store outage; keeping the runners for a grace period', { runners: expiredIds, graceMs: Math.round(graceMs) })
+    if (graceMs > 0 && expiredIds.length > 0) logger.info('runner entries expired during a store outage; keeping the runners for a grace period', { runners: expiredIds, graceMs: Math.round(graceMs), recoveredMs: Math.round(clock.readMonotonicMs() - this.storeRecoveredAtMs) })
     this.hasReadRunners = true
   }
 
@@ -531,13 +532,11 @@
     const position = decodePosition(snapshot)
     outages.noteRead(snapshot, madeAfterMs)
     if (snapshot.listedIds !== undefined) this.options.logger.info('a peer can\'t tell all removals; comparing the list of runners with its own', { ...encodePosition(table.position), peerPosition: snapshot.position, runners: table.listIds().length, peerRunners: snapshot.listedIds.length, graceMs: Math.round(outages.graceMs) })
-    if (applyRunnerSnapshot(table, snapshot, { newEraMs: this.hasReadRunners ? EXPIRY_GRACE_MS : undefined, unlistedMs: outages.graceMs })) {
+    if (position !== BEFORE_LOG) this.noteEra(readEra(position), 'snapshot')
+    if (applyRunnerSnapshot(table, snapshot, { newEraMs: this.hasReadRunners ? EXPIRY_GRACE_MS : undefined, removedMs: outages.graceMs })) {
       this.newestRead.noteReport(snapshot, madeAfterMs)
     }
-    if (position !== BEFORE_LOG) {
-      this.noteEra(readEra(position), 'snapshot')
-      this.hasReadRunners = true
-    }
+    if (position !== BEFORE_LOG) this.hasReadRunners = true
     if (Array.isArray(snapshot.facts)) {
       for (const fact of snapshot.facts.filter(isFact)) this.options.facts.addFact(fact)
       this.hasFacts = true
