Read shared records on from the end of a complete list

Callers may be served by a leader or with facts that are out of date for as long as nothing else is written: where the list of shared records takes several pages (over 500 records or 1 MB), one that was written while they were read moved the position past all that was written in between.

The test fails before: the second read began after 7, not 4.

--- a/packages/figquay-serving/src/FigquayServingSharedRecords.ts
+++ b/packages/figquay-serving/src/FigquayServingSharedRecords.ts
@@ -42,7 +42,6 @@
     const isRestored = batch.isComplete && readEra(batch.end) > readEra(this.lastPosition)
     let hasChanged = false
     for (const { key, value, position } of batch.records) {
-      this.lastPosition = Math.max(this.lastPosition, position)
       if (key === LEADER_KEY && value !== undefined) leadership.applyLeaderRecord(value, position)
       if (key.startsWith(FACT_KEY_PREFIX)) factStore.applyRecord(key, value)
       if (!key.startsWith(DAEMON_KEY_PREFIX)) continue
@@ -50,6 +49,7 @@
       daemonRecords.applyRecord(key, value)
     }
     if (isRestored) this.replaceLostRecords(batch)
+    // Records of a complete list may lie beyond its end: what was written while its pages were read is read once more.
     this.lastPosition = Math.max(this.lastPosition, batch.end - 1)
     if (hasChanged) setDaemons(daemonRecords.daemons)
   }
--- a/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreWatcher.test.ts
@@ -283,6 +283,24 @@
     expect([positionAfterList, table.findRunner('r'), table.findRunner('brief')?.id]).toEqual([5, undefined, 'brief'])
   })
 
+  // Guards against records of the leader, daemons and facts that are skipped between the pages of a long list.
+  it('reads the shared records on from the end of a complete list, whatever the positions of its records', async () => {
+    const { watcher, store, tasks } = makeWatcher(true, async () => undefined)
+    const reads: number[] = []
+    const records = [3, 7].map((position) => ({ key: `daemon/10.0.0.${position}:80`, value: 'z', position }))
+    Object.assign(store, {
+      readShared: async (after: number) => {
+        reads.push(after)
+        await SystemClock.create().waitFor(20)
+        return makeSuccess(reads.length === 1 ? { records, isComplete: true, end: 5 } : { records: [], isComplete: false, end: 5 })
+      }
+    })
+    watcher.startTasks(tasks)
+    while (reads.length < 2) await SystemClock.create().waitFor(5)
+    await tasks.stop()
+    expect(reads.slice(0, 2)).toEqual([-1, 4])
+  })
+
   // Guards against requests to a removed runner from a daemon that takes over long after an outage which it has seen itself.
   it('applies a removal at once if another daemon has read the store since the outage', async () => {
     let role: StoreRole = 'reader'
