--- a/packages/figquay-serving/src/FigquayServingTypes.ts
+++ b/packages/figquay-serving/src/FigquayServingTypes.ts
@@ -50,6 +50,8 @@
   | 'other-runner'
   /** The model or adapter is not loaded on the runner. */
   | 'missing-model'
+  /** The response says that the request has not run, and nothing confirms it. */
+  | 'unconfirmed'
   /** The connection was lost. */
   | 'reset'
   /** The response was cut short. */
