Start no idle time limit while a request is being served

A request that arrived as its connection's idle time was up was served, but its connection got the idle time limit again: a response that took longer, as streams do, was cut off. The limit is set again only if what arrived isn't a whole request.

--- a/packages/figquay/src/FigquayClientError.ts
+++ b/packages/figquay/src/FigquayClientError.ts
@@ -108,13 +108,15 @@
     setTimeout(() => socket.destroy(), LINGERING_CLOSE_MS).unref()
   }
 
-  /** Closes a connection that has been idle for too long, unless something arrives at this moment. */
+  /** Closes a connection that has been idle for too long, unless something has arrived on it. */
   async handleIdle (socket: Socket): Promise<void> {
     const { bytesRead } = socket
-    const isRead = this.findRequests(socket).open === 0 && (await this.awaitRequest(socket) || socket.bytesRead > bytesRead)
-    this.noteOutcome('idle', isRead ? 'request-read' : 'closed')
-    if (isRead) socket.setTimeout(this.server.keepAliveTimeout)
-    else socket.destroy()
+    const hasReadRequest = await this.awaitRequest(socket)
+    const isClosed = !hasReadRequest && socket.bytesRead === bytesRead
+    this.noteOutcome('idle', isClosed ? 'closed' : 'request-read')
+    if (isClosed) socket.destroy()
+    // The beginning of a request: Node.js ends this time limit once its header is complete.
+    else if (!hasReadRequest) socket.setTimeout(this.server.keepAliveTimeout)
   }
 
   /** Has the sockets read once more; true if a request has arrived on this one. */
