--- a/packages/figquay-peers/src/FigquayPeerConnection.ts
+++ b/packages/figquay-peers/src/FigquayPeerConnection.ts
@@ -16,6 +16,12 @@
   readonly clock: Clock
 }
 
+/**
+ * Why a connection was closed: by this end as nobody needs it or the daemon stops (`unneeded`), as the peer was silent or sent
+ * what can't be read, as the socket failed, or by the other end.
+ */
+export type PeerCloseCause = 'unneeded' | 'silent' | 'malformed' | 'failed' | 'peer'
+
 interface WireMessage {
   readonly nonce?: string
   readonly proof?: string
@@ -41,6 +47,10 @@
   private isAuthenticated = false
   private receivedBytes = 0
   private hasWrittenSinceHeartbeat = false
+  private firstCloseCause: PeerCloseCause | undefined
+  private openCalls = 0
+  /** Calls that were in progress when the connection was closed. */
+  private callsCutOff = 0
 
   private constructor (private readonly options: PeerConnectionOptions) {
     this.lastReceivedAtMs = options.clock.readMonotonicMs()
@@ -48,10 +58,11 @@
     for (const [name, method] of Object.entries(options.methods)) server.addMethod(name, method as (params: unknown) => unknown as never)
     this.rpc = new JSONRPCServerAndClient(server, new JSONRPCClient((message) => this.writeMessage(message)), { errorListener: () => {} })
     options.socket.setNoDelay(true)
-    options.socket.on('error', () => this.close())
+    options.socket.on('error', () => this.close('failed'))
     const heartbeat = setInterval(() => this.runHeartbeat(), HEARTBEAT_INTERVAL_MS)
     options.socket.on('close', () => {
       clearInterval(heartbeat)
+      this.callsCutOff = this.openCalls
       this.rpc.rejectAllPendingRequests('peer connection closed')
     })
     this.readLines()
@@ -72,6 +83,16 @@
       this.options.clock.readMonotonicMs() - this.lastReceivedAtMs < HEARTBEAT_TIMEOUT_MS
   }
 
+  /** Why the connection was closed; meaningless before. */
+  get closeCause (): PeerCloseCause {
+    return this.firstCloseCause ?? 'peer'
+  }
+
+  /** Number of this end's calls that the close has ended. */
+  get cutOffCallCount (): number {
+    return this.callsCutOff
+  }
+
   /** Total bytes sent and received. */
   get byteCount (): number {
     return this.options.socket.bytesWritten + this.receivedBytes
@@ -104,7 +125,9 @@
     const timeout = new Promise<Outcome<T, string>>((resolve) => {
       timer = startTimer(() => resolve(makeFailure('Request timeout')), timeoutMs)
     })
+    this.openCalls += 1
     const outcome = await Promise.race([reply, timeout])
+    this.openCalls -= 1
     timer?.cancel()
     return outcome
   }
@@ -128,7 +151,8 @@
   }
 
   /** Closes the connection immediately; pending calls fail. */
-  close (): void {
+  close (cause: Exclude<PeerCloseCause, 'peer'> = 'unneeded'): void {
+    if (!this.options.socket.destroyed) this.firstCloseCause ??= cause
     this.options.socket.destroy()
   }
 
@@ -149,7 +173,7 @@
   }
 
   private closeUnlessHeardSince (atMs: number): void {
-    if (this.lastReceivedAtMs === atMs) this.close()
+    if (this.lastReceivedAtMs === atMs) this.close('silent')
   }
 
   private readLines (): void {
@@ -160,11 +184,11 @@
       this.receivedBytes += chunk.length
       const lineEnd = chunk.lastIndexOf(10)
       partialLineBytes = lineEnd < 0 ? partialLineBytes + chunk.length : chunk.length - lineEnd
-      if (partialLineBytes > MAX_LINE_BYTES) this.close()
+      if (partialLineBytes > MAX_LINE_BYTES) this.close('malformed')
     })
     const lines = createInterface({ input: socket, crlfDelay: Infinity })
     lines.on('line', (line) => this.handleLine(line))
-    lines.on('error', () => this.close())
+    lines.on('error', () => this.close('failed'))
   }
 
   private handleLine (line: string): void {
@@ -172,17 +196,17 @@
     try {
       message = JSON.parse(line) as WireMessage
     } catch {
-      this.close()
+      this.close('malformed')
       return
     }
     if (message?.nonce !== undefined) this.writeMessage({ proof: signText(this.options.secrets[0]!, message.nonce) })
     else if (message?.proof !== undefined) this.verifyProof(message.proof)
     else if (this.isAuthenticated && message?.jsonrpc === '2.0') this.rpc.receiveAndSend(message as never)
-    else if (message === null || Object.keys(message).length > 0) this.close()
+    else if (message === null || Object.keys(message).length > 0) this.close('malformed')
   }
 
   private verifyProof (proof: string): void {
     this.isAuthenticated = this.options.secrets.some((secret) => compareSecrets(signText(secret, this.localNonce), proof))
-    if (!this.isAuthenticated) this.close()
+    if (!this.isAuthenticated) this.close('malformed')
   }
 }
--- a/packages/figquay-peers/src/FigquayPeerMesh.ts
+++ b/packages/figquay-peers/src/FigquayPeerMesh.ts
@@ -236,6 +236,7 @@
       return
     }
     const connection = this.makeConnection(socket)
+    const openedAtMs = this.options.clock.readMonotonicMs()
     const closeConnection = (): void => connection.close()
     signal.addEventListener('abort', closeConnection, { once: true })
     const closed = new Promise<void>((resolve) => socket.once('close', () => resolve()))
@@ -247,6 +248,14 @@
     signal.removeEventListener('abort', closeConnection)
     if (this.outgoing.get(peer.id) === connection) this.outgoing.delete(peer.id)
     this.closedConnectionBytes += connection.byteCount
+    this.logClose(peer, connection, this.options.clock.readMonotonicMs() - openedAtMs)
+  }
+
+  /** A close that ends calls in progress costs those who wait for them; others are of interest only when connections are debugged. */
+  private logClose (peer: PeerAddress, { closeCause, cutOffCallCount }: PeerConnection, openForMs: number): void {
+    const fields = { peer: peer.id, cause: closeCause, calls: cutOffCallCount, openForMs: Math.round(openForMs) }
+    if (cutOffCallCount > 0) this.options.logger.info('connection to a peer closed during calls', fields)
+    else this.options.logger.debug('connection to a peer closed', fields)
   }
 
   private openSocket (address: string): Promise<Socket | undefined> {
--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -68,6 +68,8 @@
   private newest = { version: -1, sinceMs: 0 }
   /** Time at which this daemon learned that it is behind. */
   private behindSinceMs = 0
+  /** Attempts to fetch from a peer that have failed since then. */
+  private failedAttempts = 0
   private nextStoreReadAtMs = Number.POSITIVE_INFINITY
   private isFetching = false
   /** Peers that have announced their versions since this daemon started; cleared once the configuration is confirmed. */
@@ -192,7 +194,10 @@
   private noteNewest (peer: string, version: number): void {
     const { clock, logger, configurations } = this.options
     const nowMs = clock.readMonotonicMs()
-    if (!this.isBehind) this.behindSinceMs = nowMs
+    if (!this.isBehind) {
+      this.behindSinceMs = nowMs
+      this.failedAttempts = 0
+    }
     if (!this.isBehind) this.nextStoreReadAtMs = nowMs + this.options.computeFallbackMs() + FALLBACK_JITTER_MS * Math.random()
     this.newest = { version, sinceMs: nowMs }
     logger.info('newer configuration announced by a peer', { peer, version, active: configurations.version })
@@ -291,7 +296,8 @@
     const { clock, logger, configurations } = this.options
     const nowMs = clock.readMonotonicMs()
     this.retryAtMs.set(peer, nowMs + backoffMs)
-    logger.info('could not fetch the configuration from a peer', { peer, active: configurations.version, newest: this.newestVersion, error: describeError(error), tookMs: Math.round(nowMs - startedAtMs) })
+    this.failedAttempts += 1
+    logger.info('could not fetch the configuration from a peer', { peer, active: configurations.version, newest: this.newestVersion, error: describeError(error), tookMs: Math.round(nowMs - startedAtMs), backoffMs: Math.round(backoffMs), knownSources: this.peerVersions.size })
     return 'failed'
   }
 
@@ -310,10 +316,11 @@
 
   private adopt (configuration: FleetConfiguration, source: 'store' | 'peer', startedAtMs: number, details: Record<string, unknown> = {}): void {
     const { configurations, logger, clock } = this.options
+    const { behindForMs, failedAttempts } = this
     if (!configurations.adoptConfiguration(configuration)) return
     const nowMs = clock.readMonotonicMs()
     const isAnnounced = this.newest.version === configuration.version
-    logger.info('configuration in force', { version: configuration.version, source, routes: configuration.routes.length, customers: configuration.customers?.size, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.newest.sinceMs) : undefined, ...details })
+    logger.info('configuration in force', { version: configuration.version, source, routes: configuration.routes.length, customers: configuration.customers?.size, tookMs: Math.round(nowMs - startedAtMs), lagMs: isAnnounced ? Math.round(nowMs - this.newest.sinceMs) : undefined, behindForMs: Math.round(behindForMs), failedAttempts: behindForMs > 0 ? failedAttempts : undefined, ...details })
   }
 }
 
--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -59,6 +59,16 @@
   readonly createMesh?: ServingPeersOptions['createMesh']
 }
 
+/** What a daemon knows of the configuration. */
+export interface ConfigurationEvidence {
+  /** Version in force here. */
+  readonly version: number
+  /** Newest version that is known to exist. */
+  readonly newestVersion: number
+  /** Names the newest read of the store that this daemon knows of, by the process that made it; undefined if it knows of none. */
+  readonly storeRead: string | undefined
+}
+
 const PLAN_INTERVAL_MS = 100
 /** Timeout of an invitation to lead, in milliseconds: less than what counts as a stall of the leader. */
 const INVITATION_TIMEOUT_MS = 300
@@ -265,6 +275,11 @@
     return !this.stopping && this.storeWatcher.isSynced && this.configurationSync.confirmVersion()
   }
 
+  /** What this daemon knows of the configuration, for the lines on requests without a route. */
+  get configurationEvidence (): ConfigurationEvidence {
+    return { version: this.configurations.version, newestVersion: this.configurationSync.newestVersion, storeRead: this.peers.newestStoreRead }
+  }
+
   /**
    * Finds the route of a request, or the refusal of a request that has none.
    *
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -190,6 +190,11 @@
     return this.relay.storeAges
   }
 
+  /** Names the newest read of the store that this daemon knows of. */
+  get newestStoreRead (): string | undefined {
+    return this.relay.newestRead.report.storeRead
+  }
+
   /** Monotonic time at which this daemon last heard from a peer that tells it of news, in milliseconds. */
   get contactAtMs (): number {
     return Math.max(this.relay.contactAtMs, this.hintsHeardAtMs)
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -172,6 +172,11 @@
     return { reportedAgeMs, storeAgeMs: Math.min(ownRead.ageMs, reportedAgeMs), ownAgeMs: ownRead.isBy(this.options.bootId) ? ownRead.ageMs : Number.POSITIVE_INFINITY }
   }
 
+  /** Newest read of the store that this daemon knows of, by whichever daemon. */
+  get newestRead (): NewestStoreRead {
+    return NewestStoreRead.selectNewer(this.options.findOwnRead(), this.reportedRead)
+  }
+
   /** Monotonic time at which this daemon last asked its parent, or another root, and was answered, in milliseconds. */
   get contactAtMs (): number {
     return this.lastContactAtMs
@@ -351,7 +356,7 @@
       changedAt: readOffset(table.lastChangePosition),
       daemonCount: countDaemons(),
       facts: readFacts(),
-      ...NewestStoreRead.selectNewer(this.options.findOwnRead(), this.reportedRead).report,
+      ...this.newestRead.report,
       loads: formatLoads(loads),
       news: news.listAfter(this.ackedRevisions.get(peer) ?? 0),
       revision: news.revision,
--- a/packages/figquay-serving/src/index.ts
+++ b/packages/figquay-serving/src/index.ts
@@ -39,4 +39,4 @@
 export { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 export { ServingPeers, type ServingMesh, type ServingPeersOptions } from './FigquayServingPeers.js'
 export { FleetRelay, type FleetRelayOptions, type RelayMesh, type RelayMessage } from './FigquayServingRelay.js'
-export { ServingDaemon, type ServingDaemonOptions } from './FigquayServingDaemon.js'
+export { ServingDaemon, type ConfigurationEvidence, type ServingDaemonOptions } from './FigquayServingDaemon.js'
