Put daemons of strong VMs at the top of the tree (CONFIG)

Cause: a root sends every change of the runners to all daemons of its data centre, whatever its VM. Fault class: the daemon that serves all others is chosen without regard to what it can carry, and its work grows when it is late (what wasn't acknowledged is sent again).

Change: daemons write the processor cores of their VM to the store beside their record, in the same call, and tell each other; ranks go by cores, then by the hash. Daemons of the release before ignore the new record and fields, and rank as before.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -217,7 +217,7 @@
       facts,
       factStore: this.factStore,
       daemonRecords: this.daemonRecords,
-      setDaemons: (daemons) => this.peers.setDaemons(daemons),
+      setDaemons: (daemons, cores) => this.peers.setDaemons(daemons, cores),
       requestSnapshot: (request, peer) => this.peers.requestSnapshot(request, peer),
       adoptConfiguration: (configuration) => configurationSync.adoptFromStore(configuration),
       outages,
@@ -319,7 +319,7 @@
     this.storeWatcher.startTasks(this.tasks)
     this.configurationSync.start()
     this.quotas.start(this.tasks)
-    this.tasks.startTask('announcement', (signal) => this.storeWatcher.announceSelf(this.options.address, this.options.zone, signal))
+    this.tasks.startTask('announcement', (signal) => this.storeWatcher.announceSelf(this.options.address, this.options.zone, this.options.processorCores, signal))
     this.tasks.startLoop('leadership', LEADERSHIP_INTERVAL_MS, () => this.leadership.refresh())
     this.tasks.startLoop('unresolved attempts', FACTS_INTERVAL_MS, async () => this.attemptWatch.refresh())
     this.tasks.startLoop('health', EVENT_LOOP_TICK_MS, async () => this.refreshHealth())
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -16,6 +16,7 @@
 import { SuspectIsolator, type PermitRequest } from './FigquayServingSuspectIsolator.js'
 import { decodeProgress, type FleetSnapshot, type PeerProgress, type SnapshotRequest } from './FigquayServingSnapshot.js'
 import { chooseStoreRole, type StoreAges, type StoreRole } from './FigquayServingStoreRole.js'
+import type { ProcessorCores } from './FigquayServingTopology.js'
 import { computeStoreTiming, type ChangeBounds, type FleetSpread, type StoreTiming } from './FigquayServingStoreTiming.js'
 
 /** How far a daemon has read the store, as it tells a peer. */
@@ -111,6 +112,7 @@
   /** Daemons that have sent messages before any record or peer named them, as the store may have lost their records. */
   private readonly heardDaemons = new Set<string>()
   private announcedDaemons: ReadonlyMap<string, string> = new Map()
+  private announcedCores: ProcessorCores = new Map()
   private treeNeighbours: readonly string[] = []
   private lastLeader: string | undefined
   private hintsSentAtMs = Number.NEGATIVE_INFINITY
@@ -248,16 +250,18 @@
    * Replaces the known daemons.
    *
    * @param daemons Data centre by daemon address.
+   * @param cores Processor cores by daemon address.
    * @example
-   * peers.setDaemons(new Map([['10.0.0.1:80', 'a']]))
+   * peers.setDaemons(new Map([['10.0.0.1:80', 'a']]), new Map([['10.0.0.1:80', 1.35]]))
    */
-  setDaemons (daemons: ReadonlyMap<string, string>): void {
-    const { self, seeds } = this.options
+  setDaemons (daemons: ReadonlyMap<string, string>, cores: ProcessorCores = new Map()): void {
+    const { self, seeds, processorCores } = this.options
     this.announcedDaemons = daemons
+    this.announcedCores = cores
     const withoutZone = [...seeds, ...this.heardDaemons].map((daemon): [string, string] => [daemon, self.zone])
     this.zoneByDaemon = new Map([...withoutZone, ...daemons, [self.id, self.zone]])
     // The data centre of a seed, or of a daemon that was only heard, is unknown until its record is read, so it isn't ranked until then.
-    this.relay.setDaemons(new Map([...daemons, [self.id, self.zone]]))
+    this.relay.setDaemons(new Map([...daemons, [self.id, self.zone]]), processorCores === undefined ? cores : new Map([...cores, [self.id, processorCores]]))
     this.updateConnections()
   }
 
@@ -266,7 +270,7 @@
     if (this.zoneByDaemon.has(daemon) || this.heardDaemons.size >= MAX_HEARD_DAEMONS || !DAEMON_ADDRESS.test(daemon)) return
     this.heardDaemons.add(daemon)
     this.options.logger.info('heard from a daemon that neither the store nor a peer has named', { daemon })
-    this.setDaemons(this.announcedDaemons)
+    this.setDaemons(this.announcedDaemons, this.announcedCores)
   }
 
   /** Calls a method of a peer, to which a connection is opened if there is none. */
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -6,7 +6,7 @@
 import { decodeProgress, type PeerProgress } from './FigquayServingSnapshot.js'
 import { findTurn, isOnlyKnownReader, type StoreAges, type StoreRole } from './FigquayServingStoreRole.js'
 import type { FleetSpread, StoreTiming } from './FigquayServingStoreTiming.js'
-import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, rankZones, selectTreeRole, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
+import { computeSearchDepth, rankDaemons, CANDIDATES_PER_ZONE, rankZones, selectTreeRole, type ProcessorCores, type TreeRole, type RankedDaemons } from './FigquayServingTopology.js'
 
 /** Request and response of one exchange between two daemons; its read of the store is the sender's or one that its peers have reported. */
 export interface RelayMessage extends StoreReadReport {
@@ -211,11 +211,12 @@
    * Replaces the known daemons.
    *
    * @param zones Data centre by daemon address.
+   * @param cores Processor cores by daemon address.
    * @example
-   * relay.setDaemons(new Map([['10.0.0.1:80', 'a']]))
+   * relay.setDaemons(new Map([['10.0.0.1:80', 'a']]), new Map([['10.0.0.1:80', 1.35]]))
    */
-  setDaemons (zones: ReadonlyMap<string, string>): void {
-    this.ranked = rankDaemons(zones)
+  setDaemons (zones: ReadonlyMap<string, string>, cores?: ProcessorCores): void {
+    this.ranked = rankDaemons(zones, cores)
     this.daemonCount = zones.size
     this.searchDepthAtMs = Number.NEGATIVE_INFINITY
   }
--- a/packages/figquay-serving/src/FigquayServingSharedRecords.ts
+++ b/packages/figquay-serving/src/FigquayServingSharedRecords.ts
@@ -1,15 +1,16 @@
 /** Applies the records that the daemons share in the platform's store: the leader, facts and the daemons themselves. */
 import { BEFORE_LOG, LEADER_KEY, readEra, type FleetLeadership, type LogPosition, type SharedRecordBatch } from 'figquay-fleet'
-import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
+import { DAEMON_KEY_PREFIX, PROCESSOR_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import { FACT_KEY_PREFIX, type FactStoreSync } from './FigquayServingFactStoreSync.js'
+import type { ProcessorCores } from './FigquayServingTopology.js'
 
 /** Where the records are applied. */
 export interface SharedRecordsOptions {
   readonly leadership: FleetLeadership
   readonly factStore: Pick<FactStoreSync, 'applyRecord' | 'replaceRecords'>
   readonly daemonRecords: DaemonRecords
-  /** Called with the data centre of each daemon, by address, after a change. */
-  readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
+  /** Called with the data centre and the processor cores of each daemon, by address, after a change. */
+  readonly setDaemons: (daemons: ReadonlyMap<string, string>, cores: ProcessorCores) => void
 }
 
 /** One daemon's copy of the shared records. */
@@ -44,14 +45,15 @@
     for (const { key, value, position } of batch.records) {
       if (key === LEADER_KEY && value !== undefined) leadership.applyLeaderRecord(value, position)
       if (key.startsWith(FACT_KEY_PREFIX)) factStore.applyRecord(key, value)
-      if (!key.startsWith(DAEMON_KEY_PREFIX)) continue
+      if (key.startsWith(DAEMON_KEY_PREFIX)) daemonRecords.applyRecord(key, value)
+      else if (key.startsWith(PROCESSOR_KEY_PREFIX)) daemonRecords.applyProcessorRecord(key, value)
+      else continue
       hasChanged = true
-      daemonRecords.applyRecord(key, value)
     }
     if (isRestored) this.replaceLostRecords(batch)
     // Records of a complete list may lie beyond its end: what was written while its pages were read is read once more.
     this.lastPosition = Math.max(this.lastPosition, batch.end - 1)
-    if (hasChanged) setDaemons(daemonRecords.daemons)
+    if (hasChanged) setDaemons(daemonRecords.daemons, daemonRecords.processorCores)
   }
 
   /** What daemons wrote since the copy was made is missing from the restored store; the leader writes it again. */
--- a/packages/figquay-serving/src/FigquayServingSnapshot.ts
+++ b/packages/figquay-serving/src/FigquayServingSnapshot.ts
@@ -1,9 +1,10 @@
 /** Snapshots of the list of runners between daemons: what a peer lacks, also after the store was restored from an older copy. */
 import { BEFORE_LOG, decodePosition, encodePosition, readEra, type EncodedPosition, type Fact, type FleetRunnerTable, type LogGap, type LogPosition, type Runner } from 'figquay-fleet'
+import type { DaemonList } from './FigquayServingDaemonRecords.js'
 import type { StoreReadReport } from './FigquayServingNewestStoreRead.js'
 
 /** State that a daemon sends to one that can't read the store or lags behind, and when it was read from the store; the configuration is sent by `ConfigurationSource`. */
-export interface FleetSnapshot extends StoreReadReport {
+export interface FleetSnapshot extends StoreReadReport, DaemonList {
   readonly runners: ReadonlyArray<EncodedPosition & { readonly runner: Runner }>
   readonly removals: ReadonlyArray<EncodedPosition & { readonly id: string, readonly graceMs: number }>
   /** The runners are all that the sender knows: others were lost with a restore of the store. */
@@ -16,7 +17,6 @@
   readonly era?: number
   /** Offset up to which the sender has read the list of runners. */
   readonly position: number
-  readonly daemons: ReadonlyArray<readonly [address: string, zone: string]>
   /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
   readonly facts: readonly Fact[] | undefined
 }
@@ -31,6 +31,8 @@
   readonly needsFacts: boolean
   /** Whether it drops runners that aren't among the listed ids; missing from a daemon that doesn't know them. */
   readonly acceptsIds?: boolean
+  /** Digest of the daemons that it knows: the same list isn't sent; missing from a daemon of an older release, which always gets it. */
+  readonly daemonsDigest?: string
 }
 
 /** How far a peer has read the store. */
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -2,7 +2,7 @@
 import { describeError, type CallFailure, type Clock, type Logger, type Outcome, type TaskGroup } from 'figquay'
 import { BEFORE_LOG, decodePosition, encodePosition, isFact, readEra, type ConfigurationHolder, type FleetConfiguration, type FleetFacts, type FleetLeadership, type FleetRunnerTable, type FleetStore, type Runner, type RunnerRegistryUpdate } from 'figquay-fleet'
 
-import { DAEMON_KEY_PREFIX, type DaemonRecords } from './FigquayServingDaemonRecords.js'
+import { makeDaemonRecords, type DaemonRecords } from './FigquayServingDaemonRecords.js'
 import type { FactStoreSync } from './FigquayServingFactStoreSync.js'
 import { makeReadName, NewestStoreRead } from './FigquayServingNewestStoreRead.js'
 import { applyRunnerReading } from './FigquayServingRunnerReading.js'
@@ -13,6 +13,7 @@
 import type { StoreRole } from './FigquayServingStoreRole.js'
 import { ROLE_CHECK_MS, type StoreTiming } from './FigquayServingStoreTiming.js'
 import { RETRY_DELAY_MS, TopicReads } from './FigquayServingTopicReads.js'
+import type { ProcessorCores } from './FigquayServingTopology.js'
 import { STORE_TOPICS, type StoreTopic } from './FigquayServingTypes.js'
 
 /** Options of the store watcher. */
@@ -30,8 +31,8 @@
   readonly facts: FleetFacts
   readonly factStore: Pick<FactStoreSync, 'applyRecord' | 'replaceRecords'>
   readonly daemonRecords: DaemonRecords
-  /** Called with the data centre of each daemon, by address, after a change. */
-  readonly setDaemons: (daemons: ReadonlyMap<string, string>) => void
+  /** Called with the data centre and the processor cores of each daemon, by address, after a change. */
+  readonly setDaemons: (daemons: ReadonlyMap<string, string>, cores: ProcessorCores) => void
   /** Reads of the store that are known of, whichever daemon made them. */
   readonly outages: StoreOutages
   readonly findStoreRole: () => StoreRole
@@ -177,10 +178,10 @@
     }
   }
 
-  /** Registers this daemon in the store for the others to discover. */
-  async announceSelf (address: string, zone: string, signal: AbortSignal): Promise<void> {
+  /** Registers this daemon in the store for the others to discover, with the processor cores of its VM if they are known. */
+  async announceSelf (address: string, zone: string, cores: number | undefined, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const written = await this.options.store.writeShared(`${DAEMON_KEY_PREFIX}${address}`, zone, undefined)
+      const written = await this.options.store.writeRecords(makeDaemonRecords(address, zone, cores))
       if (written.ok) return
       await this.options.clock.waitFor(RETRY_DELAY_MS, signal)
     }
@@ -192,12 +193,12 @@
   }
 
   /** Makes a snapshot of what is newer than the requester's copy, with the facts if they are needed. */
-  makeSnapshot ({ needsFacts, ...requested }: SnapshotRequest): FleetSnapshot {
+  makeSnapshot ({ needsFacts, daemonsDigest, ...requested }: SnapshotRequest): FleetSnapshot {
     const { table, daemonRecords, facts, clock } = this.options
     const runners = makeRunnerSnapshot(table, requested)
     return {
       ...runners ?? { runners: [], removals: [], ...requested },
-      daemons: [...daemonRecords.daemons],
+      ...daemonRecords.makeList(daemonsDigest),
       facts: needsFacts && this.hasFacts ? facts.listAfter(0) : undefined,
       // A copy to which nothing was added isn't as current as this daemon's.
       ...runners === undefined ? NewestStoreRead.create(clock).report : this.newestRead.report
@@ -513,7 +514,7 @@
     this.isFetching = true
     const requestedAtMs = this.options.clock.readMonotonicMs()
     try {
-      const snapshot = await this.options.requestSnapshot({ ...encodePosition(table.position), needsFacts: !this.hasFacts, acceptsIds: true }, peer)
+      const snapshot = await this.options.requestSnapshot({ ...encodePosition(table.position), needsFacts: !this.hasFacts, acceptsIds: true, daemonsDigest: this.options.daemonRecords.digest }, peer)
       if (snapshot === undefined) return
       this.applySnapshot(snapshot, requestedAtMs)
       logger.debug('snapshot received from a peer', { position: table.position })
@@ -542,7 +543,7 @@
       this.hasFacts = true
     }
     const { daemonRecords, setDaemons } = this.options
-    if (daemonRecords.addDaemons(snapshot.daemons)) setDaemons(daemonRecords.daemons)
+    if (daemonRecords.addDaemons(snapshot)) setDaemons(daemonRecords.daemons, daemonRecords.processorCores)
   }
 
   /** Notes the outcome of a read of a topic, and logs the first failure in a row and the end of failures. */
--- a/packages/figquay-serving/src/FigquayServingTopology.ts
+++ b/packages/figquay-serving/src/FigquayServingTopology.ts
@@ -2,15 +2,19 @@
  * Tree along which the daemons of a large fleet exchange state. Pure: no clock, no I/O.
  *
  * Loads must reach every daemon within a fraction of a second although any daemon may be down, and a full mesh would need
- * too many connections. The daemons of a data centre are ranked by the hash of their address. Each one exchanges state
- * with its parent, the highest-ranked daemon above it that it can reach. A daemon that reaches none above it is the root
- * of its data centre; the roots exchange state with each other.
+ * too many connections. The daemons of a data centre are ranked by the processor of their VM, then by the hash of their
+ * address. Each one exchanges state with its parent, the highest-ranked daemon above it that it can reach. A daemon that
+ * reaches none above it is the root of its data centre; the roots exchange state with each other. A root sends every change
+ * to all daemons of its data centre, many times what one of them receives, so it has to be one that can carry this.
  */
 import { hashText } from 'figquay'
 
 /** Daemons by data centre, highest rank first. */
 export type RankedDaemons = ReadonlyMap<string, readonly string[]>
 
+/** Processor cores of the daemons' VMs, fractions included, by address; a daemon of an older release doesn't tell. */
+export type ProcessorCores = ReadonlyMap<string, number>
+
 /** Role of one daemon in the tree. */
 export interface TreeRole {
   /** Daemons to stay connected to. */
@@ -29,17 +33,23 @@
 export const CANDIDATES_PER_ZONE = 2
 
 /**
- * Ranks the daemons of each data centre by the hash of their address.
+ * Ranks the daemons of each data centre: those of stronger VMs first, alike ones by the hash of their address. Those whose
+ * processor is unknown come last.
  *
  * @param zones Data centre by daemon address.
+ * @param cores Processor cores by daemon address.
  * @example
- * rankDaemons(new Map([['10.0.0.1:80', 'a'], ['10.0.0.2:80', 'a']])).get('a')
+ * rankDaemons(new Map([['10.0.0.1:80', 'a'], ['10.0.0.2:80', 'a']]), new Map([['10.0.0.2:80', 1.35]])).get('a') // 10.0.0.2:80 first
  */
-export function rankDaemons (zones: ReadonlyMap<string, string>): RankedDaemons {
-  const ranked = new Map<string, string[]>()
-  for (const [address, zone] of zones) ranked.set(zone, [...ranked.get(zone) ?? [], address])
-  for (const addresses of ranked.values()) addresses.sort((a, b) => hashText(a) < hashText(b) ? -1 : 1)
-  return ranked
+export function rankDaemons (zones: ReadonlyMap<string, string>, cores: ProcessorCores = new Map()): RankedDaemons {
+  const ranked = new Map<string, Array<{ readonly address: string, readonly cores: number, readonly hash: string }>>()
+  for (const [address, zone] of zones) {
+    const daemon = { address, cores: cores.get(address) ?? 0, hash: hashText(address) }
+    const others = ranked.get(zone)
+    if (others === undefined) ranked.set(zone, [daemon])
+    else others.push(daemon)
+  }
+  return new Map([...ranked].map(([zone, daemons]) => [zone, daemons.sort((a, b) => b.cores - a.cores || (a.hash < b.hash ? -1 : 1)).map(({ address }) => address)]))
 }
 
 /** Sorts the data centres by the hash of their name: the first one is that of the primary root, if it reaches any root. */
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedFleet.ts
@@ -1,7 +1,7 @@
 /** Daemons of one fleet in one process, on virtual time, with a store and links between them that take time for each byte. */
 import { JsonLogger, makeFailure, makeSuccess, type CallFailure, type Logger, type Outcome } from 'figquay'
-import { FleetStore, makeLogPosition, readEra, readOffset, STORE_SILENCE_MS, type FleetConfiguration, type LogPosition, type NoteResponse, type Route, type Runner, type RunnerChange, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
-import { rankDaemons, ServingDaemon, type ChangeBounds, type RunnerExchangeClient } from '../../index.js'
+import { FleetStore, makeLogPosition, readEra, readOffset, STORE_SILENCE_MS, type FleetConfiguration, type Holdings, type LogPosition, type NoteResponse, type Route, type Runner, type RunnerChange, type RunnerOrderClient, type RunnerRegistryUpdate, type SharedRecordBatch, type SharedWrite, type WriteResult } from 'figquay-fleet'
+import { PROCESSOR_KEY_PREFIX, rankDaemons, ServingDaemon, type ChangeBounds, type RunnerExchangeClient } from '../../index.js'
 import { SimulatedClock } from './SimulatedClock.js'
 import { SimulatedNetwork } from './SimulatedNetwork.js'
 
@@ -44,6 +44,8 @@
   calls = 0
   /** Number of reads that returned the latest record of each key. */
   snapshotReads = 0
+  /** Number of reads that returned a configuration. */
+  configurationsSent = 0
   retainedFrom: RetainedOffsets = { configurations: 0, shared: 0, runners: 0 }
 
   /** Offset from which a read continues after a position. */
@@ -68,10 +70,12 @@
 /** The store as one daemon reads it: a response takes its latency and the time of its bytes on the daemon's link. */
 class SimulatedStore extends FleetStore {
   private isCut = false
+  /** While true, reads of the configuration get no answer, on whichever connection; others do. */
+  private isConfigurationStalled = false
   /** Number of times that the connections of reads have gone silent. */
   private silences = 0
 
-  constructor (private readonly state: StoreState, private readonly clock: SimulatedClock, private readonly bytesPerMs: number) {
+  constructor (private readonly state: StoreState, private readonly clock: SimulatedClock, private readonly bytesPerMs: number, private readonly isPreviousRelease: boolean) {
     super()
   }
 
@@ -79,7 +83,12 @@
     const { state } = this
     const hasNew = (): boolean => state.isGone('configurations', after) || state.configurations.length > state.findNextOffset(after)
     const readNewest = () => ({ configuration: hasNew() ? state.configurations.at(-1) : undefined, position: state.makeEnd(state.configurations.length) - 1 })
-    return await this.read('configurations', after, waitMs, signal, hasNew, readNewest, ({ configuration }) => configuration === undefined ? 0 : JSON.stringify(configuration).length, noteResponse)
+    return await this.read('configurations', after, waitMs, signal, hasNew, readNewest, ({ configuration }) => configuration === undefined ? 0 : this.countBytes(configuration), noteResponse)
+  }
+
+  private countBytes (configuration: FleetConfiguration): number {
+    this.state.configurationsSent += 1
+    return JSON.stringify(configuration).length
   }
 
   override async readRunners (after: LogPosition, waitMs: number, signal: AbortSignal, noteResponse?: NoteResponse): Promise<Outcome<RunnerRegistryUpdate, CallFailure>> {
@@ -99,7 +108,8 @@
     const { state } = this
     const readNew = (): SharedRecordBatch => {
       const from = state.findNextOffset(after)
-      return { records: state.shared.slice(from).map((record, index) => ({ ...record, position: makeLogPosition(state.era, from + index) })), isComplete: from === 0 || state.isGone('shared', after), end: state.makeEnd(state.shared.length) }
+      const records = state.shared.slice(from).map((record, index) => ({ ...record, position: makeLogPosition(state.era, from + index) }))
+      return { records: records.filter(({ key }) => !this.isPreviousRelease || !key.startsWith(PROCESSOR_KEY_PREFIX)), isComplete: from === 0 || state.isGone('shared', after), end: state.makeEnd(state.shared.length) }
     }
     return await this.read('shared', after, waitMs, signal, () => state.isGone('shared', after) || state.shared.length > state.findNextOffset(after), readNew, ({ records }) => JSON.stringify(records).length, noteResponse)
   }
@@ -141,6 +151,11 @@
     this.isCut = false
   }
 
+  /** From now on, reads of the configuration get no answer; those in progress don't either. */
+  stallConfiguration (): void {
+    this.isConfigurationStalled = true
+  }
+
   /** The connections of the reads that wait go silent; new ones work. */
   silenceReads (): void {
     this.silences += 1
@@ -153,21 +168,23 @@
     state.calls += 1
     const { silences } = this
     const startedAtMs = clock.readMonotonicMs()
-    if (!this.isCut && state.isGone(topic, after)) {
+    const isCut = (): boolean => this.isCut || (this.isConfigurationStalled && topic === 'configurations')
+    const isSilent = (): boolean => this.silences !== silences || isCut()
+    if (!isCut() && state.isGone(topic, after)) {
       state.snapshotReads += 1
       // The answer that the offset is gone, before the read of the latest records.
       if (after >= 0) {
         state.calls += 1
-        const gone = await this.readOnce(0, signal, () => true, () => undefined, () => 0, () => this.silences !== silences, noteResponse)
+        const gone = await this.readOnce(0, signal, () => true, () => undefined, () => 0, isSilent, noteResponse)
         if (gone !== undefined && !gone.ok) return gone
       }
     }
-    const first = this.isCut ? undefined : await this.readOnce(waitMs, signal, hasNew, take, countBytes, () => this.silences !== silences, noteResponse)
+    const first = isCut() ? undefined : await this.readOnce(waitMs, signal, hasNew, take, countBytes, isSilent, noteResponse)
     if (first !== undefined) return first
     await clock.waitFor(startedAtMs + waitMs + STORE_SILENCE_MS - clock.readMonotonicMs(), signal)
     if (signal.aborted) return makeFailure(CANCELLED)
     state.calls += 1
-    const second = this.isCut ? undefined : await this.readOnce(0, signal, hasNew, take, countBytes, () => this.isCut, noteResponse)
+    const second = isCut() ? undefined : await this.readOnce(0, signal, hasNew, take, countBytes, isCut, noteResponse)
     if (second !== undefined) return second
     await clock.waitFor(STORE_CALL_TIMEOUT_MS, signal)
     return makeFailure(signal.aborted ? CANCELLED : UNAVAILABLE)
@@ -222,6 +239,12 @@
   }
 }
 
+/** Processor and link of a VM. */
+export interface SimulatedVm {
+  readonly cores: number
+  readonly bytesPerMs: number
+}
+
 /** Size and speed of a simulated fleet. */
 export interface SimulatedFleetOptions {
   readonly zones: readonly string[]
@@ -230,6 +253,10 @@
   readonly daemonCount?: number
   /** Bandwidth of a daemon's link, in bytes per millisecond. */
   readonly bytesPerMs: number
+  /** VMs with a processor and a link of their own; of the others, the processor isn't known. */
+  readonly findVm?: (zoneIndex: number, index: number) => SimulatedVm | undefined
+  /** Daemons that are of the release before; none by default. */
+  readonly isPreviousRelease?: (zoneIndex: number, index: number) => boolean
   /** Bandwidth that a daemon's link has left for responses of the store; all of it by default. */
   readonly storeBytesPerMs?: number
   readonly createLogger?: (address: string) => Logger
@@ -237,6 +264,10 @@
   readonly bounds?: ChangeBounds
 }
 
+const MS_PER_SECOND = 1_000
+/** Models of a runner, with two adapters each, and on its disk. */
+const HELD_MODELS = 4
+const STORED_MODELS = 16
 /** Delay between daemons on the network, in milliseconds. */
 const NETWORK_LATENCY_MS = 1
 
@@ -252,7 +283,20 @@
   private readonly storeClients = new Map<string, SimulatedStore>()
 
   private constructor (private readonly options: SimulatedFleetOptions) {
-    this.network = SimulatedNetwork.create(this.clock, { bytesPerMs: options.bytesPerMs, latencyMs: NETWORK_LATENCY_MS })
+    this.network = SimulatedNetwork.create(this.clock, { findBytesPerMs: (address) => this.findBytesPerMs(address), latencyMs: NETWORK_LATENCY_MS })
+    this.network.setPreviousRelease((address) => this.isPreviousRelease(address))
+  }
+
+  private findVm (address: string): SimulatedVm | undefined {
+    return this.options.findVm?.(...parseAddress(address))
+  }
+
+  private isPreviousRelease (address: string): boolean {
+    return this.options.isPreviousRelease?.(...parseAddress(address)) === true
+  }
+
+  private findBytesPerMs (address: string): number {
+    return this.findVm(address)?.bytesPerMs ?? this.options.bytesPerMs
   }
 
   /**
@@ -295,6 +339,22 @@
     writeInTurn().catch((error: unknown) => process.stderr.write(`${String(error)}\n`))
   }
 
+  /**
+   * Adds runners whose models change all the time: each change is announced by the leader and written to the list, as for an
+   * order that a runner carries out, and is news for every daemon.
+   */
+  addChangingRunners (count: number, changesPerSecond: number): void {
+    const writeInTurn = async (): Promise<void> => {
+      for (let turn = 0; !this.isClosed; turn += 1) {
+        const runner = { ...this.makeRunner(`changing-${turn % count}`), holdings: makeHoldings(turn) }
+        this.appendRunner({ type: 'announced', runner })
+        for (const daemon of this.daemons.values()) if (daemon['leadership'].isLeader) daemon['peers'].announceHoldings(runner.id, runner.bornMs, runner.holdings)
+        await this.clock.waitFor(MS_PER_SECOND / changesPerSecond)
+      }
+    }
+    writeInTurn().catch((error: unknown) => process.stderr.write(`${String(error)}\n`))
+  }
+
   private makeRunner (id: string): Runner {
     return { id, service: 'ledger', address: `${id}.example:80`, zone: this.options.zones[0]!, slots: 6, isLeaving: false, bornMs: 1, holdings: undefined }
   }
@@ -336,6 +396,11 @@
     for (const address of addresses) this.storeClients.get(address)!.heal()
   }
 
+  /** Reads of the configuration by these daemons get no answer from now on; their other reads do. */
+  stallConfigurationReads (addresses: readonly string[]): void {
+    for (const address of addresses) this.storeClients.get(address)!.stallConfiguration()
+  }
+
   /** The connections on which daemons wait for the store go silent. */
   silenceStoreReads (): void {
     for (const client of this.storeClients.values()) client.silenceReads()
@@ -394,6 +459,11 @@
     return this.store.snapshotReads
   }
 
+  /** Number of whole configurations that daemons have read from the store. */
+  get configurationsSentCount (): number {
+    return this.store.configurationsSent
+  }
+
   /** Sets the time that the store takes for a response, in milliseconds. */
   setStoreLatency (latencyMs: number = STORE_LATENCY_MS): void {
     this.store.latencyMs = latencyMs
@@ -417,7 +487,8 @@
   /** The daemon that ranks first in each data centre: the root of its tree. */
   listTopRanked (): string[] {
     const { zones } = this.options
-    const ranked = rankDaemons(new Map([...this.daemons.keys()].map((address) => [address, zones[Number(address.split('.')[1])]!])))
+    const cores = new Map([...this.daemons.keys()].flatMap((address): Array<[string, number]> => this.findVm(address) === undefined ? [] : [[address, this.findVm(address)!.cores]]))
+    const ranked = rankDaemons(new Map([...this.daemons.keys()].map((address) => [address, zones[Number(address.split('.')[1])]!])), cores)
     return [...ranked.values()].map((addresses) => addresses[0]!)
   }
 
@@ -441,7 +512,7 @@
 
   private async addDaemon (address: string, zone: string, seeds: readonly string[]): Promise<void> {
     const { clock, network } = this
-    const storeClient = new SimulatedStore(this.store, clock, this.options.storeBytesPerMs ?? this.options.bytesPerMs)
+    const storeClient = new SimulatedStore(this.store, clock, this.options.storeBytesPerMs ?? this.findBytesPerMs(address), this.isPreviousRelease(address))
     this.storeClients.set(address, storeClient)
     const daemon = ServingDaemon.create({
       address,
@@ -451,6 +522,7 @@
       peerSecrets: ['a-secret-of-these-tests'],
       retries: { perRequest: 0.1, burst: 10 },
       quotas: { windowMs: 8_000, fraction: 0.1, slack: 0 },
+      processorCores: this.isPreviousRelease(address) ? undefined : this.findVm(address)?.cores,
       heartbeatMs: RUNNER_HEARTBEAT_MS,
       bounds: this.options.bounds ?? { drainWithinMs: 3_000, applyWithinMs: 3_000 },
       clock,
@@ -468,6 +540,18 @@
 /** Time in which a fleet that starts or stops comes to rest, in milliseconds. */
 const SETTLE_MS = 6_000
 
+/** Data centre and number of a daemon by its address. */
+function parseAddress (address: string): [zoneIndex: number, index: number] {
+  const [, zoneIndex, , index] = address.split(':')[0]!.split('.').map(Number) as [number, number, number, number]
+  return [zoneIndex, index]
+}
+
+/** Makes the holdings of a runner, which differ from one turn to the next. */
+function makeHoldings (turn: number): Holdings {
+  const onDisk = Array.from({ length: STORED_MODELS }, (_, index) => `mo${makeName(turn + index)}`)
+  return { models: onDisk.slice(0, HELD_MODELS).map((name) => ({ name, adapters: ['a1', 'a2'] })), coming: [], isBusy: false, inMemory: onDisk.slice(0, HELD_MODELS), onDisk }
+}
+
 /** Makes a configuration with routes of random-looking names, as operators generate them. */
 export function makeConfiguration (version: number, routeCount: number): FleetConfiguration {
   const routes = Array.from({ length: routeCount }, (_, index): Route => ({
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
@@ -11,6 +11,22 @@
 const SILENCE_TIMEOUT_MS = 1_500
 const UNREACHABLE = 'peer is not connected'
 
+/** What becomes of a call instead of being carried out, or before its response arrives. */
+export type CallFault =
+  /** The connection is closed under it after a moment. */
+  | { readonly type: 'closed' }
+  /** The response is late by this time. */
+  | { readonly type: 'late', readonly delayMs: number }
+
+/** Chooses the fault of a call; undefined for none. */
+export type ChooseCallFault = (from: string, to: string, method: string) => CallFault | undefined
+
+/** Fields of messages, and notifications, that daemons of the release before neither send nor know. */
+const NEW_FIELDS = ['processors', 'daemonsDigest']
+
+/** Time after which a call finds that its connection is closed, in milliseconds. */
+const CLOSE_MS = 100
+
 interface Transfer {
   remainingBytes: number
   readonly finish: () => void
@@ -61,15 +77,17 @@
   private readonly handlers = new Map<string, PeerMeshOptions['methods']>()
   /** Time at which each suspended daemon stopped sending and receiving. */
   private readonly suspendedAtMs = new Map<string, number>()
+  private chooseFault: ChooseCallFault = () => undefined
+  private isPreviousRelease: (id: string) => boolean = () => false
 
-  private constructor (private readonly clock: SimulatedClock, private readonly bytesPerMs: number, private readonly latencyMs: number) {}
+  private constructor (private readonly clock: SimulatedClock, private readonly findBytesPerMs: (id: string) => number, private readonly latencyMs: number) {}
 
   /**
    * @example
-   * const network = SimulatedNetwork.create(clock, { bytesPerMs: 875, latencyMs: 1 })
+   * const network = SimulatedNetwork.create(clock, { findBytesPerMs: () => 875, latencyMs: 1 })
    */
-  static create (clock: SimulatedClock, { bytesPerMs, latencyMs }: { readonly bytesPerMs: number, readonly latencyMs: number }): SimulatedNetwork {
-    return new SimulatedNetwork(clock, bytesPerMs, latencyMs)
+  static create (clock: SimulatedClock, { findBytesPerMs, latencyMs }: { readonly findBytesPerMs: (id: string) => number, readonly latencyMs: number }): SimulatedNetwork {
+    return new SimulatedNetwork(clock, findBytesPerMs, latencyMs)
   }
 
   /** Suspends a daemon's process: it neither sends nor receives any more. */
@@ -77,6 +95,21 @@
     this.suspendedAtMs.set(id, this.clock.readMonotonicMs())
   }
 
+  /** Has calls between daemons fail, or be answered late, from now on. */
+  setCallFaults (chooseFault: ChooseCallFault): void {
+    this.chooseFault = chooseFault
+  }
+
+  /** Makes daemons speak as those of the release before. */
+  setPreviousRelease (isPreviousRelease: (id: string) => boolean): void {
+    this.isPreviousRelease = isPreviousRelease
+  }
+
+  private encodeMessage (from: string, to: string, message: unknown): string {
+    const isFieldKept = this.isPreviousRelease(from) || this.isPreviousRelease(to) ? (key: string) => !NEW_FIELDS.includes(key) : () => true
+    return JSON.stringify(message, (key, value: unknown) => isFieldKept(key) ? value : undefined) ?? 'null'
+  }
+
   isSuspended (id: string): boolean {
     return this.suspendedAtMs.has(id)
   }
@@ -94,7 +127,7 @@
   /** Connects a daemon to the network. */
   createMesh (options: PeerMeshOptions): ServingMesh {
     const self = options.self.id
-    this.links.set(self, new SimulatedLink(this.clock, this.bytesPerMs))
+    this.links.set(self, new SimulatedLink(this.clock, this.findBytesPerMs(self)))
     this.handlers.set(self, options.methods)
     let neighbours: readonly PeerAddress[] = []
     const isSilent = (id: string): boolean => this.clock.readMonotonicMs() - (this.suspendedAtMs.get(id) ?? Number.POSITIVE_INFINITY) > SILENCE_TIMEOUT_MS
@@ -123,11 +156,16 @@
   }
 
   private async call<T> (from: string, to: string, method: string, params: unknown, timeoutMs: number): Promise<Outcome<T, string>> {
+    const fault = this.chooseFault(from, to, method)
     const exchange = async (): Promise<Outcome<T, string>> => {
+      if (fault?.type === 'closed') {
+        await this.clock.waitFor(CLOSE_MS)
+        return makeFailure('peer connection closed')
+      }
       const result = await this.deliver(from, to, method, params)
-      const text = JSON.stringify(result) ?? 'null'
+      const text = this.encodeMessage(to, from, result)
       await this.links.get(to)!.send(from, text.length)
-      await this.clock.waitFor(this.latencyMs)
+      await this.clock.waitFor(this.latencyMs + (fault?.type === 'late' ? fault.delayMs : 0))
       return makeSuccess(JSON.parse(text) as T)
     }
     const failLate = async (): Promise<Outcome<T, string>> => {
@@ -139,7 +177,7 @@
 
   /** Sends a message and runs its handler once it has arrived; a suspended daemon never handles it. */
   private async deliver (from: string, to: string, method: string, params: unknown): Promise<unknown> {
-    const text = JSON.stringify(params) ?? 'null'
+    const text = this.encodeMessage(from, to, params)
     await this.links.get(from)!.send(to, text.length)
     await this.clock.waitFor(this.latencyMs)
     if (!this.handlers.has(to)) throw new Error(UNREACHABLE)
--- a/packages/figquay-serving/src/__tests__/unit/LostRecords.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/LostRecords.test.ts
@@ -80,7 +80,7 @@
     const clock = SimulatedClock.create()
     const store = makeStore()
     const records = DaemonRecords.create({ clock, logger, store, canRestore: () => true })
-    expect([records.addDaemons([['a', 'zone'], ['b', 'zone']]), records.addDaemons([['a', 'zone']])]).toEqual([true, false])
+    expect([records.addDaemons({ daemons: [['a', 'zone'], ['b', 'zone']] }), records.addDaemons({ daemons: [['a', 'zone']] })]).toEqual([true, false])
     await clock.runFor(1_000)
     await records.flush()
     expect(store.writes).toEqual([])
