Bound the runner updates in one exchange of the tree (CONFIG)

Cause, one of several: an exchange holds all updates of the last ten seconds that the peer lacks. A peer that misses one message gets a larger one next; on a slow link that is late, too, and the next is larger still.

Ruled out: the loads, whose size doesn't depend on what was missed.

Change: at most 24 updates a message, oldest first, with the revision of the last one, so that the peer asks for the rest from there.

--- a/packages/figquay-fleet/src/FigquayFleetRunnerUpdates.ts
+++ b/packages/figquay-fleet/src/FigquayFleetRunnerUpdates.ts
@@ -62,6 +62,14 @@
   readonly addedAtMs: number
 }
 
+/** Updates for a peer. */
+export interface RunnerUpdateBatch {
+  /** The oldest ones that it lacks. */
+  readonly updates: readonly RunnerUpdate[]
+  /** Revision up to which it is up to date once it has them. */
+  readonly revision: number
+}
+
 /** Updates are passed on for this long, in milliseconds; by then the runners' own announcements contain them. */
 const RETENTION_MS = 10_000
 
@@ -101,14 +109,32 @@
     return true
   }
 
+  /**
+   * Updates after a revision, as many as one message holds: what a peer missed while it wasn't reached mustn't make the
+   * messages to it so large that they are late, and it misses more.
+   *
+   * @example
+   * const { updates, revision } = buffer.listBatch(ackedRevision, 24)
+   */
+  listBatch (after: number, maxCount: number): RunnerUpdateBatch {
+    const updates = this.listEntriesAfter(after)
+    const last = updates[maxCount - 1]
+    const isWhole = updates.length <= maxCount || last === undefined
+    return { updates: updates.slice(0, maxCount).map(({ update }) => update), revision: isWhole ? this.latestRevision : last.revision }
+  }
+
   /** Updates after a revision, oldest first. */
   listAfter (revision: number): RunnerUpdate[] {
+    return this.listEntriesAfter(revision).map(({ update }) => update)
+  }
+
+  private listEntriesAfter (revision: number): UpdateEntry[] {
     const oldestMs = this.clock.readMonotonicMs() - RETENTION_MS
     for (const [key, entry] of this.entries) {
       if (entry.addedAtMs >= oldestMs) break
       this.entries.delete(key)
     }
-    return [...this.entries.values()].filter((entry) => entry.revision > revision).map((entry) => entry.update)
+    return [...this.entries.values()].filter((entry) => entry.revision > revision)
   }
 }
 
--- a/packages/figquay-fleet/src/index.ts
+++ b/packages/figquay-fleet/src/index.ts
@@ -9,7 +9,7 @@
 export { formatLoads, parseLoads, PeerLoads, type LoadRow, type RunnerLoad } from './FigquayFleetPeerLoads.js'
 export { boundSlowdown, RunnerSpeed, type SpeedEstimate } from './FigquayFleetRunnerSpeed.js'
 export { RunnerSpeeds, type SpeedRow } from './FigquayFleetRunnerSpeeds.js'
-export { RunnerUpdateBuffer, isRunnerUpdate, type BackoffUpdate, type HoldingsUpdate, type LeavingUpdate, type RunnerUpdate } from './FigquayFleetRunnerUpdates.js'
+export { RunnerUpdateBuffer, isRunnerUpdate, type BackoffUpdate, type HoldingsUpdate, type LeavingUpdate, type RunnerUpdate, type RunnerUpdateBatch } from './FigquayFleetRunnerUpdates.js'
 export { FleetFacts, isFact, type AcquittalFact, type CrashFact, type Fact, type FactsState, type LeavingFact, type VersionFact } from './FigquayFleetFacts.js'
 export { chooseRunner, selectByRendezvousHash, PREFILL_TOKENS_PER_MS, type ChoiceRequest, type ReusableState } from './FigquayFleetRunnerChoice.js'
 export { assessRunner, computeTokenBudget, estimatePauseMs, estimatePrefillMs, type PaceTerms, type PacedRequest, type RunnerOffer } from './FigquayFleetRunnerPace.js'
--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -89,6 +89,8 @@
 const EXCHANGE_TIMEOUT_MS = 400
 /** After a failed exchange, the peer isn't selected again for this long, in milliseconds. */
 const FAILED_PEER_BACKOFF_MS = 1_000
+/** Runner updates in one message: several times those of an interval, and less than the slowest links of the users' VMs carry in a tenth of a second. */
+const MAX_UPDATES = 24
 /** The search depth is recomputed at this interval, in milliseconds: longer than connecting takes. */
 const SEARCH_DEPTH_INTERVAL_MS = 500
 /** Ranks between the daemons of two data centres that have the same turn: the loss of a few of the first ranks everywhere doesn't lose a whole turn. */
@@ -272,7 +274,6 @@
 
   private async exchangeWith (peer: string): Promise<void> {
     const { mesh, clock, logger } = this.options
-    const sentRevision = this.options.news.revision
     const requestedAtMs = clock.readMonotonicMs()
     const message = { ...this.makeMessage(peer, this.listSubtreeLoads()), speeds: this.takeSubtreeSpeeds(peer) }
     const response = await mesh.callPeer<RelayMessage>(peer, 'fleet.exchange', message, EXCHANGE_TIMEOUT_MS)
@@ -288,7 +289,7 @@
     this.options.table.putPeerSpeeds(branch, value.speeds)
     if (isParent) this.parentHeardAtMs = clock.readMonotonicMs()
     this.lastContactAtMs = requestedAtMs
-    this.recordAck(value, sentRevision, requestedAtMs)
+    this.recordAck(value, message.revision, requestedAtMs)
     // The child reconciles facts, as a parent has many children and no connection to them.
     this.options.reconcileFacts(peer, value.facts)
   }
@@ -319,8 +320,10 @@
     this.ackedRevisions.set(message.from, isSameProcess ? message.heard!.revision : 0)
     const response = this.makeMessage(message.from, isChild ? table.exportLoads((peer) => peer !== branch) : this.listSubtreeLoads())
     const speeds = isChild ? table.takeSpeeds(message.from, (peer) => peer !== branch) : this.takeSubtreeSpeeds(message.from)
+    const isWhole = response.revision === news.revision
     this.applyMessage(message, this.options.estimateArrivalMs())
-    return { ...response, speeds, revision: news.revision }
+    // What the peer has just sent isn't sent back to it.
+    return { ...response, speeds, revision: isWhole ? news.revision : response.revision }
   }
 
   private applyMessage (message: RelayMessage, madeAfterMs: number): void {
@@ -346,6 +349,7 @@
 
   private makeMessage (peer: string, loads: ReturnType<FleetRunnerTable['exportLoads']>): RelayMessage {
     const { self, zone, bootId, leadership, configurations, table, news, countDaemons, readFacts, findNewestVersion } = this.options
+    const { updates, revision } = news.listBatch(this.ackedRevisions.get(peer) ?? 0, MAX_UPDATES)
     return {
       from: self,
       zone,
@@ -359,8 +363,8 @@
       facts: readFacts(),
       ...this.newestRead.report,
       loads: formatLoads(loads),
-      news: news.listAfter(this.ackedRevisions.get(peer) ?? 0),
-      revision: news.revision,
+      news: updates,
+      revision,
       heard: this.receivedRevisions.get(peer)
     }
   }
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -155,6 +155,18 @@
     expect([...nodes.values()].filter(({ table }) => table.listCandidates('s').length > 0).length).toEqual(0)
   })
 
+  it('brings many updates to every daemon in several messages', async () => {
+    const { nodes, runRounds } = makeFleet(30)
+    const [first] = [...nodes.values()]
+    for (let index = 0; index < 100; index += 1) first!.news.addUpdate({ type: 'leaving', runner: `r${index}`, bornMs: 0 })
+    first!.news.addUpdate({ type: 'leaving', runner: 'r', bornMs: 0 })
+    first!.table.markLeaving('r', 0)
+    await runRounds(2)
+    expect(Math.max(...[...nodes.values()].slice(1).map(({ news }) => news.revision))).toEqual(48)
+    await runRounds(14)
+    expect([...nodes.values()].filter(({ table }) => table.listCandidates('s').length > 0).length).toEqual(0)
+  })
+
   it('keeps working after malformed responses', async () => {
     const { nodes, garbled, tasks, countRequests } = makeFleet(20)
     for (const [index, { table }] of [...nodes.values()].entries()) openRequest(table, `q${index}`)
