--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -87,8 +87,10 @@
 const MAX_FULL_RATE_DAEMONS = 120
 /** Timeout of an exchange, in milliseconds: two intervals. */
 const EXCHANGE_TIMEOUT_MS = 400
-/** After a failed exchange, the peer isn't selected again for this long, in milliseconds. */
+/** After a failed exchange, the peer isn't selected again for this long, in milliseconds; twice as long after each further failure. */
 const FAILED_PEER_BACKOFF_MS = 1_000
+/** The longest such time, in milliseconds. */
+const MAX_FAILED_PEER_BACKOFF_MS = 8_000
 /** Runner updates in one message: several times those of an interval, and less than the slowest links of the users' VMs carry in a tenth of a second. */
 const MAX_UPDATES = 24
 /** The search depth is recomputed at this interval, in milliseconds: longer than connecting takes. */
@@ -118,6 +120,8 @@
   /** Newest read of the store by another daemon, as reported by peers. */
   private readonly reportedRead: NewestStoreRead
   private readonly retryAtMs = new Map<string, number>()
+  /** Exchanges in a row that have failed, by peer. */
+  private readonly failures = new Map<string, number>()
   /** By peer: its process and the newest revision received from it. */
   private readonly receivedRevisions = new Map<string, { readonly bootId: string, readonly revision: number }>()
   /** By peer: newest revision of this daemon's runner updates that the peer has. */
@@ -279,9 +283,10 @@
     const response = await mesh.callPeer<RelayMessage>(peer, 'fleet.exchange', message, EXCHANGE_TIMEOUT_MS)
     if (!response.ok) {
       logger.debug('peer exchange failed', { peer, error: describeError(response.error) })
-      this.retryAtMs.set(peer, clock.readMonotonicMs() + FAILED_PEER_BACKOFF_MS)
+      this.noteFailedExchange(peer)
       return
     }
+    this.failures.delete(peer)
     const { value } = response
     const isParent = value.zone === this.options.zone
     const branch = isParent ? 'above' : `zone ${value.zone}`
@@ -294,6 +299,13 @@
     this.options.reconcileFacts(peer, value.facts)
   }
 
+  /** A peer that can't keep up with all that ask it is asked ever more rarely, so that it can with some. */
+  private noteFailedExchange (peer: string): void {
+    const failures = this.failures.get(peer) ?? 0
+    this.failures.set(peer, failures + 1)
+    this.retryAtMs.set(peer, this.options.clock.readMonotonicMs() + Math.min(MAX_FAILED_PEER_BACKOFF_MS, FAILED_PEER_BACKOFF_MS * 2 ** failures))
+  }
+
   /** News that came with the response isn't sent back; a peer that has restarted gets everything again. */
   private recordAck (response: RelayMessage, sentRevision: number, requestedAtMs: number): void {
     const { news } = this.options
--- a/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Relay.test.ts
@@ -24,11 +24,14 @@
   }
 }
 
-interface TestDaemon { readonly relay: FleetRelay, readonly table: FleetRunnerTable, readonly news: RunnerUpdateBuffer }
+interface TestDaemon { readonly relay: FleetRelay, readonly table: FleetRunnerTable, readonly news: RunnerUpdateBuffer, readonly mesh: TestMesh }
 
 /** Connections between the daemons of a test; those of lost daemons fail. */
 class TestMesh implements RelayMesh {
-  constructor (private readonly self: string, private readonly nodes: ReadonlyMap<string, TestDaemon>, private readonly lost: ReadonlySet<string>, private readonly garbled: string[]) {}
+  /** Calls to peers that are connected and don't answer. */
+  unansweredCount = 0
+
+  constructor (private readonly self: string, private readonly nodes: ReadonlyMap<string, TestDaemon>, private readonly lost: ReadonlySet<string>, private readonly garbled: string[], private readonly silent: ReadonlySet<string>) {}
 
   isConnected (peer: string): boolean {
     return !this.lost.has(peer)
@@ -36,6 +39,10 @@
 
   async callPeer<T> (peer: string, _method: string, message: unknown): Promise<Outcome<T, string>> {
     if (this.lost.has(peer) || this.lost.has(this.self)) return makeFailure('timeout')
+    if (this.silent.has(peer)) {
+      this.unansweredCount += 1
+      return makeFailure('timeout')
+    }
     if (this.garbled.pop() !== undefined) return makeSuccess({ from: 7, loads: 'none' } as T)
     return makeSuccess(JSON.parse(JSON.stringify(this.nodes.get(peer)!.relay.handleExchange(message as RelayMessage))) as T)
   }
@@ -47,6 +54,7 @@
   const zones = new Map(Array.from({ length: count }, (_, index): [string, string] => [`10.0.0.${index}:80`, 'abc'[index % 3]!]))
   const nodes = new Map<string, TestDaemon>()
   const lost = new Set<string>()
+  const silent = new Set<string>()
   /** One entry for each response that is replaced by a malformed one. */
   const garbled: string[] = []
   const makeNode = (self: string, zone: string): TestDaemon => {
@@ -54,6 +62,7 @@
     const news = RunnerUpdateBuffer.create(clock)
     const leadership = FleetLeadership.create({ self, bootId: self, store: {} as FleetStore, clock, logger, listConnected: () => [], isEligible: () => false })
     table.putRunner(RUNNER, 1)
+    const mesh = new TestMesh(self, nodes, lost, garbled, silent)
     const relay = FleetRelay.create({
       self,
       zone,
@@ -64,7 +73,7 @@
       leadership,
       news,
       configurations: ConfigurationHolder.create(),
-      mesh: new TestMesh(self, nodes, lost, garbled),
+      mesh,
       estimateArrivalMs: () => clock.readMonotonicMs(),
       findOwnRead: () => NewestStoreRead.create(clock),
       computeTiming: () => computeStoreTiming({ drainWithinMs: 3_000, applyWithinMs: 3_000 }, { spreadMs: 550, reportIntervalMs: 200 }),
@@ -80,7 +89,7 @@
       setNeighbours: () => {}
     })
     relay.setDaemons(zones)
-    return { relay, table, news }
+    return { relay, table, news, mesh }
   }
   for (const [self, zone] of zones) nodes.set(self, makeNode(self, zone))
   const runRounds = async (rounds: number): Promise<void> => {
@@ -90,7 +99,7 @@
     }
   }
   const countRequests = (): number[] => [...nodes].filter(([self]) => !lost.has(self)).map(([, { table }]) => table.listCandidates('s')[0]!.load.requests)
-  return { nodes, lost, garbled, runRounds, countRequests, tasks: TaskGroup.create(clock, logger) }
+  return { nodes, lost, silent, garbled, runRounds, countRequests, tasks: TaskGroup.create(clock, logger) }
 }
 
 function openRequest (table: FleetRunnerTable, requestId: string): () => void {
@@ -167,6 +176,20 @@
     expect([...nodes.values()].filter(({ table }) => table.listCandidates('s').length > 0).length).toEqual(0)
   })
 
+  // Guards against daemons that keep a peer busy which can't keep up with them.
+  it('asks a peer that gives no answer ever more rarely, and as before once it does', async () => {
+    const { nodes, silent, runRounds } = makeFleet(3)
+    const { mesh, table } = nodes.get('10.0.0.0:80')!
+    silent.add('10.0.0.1:80')
+    await runRounds(16_000 / STEP_MS)
+    expect(mesh.unansweredCount).toEqual(5)
+    silent.clear()
+    await runRounds(8_000 / STEP_MS)
+    openRequest(nodes.get('10.0.0.1:80')!.table, 'q')
+    await runRounds(2)
+    expect(table.listCandidates('s')[0]!.load.requests).toEqual(1)
+  })
+
   it('keeps working after malformed responses', async () => {
     const { nodes, garbled, tasks, countRequests } = makeFleet(20)
     for (const [index, { table }] of [...nodes.values()].entries()) openRequest(table, `q${index}`)
