Let each daemon of the tree serve the square root of its data centre (CONFIG)

Cause: all daemons of a data centre had the same parent, its root. It sends every change of every runner to each of them, so its link and its processor carry a multiple of anyone else's, and grow with the fleet. Where they don't, exchanges time out, the age of the last known read of the store grows at all daemons below, and they read the store themselves.

Change: the parent is the daemon at rank floor((rank - 1) / ceil(sqrt n)), so that nobody has more than ceil(sqrt n) children and the leaves are two levels down; a daemon that doesn't reach it takes the first one that it reaches, as before. Daemons with children ask their parent twice as often, so a change takes 2.5 intervals instead of 2. The full rate of 200 ms holds up to 150 daemons instead of 120: above that the time to all daemons is as before, at 85 daemons 650 ms instead of 550. The reader's reads of the list of runners are now also close enough for the daemons two levels down. What daemons send each other is unchanged; who asks whom is each daemon's own choice.

--- a/packages/figquay-serving/src/FigquayServingRelay.ts
+++ b/packages/figquay-serving/src/FigquayServingRelay.ts
@@ -83,8 +83,8 @@
 
 /** Interval between two exchanges with the parent, in milliseconds: a fraction of the time in which a runner's queue changes much. */
 const EXCHANGE_INTERVAL_MS = 200
-/** In larger fleets the interval grows in proportion, so that the load on the root of a data centre stays the same. */
-const MAX_FULL_RATE_DAEMONS = 120
+/** In larger fleets the interval grows in proportion, so that the load on each daemon stays the same. */
+const MAX_FULL_RATE_DAEMONS = 150
 /** Timeout of an exchange, in milliseconds: two intervals. */
 const EXCHANGE_TIMEOUT_MS = 400
 /** After a failed exchange, the peer isn't selected again for this long, in milliseconds; twice as long after each further failure. */
@@ -100,15 +100,17 @@
 /** Shortest time without an exchange with its parent after which a daemon no longer relies on being told, in milliseconds. */
 const MIN_PARENT_SILENCE_MS = 1_000
 
-/** Exchanges that a change takes to every daemon: between the roots, then down. */
-const SPREAD_EXCHANGES = 2
+/** A daemon with children exchanges with its parent this much more often, so that a level more doesn't double the time down. */
+const MIDDLE_RATE_FACTOR = 2
+/** Intervals that a change takes to every daemon: between the roots, down to the daemons with children, and down to these. */
+const SPREAD_INTERVALS = 1 + 1 / MIDDLE_RATE_FACTOR + 1
 /** Time until a daemon that has heard of a change has fetched it, in milliseconds. */
 const FETCH_MS = 150
 
 /** Exchanges of one daemon with its parent in the tree or, as a root, with the other roots. */
 export class FleetRelay {
   private ranked: RankedDaemons = new Map()
-  private treeRole: TreeRole = { neighbours: [], parent: undefined, isDeputy: false, otherRoots: [], isPrimaryRoot: true }
+  private treeRole: TreeRole = { neighbours: [], parent: undefined, isDeputy: false, hasChildren: false, otherRoots: [], isPrimaryRoot: true }
   private searchDepth = CANDIDATES_PER_ZONE
   /** Search depth of the interval before: there has been time to connect to these daemons. */
   private triedDepth = CANDIDATES_PER_ZONE
@@ -190,7 +192,12 @@
 
   /** How fast the daemons tell each other what they have read. */
   get spread (): FleetSpread {
-    return { spreadMs: SPREAD_EXCHANGES * this.intervalMs + FETCH_MS, reportIntervalMs: this.intervalMs }
+    return { spreadMs: SPREAD_INTERVALS * this.intervalMs + FETCH_MS, reportIntervalMs: this.intervalMs }
+  }
+
+  private get ownIntervalMs (): number {
+    const { parent, hasChildren } = this.treeRole
+    return parent !== undefined && hasChildren ? this.intervalMs / MIDDLE_RATE_FACTOR : this.intervalMs
   }
 
   private get intervalMs (): number {
@@ -241,7 +248,7 @@
       try {
         if (isEnabled()) await this.exchangeOnce()
       } finally {
-        await clock.waitFor(Math.max(1, startedAtMs + this.intervalMs - clock.readMonotonicMs()), signal)
+        await clock.waitFor(Math.max(1, startedAtMs + this.ownIntervalMs - clock.readMonotonicMs()), signal)
       }
     })
   }
--- a/packages/figquay-serving/src/FigquayServingStoreTiming.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreTiming.ts
@@ -29,8 +29,8 @@
   /** The same for the shared records, which daemons also tell each other. */
   readonly sharedWaitMs: number
   /**
-   * Longest time between two reads of the list of runners by that daemon: short enough that the age of the last one, as the
-   * others hear it, stays below `lookerAgeMs` while nothing changes.
+   * Longest time between two reads of the list of runners by that daemon: short enough that the age of the last one stays
+   * below `lookerAgeMs` at the daemons that hear of it first, and below `standInAgeMs` at all others, while nothing changes.
    */
   readonly runnersIntervalMs: number
   /** Age of the last read that a daemon hears of from which it reads in place of the reader, if it is the first to do so. */
@@ -77,13 +77,14 @@
   // A fleet that is slow at telling has no time for it: there, the daemons that aren't told in time read for themselves.
   const lookerAgeMs = Math.max(maxAgeMs - takeoverMs - spreadMs, MIN_WAIT_MS + NEW_CONNECTION_READ_MS + reportIntervalMs)
   const takeoverStaggerMs = takeoverMs + reportIntervalMs
+  const standInAgeMs = Math.max(lookerAgeMs, Math.min(lookerAgeMs + takeoverStaggerMs, boundMs - takeoverMs - spreadMs))
   return {
     configurationWaitMs: Math.max(MIN_WAIT_MS, boundMs - STORE_SILENCE_MS - NEW_CONNECTION_READ_MS - spreadMs - EVENT_LOOP_MARGIN_MS),
     sharedWaitMs: boundMs * SHARED_WAIT_BOUNDS,
-    runnersIntervalMs: Math.max(MIN_WAIT_MS, lookerAgeMs - NEW_CONNECTION_READ_MS - reportIntervalMs),
+    runnersIntervalMs: Math.max(MIN_WAIT_MS, Math.min(lookerAgeMs - reportIntervalMs, standInAgeMs - spreadMs) - NEW_CONNECTION_READ_MS),
     lookerAgeMs,
     takeoverStaggerMs,
-    standInAgeMs: Math.max(lookerAgeMs, Math.min(lookerAgeMs + takeoverStaggerMs, boundMs - takeoverMs - spreadMs)),
+    standInAgeMs,
     turnMs: takeoverMs + spreadMs,
     maxAgeMs,
     configurationFallbackMs: Math.max(0, applyWithinMs - spreadMs - NEW_CONNECTION_READ_MS - EVENT_LOOP_MARGIN_MS - FALLBACK_JITTER_MS)
--- a/packages/figquay-serving/src/FigquayServingTopology.ts
+++ b/packages/figquay-serving/src/FigquayServingTopology.ts
@@ -3,9 +3,10 @@
  *
  * Loads must reach every daemon within a fraction of a second although any daemon may be down, and a full mesh would need
  * too many connections. The daemons of a data centre are ranked by the processor of their VM, then by the hash of their
- * address. Each one exchanges state with its parent, the highest-ranked daemon above it that it can reach. A daemon that
- * reaches none above it is the root of its data centre; the roots exchange state with each other. A root sends every change
- * to all daemons of its data centre, many times what one of them receives, so it has to be one that can carry this.
+ * address. Each one exchanges state with its parent. A daemon that reaches none above it is the root of its data centre; the
+ * roots exchange state with each other. The parents of the others are chosen so that each has about the square root of the
+ * data centre's size as children, on two levels below the root: a daemon sends every change to all its children, and a VM's
+ * link doesn't carry that for a whole data centre.
  */
 import { hashText } from 'figquay'
 
@@ -21,6 +22,8 @@
   readonly neighbours: readonly string[]
   /** Parent in the daemon's own data centre; undefined for a root. */
   readonly parent: string | undefined
+  /** Whether the ranking makes this daemon the parent of others. */
+  readonly hasChildren: boolean
   /** Whether the root is the only daemon above this one that it reaches, so that it is the first to stand in for the root. */
   readonly isDeputy: boolean
   /** Reachable roots of the other data centres; empty unless this daemon is a root. */
@@ -68,18 +71,32 @@
   const zoneRanking = ranked.get(zone) ?? [self]
   const higherRanked = zoneRanking.slice(0, Math.max(0, zoneRanking.indexOf(self)))
   const reachable = higherRanked.filter(isConnected)
+  const preferred = findPreferredParent(zoneRanking, self)
+  const firstChild = zoneRanking[zoneRanking.indexOf(self) * computeFanOut(zoneRanking.length) + 1]
   const isRoot = reachable.length === 0
   const otherZones = isRoot ? [...ranked].filter(([name]) => name !== zone).map(([name, daemons]) => ({ name, daemons: daemons.slice(0, searchDepth) })) : []
   const earlierZones = otherZones.filter(({ name }) => hashText(name) < hashText(zone))
   return {
-    neighbours: [...higherRanked.slice(0, searchDepth), ...otherZones.flatMap(({ daemons }) => daemons)],
-    parent: reachable[0],
+    neighbours: [...new Set([...higherRanked.slice(0, searchDepth), ...preferred === undefined ? [] : [preferred], ...otherZones.flatMap(({ daemons }) => daemons)])],
+    parent: preferred !== undefined && isConnected(preferred) ? preferred : reachable[0],
+    hasChildren: firstChild !== undefined,
     isDeputy: reachable.length === 1,
     otherRoots: otherZones.flatMap(({ daemons }) => daemons.find(isConnected) ?? []),
     isPrimaryRoot: isRoot && !earlierZones.some(({ daemons }) => daemons.some(isConnected))
   }
 }
 
+/** Finds the parent that a daemon has while all daemons are up; undefined for the first of the ranking. A daemon that doesn't reach it takes the first one that it reaches. */
+function findPreferredParent (zoneRanking: readonly string[], self: string): string | undefined {
+  const rank = zoneRanking.indexOf(self)
+  return rank <= 0 ? undefined : zoneRanking[Math.floor((rank - 1) / computeFanOut(zoneRanking.length))]
+}
+
+/** Number of children of a daemon that has any. */
+function computeFanOut (daemonCount: number): number {
+  return Math.ceil(Math.sqrt(daemonCount))
+}
+
 /**
  * Computes how many daemons to try from the top of each ranking: as many as it takes to reach enough of them, or twice the
  * current depth while too few are reachable.
--- a/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
@@ -7,6 +7,8 @@
 
 /** Time of a read on a new connection, in milliseconds. */
 const READ_MS = 100
+/** Shortest time between two reads of the list of runners, in milliseconds. */
+const MIN_RUNNERS_INTERVAL_MS = 500
 
 /** Bounds from those of small fleets on, and spreads up to half of them, in milliseconds. */
 const limits = fc.integer({ min: 2_000, max: 10_000 }).chain((boundMs) => fc.record({
@@ -44,6 +46,13 @@
     }))
   })
 
+  it('keep that age below the one from which daemons read in turn, at all daemons, where the bound leaves the time', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { runnersIntervalMs, standInAgeMs } = computeStoreTiming(bounds, spread)
+      expect(runnersIntervalMs === MIN_RUNNERS_INTERVAL_MS || runnersIntervalMs + READ_MS + spread.spreadMs <= standInAgeMs).toEqual(true)
+    }))
+  })
+
   it('have the second daemon that stands by wait until it would have heard of the first one', () => {
     const { lookerAgeMs, takeoverStaggerMs, maxAgeMs } = computeStoreTiming({ drainWithinMs: 2_000, applyWithinMs: 2_000 }, { spreadMs: 300, reportIntervalMs: 200 })
     expect([takeoverStaggerMs >= ROLE_CHECK_MS + READ_MS + 200, lookerAgeMs + takeoverStaggerMs < maxAgeMs]).toEqual([true, true])
--- a/packages/figquay-serving/src/__tests__/unit/Topology.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Topology.test.ts
@@ -24,6 +24,18 @@
     expect(roles.filter((role) => role.parent === undefined).map((role) => role.otherRoots.length)).toEqual([2, 2, 2])
   })
 
+  it('gives no daemon more children than the square root of its data centre\'s size, on two levels at most', () => {
+    for (const size of [2, 9, 28, 85, 330]) {
+      const ranked = rankDaemons(new Map(Array.from({ length: size }, (_, index): [string, string] => [`10.0.1.${index}:80`, 'a'])))
+      const roles = new Map(ranked.get('a')!.map((daemon) => [daemon, selectTreeRole(daemon, 'a', ranked, 2, () => true)]))
+      const findLevel = (daemon: string): number => roles.get(daemon)!.parent === undefined ? 0 : 1 + findLevel(roles.get(daemon)!.parent!)
+      const countChildren = (daemon: string): number => [...roles.values()].filter(({ parent }) => parent === daemon).length
+      expect(Math.max(...[...roles.keys()].map(countChildren)) <= Math.ceil(Math.sqrt(size))).toEqual(true)
+      expect(Math.max(...[...roles.keys()].map(findLevel)) <= 2).toEqual(true)
+      expect([...roles].filter(([daemon, { hasChildren }]) => hasChildren !== (countChildren(daemon) > 0))).toEqual([])
+    }
+  })
+
   it('has the highest-ranked reachable daemon as root, whichever daemons are lost', () => {
     for (let seed = 0; seed < 40; seed += 1) {
       const lost = new Set([...ZONES.keys()].filter((_, index) => (index * 7_919 + seed * 104_729) % 11 < 1 + seed % 9))
