Ask for a configuration again at once when a connection was closed (CONFIG)

Cause: a daemon has one source for a version, the peer that announced it. After any failure it left that peer alone for a second, and asked nobody else, as nobody else was known to have it; a read of the store that got no answer kept it from its peers for as long.

Change: a peer that closes the connection, or isn't connected, is asked again after 150 to 250 ms; after a failure, connected peers that have announced nothing are asked, too (they answer "none" if they have nothing); the store is read while peers are asked on. The messages are as before.

A test of malformed replies allowed one call in all; it now allows one to each connected peer, as the second peer is asked after the first one has failed.

--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -42,9 +42,9 @@
 const CHUNK_TIMEOUT_MS = 600
 /** The same for the first chunk from a peer to which a connection has to be opened: connected ones may get the version meanwhile. */
 const UNCONNECTED_TIMEOUT_MS = 300
-/** A peer that failed to deliver isn't asked again for this long, in milliseconds. */
+/** A peer that gave no answer in time, or an invalid one, isn't asked again for this long, in milliseconds. */
 const FAILED_PEER_BACKOFF_MS = 1_000
-/** A peer that was busy, had nothing newer yet or wasn't connected isn't asked again for this long, in milliseconds: about one transfer. */
+/** A peer that was busy, had nothing newer yet, wasn't connected or closed the connection isn't asked again for this long, in milliseconds: about one transfer. */
 const BUSY_PEER_BACKOFF_MS = 150
 /** Random addition to that time, in milliseconds, so that receivers don't return at once. */
 const BUSY_PEER_JITTER_MS = 100
@@ -72,6 +72,7 @@
   private failedAttempts = 0
   private nextStoreReadAtMs = Number.POSITIVE_INFINITY
   private isFetching = false
+  private isReadingStore = false
   /** Peers that have announced their versions since this daemon started; cleared once the configuration is confirmed. */
   private readonly announcedPeers = new Set<string>()
   private startedAtMs: number | undefined
@@ -229,22 +230,39 @@
     // Without any configuration, the store's own tasks read it as soon as no peer has helped.
     if (this.isBehind && configurations.version >= 0 && clock.readMonotonicMs() >= this.nextStoreReadAtMs) {
       this.nextStoreReadAtMs = clock.readMonotonicMs() + this.options.computeFallbackMs()
-      const configuration = await this.options.readFromStore(signal)
-      if (configuration !== undefined) this.adoptFromStore(configuration)
-      return
+      this.startStoreRead()
     }
     if (peer === undefined) await clock.waitFor(RETRY_DELAY_MS, signal)
   }
 
-  /** A peer that has a newer version and can be asked now, a connected one if there is any. */
+  /** Reads the store while peers are asked on: the connection to the store may be silent. */
+  private startStoreRead (): void {
+    if (this.isReadingStore) return
+    this.isReadingStore = true
+    this.options.tasks.startTask('configuration from the store', async (signal) => {
+      try {
+        const configuration = await this.options.readFromStore(signal)
+        if (configuration !== undefined) this.adoptFromStore(configuration)
+      } finally {
+        this.isReadingStore = false
+      }
+    })
+  }
+
+  /**
+   * A peer that has a newer version and can be asked now, a connected one if there is any. Once an attempt has failed, also
+   * a connected peer that hasn't announced the version: it may have it by now.
+   */
   private choosePeer (): string | undefined {
     const { clock, configurations, listConnected } = this.options
     const nowMs = clock.readMonotonicMs()
+    const isAvailable = (peer: string): boolean => nowMs >= (this.retryAtMs.get(peer) ?? 0)
     const connected = listConnected()
     const sources = configurations.version < 0 ? [...connected] : this.listPeersWith(configurations.version + 1)
-    const available = sources.filter((peer) => nowMs >= (this.retryAtMs.get(peer) ?? 0))
+    const available = sources.filter(isAvailable)
     const preferred = available.filter((peer) => connected.includes(peer))
-    return pickRandom(preferred.length > 0 ? preferred : available)
+    const peer = pickRandom(preferred.length > 0 ? preferred : available)
+    return peer ?? (this.failedAttempts > 0 ? pickRandom(connected.filter(isAvailable)) : undefined)
   }
 
   /** Fetches the changes chunk by chunk, and activates what they yield. */
@@ -277,7 +295,8 @@
     const isConnected = this.options.listConnected().includes(peer)
     const reply = await this.options.callPeer<ConfigurationReply>(peer, 'fleet.configuration', request, isConnected ? CHUNK_TIMEOUT_MS : UNCONNECTED_TIMEOUT_MS)
     if (reply.ok && isConfigurationReply(reply.value)) return reply.value
-    this.noteFailure(peer, reply.ok ? 'the reply is malformed' : reply.error, startedAtMs, isConnected ? FAILED_PEER_BACKOFF_MS : this.chooseBusyBackoff())
+    const wasClosed = !reply.ok && this.options.clock.readMonotonicMs() - startedAtMs < CHUNK_TIMEOUT_MS
+    this.noteFailure(peer, reply.ok ? 'the reply is malformed' : reply.error, startedAtMs, wasClosed ? this.chooseBusyBackoff() : FAILED_PEER_BACKOFF_MS)
     return undefined
   }
 
--- a/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/ConfigurationSync.test.ts
@@ -11,6 +11,8 @@
 /** Time that peers get before the store is read, in milliseconds. */
 const FALLBACK_MS = 1_200
 const MODEL = { name: 'm', weightsMb: 1, storeLoadMs: 1, diskLoadMs: 1, memoryLoadMs: 1, adapterCount: 0, adapterMb: 0 }
+/** Longest time until a peer that has closed the connection is asked again, in milliseconds, with its response. */
+const CLOSED_RETRY_MS = 300
 /** Time within which a daemon has a version once the peer that has it is connected again, in milliseconds. */
 const RECONNECTED_MS = 400
 /** Longest time in which a daemon that knows of a newer version and can get it nowhere reads the store, in milliseconds. */
@@ -28,7 +30,7 @@
 }
 
 /** A daemon whose calls are answered by `respond`, after a moment. */
-function makeReceiver (clock: SimulatedClock, respond: (peer: string, request: ConfigurationRequest) => Outcome<ConfigurationReply, string>, stored?: FleetConfiguration, listConnected: () => string[] = () => ['a', 'b']) {
+function makeReceiver (clock: SimulatedClock, respond: (peer: string, request: ConfigurationRequest) => Outcome<ConfigurationReply, string>, stored?: FleetConfiguration | Promise<never>, listConnected: () => string[] = () => ['a', 'b']) {
   const logger = JsonLogger.create('test', 'silent')
   const tasks = TaskGroup.create(clock, logger)
   const configurations = ConfigurationHolder.create()
@@ -208,17 +210,60 @@
     expect(configurations.version >= 1).toEqual(true)
   })
 
-  it('keeps its configuration when replies are malformed', async () => {
+  it('keeps its configuration when replies are malformed, and asks each peer once', async () => {
     const malformed = [null, 7, { type: 'chunk' }, { type: 'busy', version: 2, peers: 'x' }, { type: 'chunk', version: 2, totalBytes: 3, data: 'AAAA' }, { type: 'chunk', version: 2, totalBytes: 3, data: '' }, { type: 'chunk', version: 2, totalBytes: 1e12, data: 'AAAA' }]
     for (const reply of malformed) {
       const clock = SimulatedClock.create()
-      const { sync, configurations, calls } = makeReceiver(clock, () => makeSuccess(reply as ConfigurationReply))
+      const asked: string[] = []
+      const { sync, configurations } = makeReceiver(clock, (peer) => {
+        asked.push(peer)
+        return makeSuccess(reply as ConfigurationReply)
+      })
       configurations.adoptConfiguration(makeConfiguration(1, 1))
       sync.noteAnnouncement('a', { version: 2, newestVersion: 2 })
       await clock.runFor(100)
-      expect([configurations.version, calls.length]).toEqual([1, 1])
+      expect([configurations.version, asked]).toEqual([1, ['a', 'b']])
     }
   })
+
+  it('asks a connected peer that has announced nothing once another one has failed', async () => {
+    const clock = SimulatedClock.create()
+    const { source } = makePeer(clock, makeConfiguration(1, 1), makeConfiguration(2, 2))
+    const { sync, configurations } = makeReceiver(clock, (peer, request) => peer === 'a' ? makeFailure('peer connection closed') : makeSuccess(source.serveRequest(request)))
+    configurations.adoptConfiguration(makeConfiguration(1, 1))
+    sync.noteAnnouncement('a', { version: 2, newestVersion: 2 })
+    await clock.runFor(50)
+    expect(configurations.version).toEqual(2)
+  })
+
+  it('asks a peer that has closed the connection again after a moment', async () => {
+    const clock = SimulatedClock.create()
+    const { source } = makePeer(clock, makeConfiguration(1, 1), makeConfiguration(2, 2))
+    let closed = 0
+    const respond = (_peer: string, request: ConfigurationRequest): Outcome<ConfigurationReply, string> => {
+      if (closed === 2) return makeSuccess(source.serveRequest(request))
+      closed += 1
+      return makeFailure('peer connection closed')
+    }
+    const { sync, configurations } = makeReceiver(clock, respond, undefined, () => ['a'])
+    configurations.adoptConfiguration(makeConfiguration(1, 1))
+    sync.noteAnnouncement('a', { version: 2, newestVersion: 2 })
+    await clock.runFor(2 * CLOSED_RETRY_MS)
+    expect(configurations.version).toEqual(2)
+  })
+
+  it('goes on asking peers while the store gives no answer', async () => {
+    const clock = SimulatedClock.create()
+    const { source } = makePeer(clock, makeConfiguration(1, 1), makeConfiguration(2, 2))
+    let isUp = false
+    const { sync, configurations } = makeReceiver(clock, (_peer, request) => isUp ? makeSuccess(source.serveRequest(request)) : makeFailure('not connected'), new Promise<never>(() => {}))
+    configurations.adoptConfiguration(makeConfiguration(1, 1))
+    sync.noteAnnouncement('a', { version: 2, newestVersion: 2 })
+    await clock.runFor(STORE_READ_LIMIT_MS)
+    isUp = true
+    await clock.runFor(RECONNECTED_MS)
+    expect(configurations.version).toEqual(2)
+  })
 })
 
 describe('configuration source', () => {
