Don't let a read of the list of runners vouch for the configuration (CONFIG)

Cause: daemons tell each other one age, that of the newest read of the store, and refuse an unknown route with 404 while it is below a limit. A read of the list of runners renewed that age, and only a read of the configuration that was late by more than its whole wait added to it. These waits add up: while the reader's read of the configuration gets no answer, the others trust it for 1,650 + 350 + 1,000 ms and the 2,450 ms of the limit, 5.4 s against a bound of 3.0 s.

Ruled out: the list of runners itself, which is read in time there.

Change: the reported age is at least that of the last read of the configuration less an allowance, at every daemon that reads; a route is taken for unknown only while the reported age is at most the bound less that allowance. Both sum up to the bound by construction (StoreTiming.test.ts, for all bounds and spreads), and in calm the age that the last daemons hear leaves 300 ms for delays of the event loop.

--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -152,7 +152,7 @@
       callPeer: (peer, method, params, timeoutMs) => this.peers.callPeer(peer, method, params, timeoutMs),
       listConnected: () => this.peers.connectedPeers,
       computeFallbackMs: () => this.peers.timing.configurationFallbackMs,
-      isStoreReadRecent: () => this.peers.storeAges.storeAgeMs <= this.peers.stalenessLimits.maxStateAgeMs,
+      isStoreReadRecent: () => this.peers.storeAges.storeAgeMs <= this.peers.timing.maxConfigurationAgeMs,
       readFromStore: (signal) => this.storeWatcher.readNewestConfiguration(signal)
     })
     const { configurationSync } = this
--- a/packages/figquay-serving/src/FigquayServingStoreTiming.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreTiming.ts
@@ -43,6 +43,10 @@
   readonly turnMs: number
   /** Age of the last read from which what a daemon knows may be older than the bound allows. */
   readonly maxAgeMs: number
+  /** Age of the last read from which a route that a daemon doesn't know may have been added. */
+  readonly maxConfigurationAgeMs: number
+  /** Part of the age of the last read of the configuration that isn't reported to other daemons; with the age before, it is the bound. */
+  readonly configurationAllowanceMs: number
   /** Time that a daemon which is behind the newest configuration may spend on asking peers before it reads the store. */
   readonly configurationFallbackMs: number
 }
@@ -78,15 +82,24 @@
   const lookerAgeMs = Math.max(maxAgeMs - takeoverMs - spreadMs, MIN_WAIT_MS + NEW_CONNECTION_READ_MS + reportIntervalMs)
   const takeoverStaggerMs = takeoverMs + reportIntervalMs
   const standInAgeMs = Math.max(lookerAgeMs, Math.min(lookerAgeMs + takeoverStaggerMs, boundMs - takeoverMs - spreadMs))
+  // At the reader itself; the daemons that hear of it last see it older by the spread.
+  const usualAgeMs = Math.max(MIN_WAIT_MS + NEW_CONNECTION_READ_MS, Math.min(lookerAgeMs - reportIntervalMs, standInAgeMs - spreadMs))
+  const maxConfigurationAgeMs = Math.min(maxAgeMs, usualAgeMs + spreadMs + EVENT_LOOP_MARGIN_MS)
+  const configurationAllowanceMs = applyWithinMs - maxConfigurationAgeMs
   return {
-    configurationWaitMs: Math.max(MIN_WAIT_MS, boundMs - STORE_SILENCE_MS - NEW_CONNECTION_READ_MS - spreadMs - EVENT_LOOP_MARGIN_MS),
+    configurationWaitMs: Math.max(MIN_WAIT_MS, Math.min(
+      boundMs - STORE_SILENCE_MS - NEW_CONNECTION_READ_MS - spreadMs - EVENT_LOOP_MARGIN_MS,
+      usualAgeMs + configurationAllowanceMs - NEW_CONNECTION_READ_MS
+    )),
     sharedWaitMs: boundMs * SHARED_WAIT_BOUNDS,
-    runnersIntervalMs: Math.max(MIN_WAIT_MS, Math.min(lookerAgeMs - reportIntervalMs, standInAgeMs - spreadMs) - NEW_CONNECTION_READ_MS),
+    runnersIntervalMs: usualAgeMs - NEW_CONNECTION_READ_MS,
     lookerAgeMs,
     takeoverStaggerMs,
     standInAgeMs,
     turnMs: takeoverMs + spreadMs,
     maxAgeMs,
+    maxConfigurationAgeMs,
+    configurationAllowanceMs,
     configurationFallbackMs: Math.max(0, applyWithinMs - spreadMs - NEW_CONNECTION_READ_MS - EVENT_LOOP_MARGIN_MS - FALLBACK_JITTER_MS)
   }
 }
--- a/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
+++ b/packages/figquay-serving/src/FigquayServingStoreWatcher.ts
@@ -422,12 +422,11 @@
   }
 
   /**
-   * Age of this daemon's reads, in milliseconds. The reader's read of the configuration waits for a change and is renewed
-   * after `configurationWaitMs`; one that takes longer may be bringing a change that peers must not be told to have.
+   * Age of this daemon's reads, in milliseconds. A read of the configuration waits for a change, so its age may be larger by
+   * an allowance; beyond it, a read of the list of runners doesn't vouch for a configuration that may have changed.
    */
   private measureReadAge (): number {
-    const overdueMs = this.role === 'reader' ? this.measureTopicAge('configuration') - this.options.computeTiming().configurationWaitMs : 0
-    return Math.max(this.measureTopicAge('runners'), overdueMs)
+    return Math.max(this.measureTopicAge('runners'), this.measureTopicAge('configuration') - this.options.computeTiming().configurationAllowanceMs)
   }
 
   private applyRunnerChanges (reading: RunnerRegistryUpdate): void {
--- a/packages/figquay-serving/src/__tests__/unit/AddedRoutes.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/AddedRoutes.test.ts
@@ -2,7 +2,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { Refusal } from 'figquay'
-import { makeConfiguration, SimulatedFleet } from '../standins/SimulatedFleet.js'
+import type { Route } from 'figquay-fleet'
+import { makeConfiguration, SimulatedFleet, type SimulatedFleetOptions } from '../standins/SimulatedFleet.js'
 
 /** A configuration must be in force everywhere within this time after its acknowledgement, in milliseconds (the site's `apply-ms`). */
 const ACTIVATION_LIMIT_MS = 3_000
@@ -17,6 +18,25 @@
 const OBSERVED_MS = 4_000
 const STEP_MS = 25
 
+/** Fleets whose connections to the store go silent, with the bounds of sites of their size in milliseconds (`apply-ms`). */
+const SILENCED_FLEETS: ReadonlyArray<Pick<SimulatedFleetOptions, 'zones' | 'daemonsPerZone' | 'daemonCount'> & { readonly boundMs: number }> = [
+  { zones: ['a', 'b'], daemonsPerZone: 4, boundMs: 2_000 },
+  { zones: ['a', 'b', 'c'], daemonsPerZone: 29, daemonCount: 85, boundMs: 3_000 }
+]
+/** Times of the silence and the change, in milliseconds, so that they fall at all moments of the reader's wait. */
+const SILENCE_DELAYS_MS = [0, 310, 830, 1_100, 1_400]
+
+/** Plays the time after a change; returns when each daemon refused the last added route as not found for the last time, of those that did after the limit. */
+async function findLateRefusals (fleet: SimulatedFleet, route: Route, limitMs: number): Promise<Map<string, number>> {
+  const refusing = new Map<string, number>()
+  await fleet.clock.runFor(limitMs)
+  for (let elapsedMs = 0; elapsedMs < OBSERVED_MS; elapsedMs += STEP_MS) {
+    for (const address of listNotFound(fleet, route)) refusing.set(address, limitMs + elapsedMs)
+    await fleet.clock.runFor(STEP_MS)
+  }
+  return refusing
+}
+
 /** Daemons that refuse the last added route as not found. */
 function listNotFound (fleet: SimulatedFleet, { host, pathPrefix }: { readonly host: string, readonly pathPrefix: string }): string[] {
   return [...fleet.daemons].filter(([, daemon]) => {
@@ -33,16 +53,31 @@
         await fleet.clock.runFor(delayMs)
         const changed = makeConfiguration(2, FIRST_ROUTES + ADDED_ROUTES)
         fleet.publish(changed)
-        await fleet.clock.runFor(ACTIVATION_LIMIT_MS)
-        const refusing = new Map<string, number>()
-        for (let elapsedMs = 0; elapsedMs < OBSERVED_MS; elapsedMs += STEP_MS) {
-          for (const address of listNotFound(fleet, changed.routes.at(-1)!)) refusing.set(address, ACTIVATION_LIMIT_MS + elapsedMs)
-          await fleet.clock.runFor(STEP_MS)
-        }
+        const refusing = await findLateRefusals(fleet, changed.routes.at(-1)!, ACTIVATION_LIMIT_MS)
         test.diagnostic(`${refusing.size} daemons refuse it after the limit, the last one ${Math.max(0, ...refusing.values())} ms after the change; ${fleet.listBehind(2).length} lack it ${ACTIVATION_LIMIT_MS + OBSERVED_MS} ms after it`)
         expect([...refusing]).toEqual([])
         await fleet.close()
       })
     }
   }
+
+  for (const { boundMs, ...size } of SILENCED_FLEETS) {
+    const daemonCount = size.daemonCount ?? size.zones.length * size.daemonsPerZone
+    for (const delayMs of SILENCE_DELAYS_MS) {
+      // Guards against a read of the list of runners that vouches for a configuration which nobody has read.
+      it(`isn't refused as not found after the limit by ${daemonCount} daemons while connections to the store are silent and the reader gets no answer about the configuration, changed after ${delayMs} ms`, async (test) => {
+        const fleet = await SimulatedFleet.create({ ...size, bytesPerMs: 17_500, bounds: { drainWithinMs: boundMs, applyWithinMs: boundMs } }, makeConfiguration(1, FIRST_ROUTES))
+        fleet.addRunners(8)
+        await fleet.clock.runFor(3_000 + delayMs)
+        fleet.stallConfigurationReads([...fleet.daemons].filter(([, { storeRole }]) => storeRole === 'reader').map(([address]) => address))
+        fleet.silenceStoreReads()
+        const changed = makeConfiguration(2, FIRST_ROUTES + 1)
+        fleet.publish(changed)
+        const refusing = await findLateRefusals(fleet, changed.routes.at(-1)!, boundMs)
+        test.diagnostic(`${refusing.size} daemons refuse it after the limit, the last one ${Math.max(0, ...refusing.values())} ms after the change`)
+        expect([...refusing]).toEqual([])
+        await fleet.close()
+      })
+    }
+  }
 })
--- a/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/StoreTiming.test.ts
@@ -7,8 +7,10 @@
 
 /** Time of a read on a new connection, in milliseconds. */
 const READ_MS = 100
-/** Shortest time between two reads of the list of runners, in milliseconds. */
-const MIN_RUNNERS_INTERVAL_MS = 500
+/** Delays of the event loop of a daemon that has a share of a core, in milliseconds. */
+const EVENT_LOOP_DELAY_MS = 300
+/** Shortest wait of a read, in milliseconds. */
+const MIN_WAIT_MS = 500
 
 /** Bounds from those of small fleets on, and spreads up to half of them, in milliseconds. */
 const limits = fc.integer({ min: 2_000, max: 10_000 }).chain((boundMs) => fc.record({
@@ -49,7 +51,29 @@
   it('keep that age below the one from which daemons read in turn, at all daemons, where the bound leaves the time', () => {
     fc.assert(fc.property(limits, ({ bounds, spread }) => {
       const { runnersIntervalMs, standInAgeMs } = computeStoreTiming(bounds, spread)
-      expect(runnersIntervalMs === MIN_RUNNERS_INTERVAL_MS || runnersIntervalMs + READ_MS + spread.spreadMs <= standInAgeMs).toEqual(true)
+      expect(runnersIntervalMs === MIN_WAIT_MS || runnersIntervalMs + READ_MS + spread.spreadMs <= standInAgeMs).toEqual(true)
+    }))
+  })
+
+  it('have no daemon refuse a route as unknown later than the bound after the last read of the configuration', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { maxConfigurationAgeMs, configurationAllowanceMs } = computeStoreTiming(bounds, spread)
+      expect(configurationAllowanceMs + maxConfigurationAgeMs <= bounds.applyWithinMs).toEqual(true)
+    }))
+  })
+
+  it('leave daemons that hear last of a read the delays of an event loop before they take no route for unknown', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { runnersIntervalMs, maxConfigurationAgeMs, maxAgeMs } = computeStoreTiming(bounds, spread)
+      expect(maxConfigurationAgeMs === maxAgeMs || runnersIntervalMs + READ_MS + spread.spreadMs + EVENT_LOOP_DELAY_MS <= maxConfigurationAgeMs).toEqual(true)
+    }))
+  })
+
+  it('keep the reported age of reads of the configuration below the ages from which other daemons read, where the bound leaves the time', () => {
+    fc.assert(fc.property(limits, ({ bounds, spread }) => {
+      const { configurationWaitMs, configurationAllowanceMs, lookerAgeMs, standInAgeMs } = computeStoreTiming(bounds, spread)
+      const reportedMs = configurationWaitMs + READ_MS - configurationAllowanceMs
+      expect(configurationWaitMs === MIN_WAIT_MS || (reportedMs + spread.reportIntervalMs <= lookerAgeMs && reportedMs + spread.spreadMs <= standInAgeMs)).toEqual(true)
     }))
   })
 
