Rank by the hash alone while a daemon tells nothing of its processor

Daemons of the release before rank all by the hash, so both had roots of their own.

Change: ranks go by processor once those of all daemons are known.

A new test in Topology holds both ends.

--- a/packages/figquay-serving/src/FigquayServingTopology.ts
+++ b/packages/figquay-serving/src/FigquayServingTopology.ts
@@ -36,18 +36,20 @@
 export const CANDIDATES_PER_ZONE = 2
 
 /**
- * Ranks the daemons of each data centre: those of stronger VMs first, alike ones by the hash of their address. Those whose
- * processor is unknown come last.
+ * Ranks the daemons of each data centre: those of stronger VMs first, alike ones by the hash of their address. While the
+ * processor of any daemon is unknown, all are ranked by the hash alone: daemons of an older release do, and one tree has to
+ * join both.
  *
  * @param zones Data centre by daemon address.
  * @param cores Processor cores by daemon address.
  * @example
- * rankDaemons(new Map([['10.0.0.1:80', 'a'], ['10.0.0.2:80', 'a']]), new Map([['10.0.0.2:80', 1.35]])).get('a') // 10.0.0.2:80 first
+ * rankDaemons(new Map([['10.0.0.1:80', 'a'], ['10.0.0.2:80', 'a']]), new Map([['10.0.0.1:80', 0.243], ['10.0.0.2:80', 1.35]])).get('a') // 10.0.0.2:80 first
  */
 export function rankDaemons (zones: ReadonlyMap<string, string>, cores: ProcessorCores = new Map()): RankedDaemons {
+  const isComplete = [...zones.keys()].every((address) => cores.has(address))
   const ranked = new Map<string, Array<{ readonly address: string, readonly cores: number, readonly hash: string }>>()
   for (const [address, zone] of zones) {
-    const daemon = { address, cores: cores.get(address) ?? 0, hash: hashText(address) }
+    const daemon = { address, cores: isComplete ? cores.get(address)! : 0, hash: hashText(address) }
     const others = ranked.get(zone)
     if (others === undefined) ranked.set(zone, [daemon])
     else others.push(daemon)
--- a/packages/figquay-serving/src/__tests__/unit/Topology.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Topology.test.ts
@@ -36,6 +36,14 @@
     }
   })
 
+  // Daemons of the release before rank by the hash alone: two rankings would make two trees.
+  it('is that of the hashes as long as the processor of one daemon is unknown, and that of the processors from then on', () => {
+    const cores = new Map([...ZONES.keys()].map((daemon, index): [string, number] => [daemon, index % 2 === 0 ? 1.35 : 0.243]))
+    const [first] = [...ZONES.keys()]
+    expect(rankDaemons(ZONES, new Map([...cores].filter(([daemon]) => daemon !== first)))).toEqual(RANKED)
+    expect([...rankDaemons(ZONES, cores).values()].map((daemons) => cores.get(daemons[0]!))).toEqual([1.35, 1.35, 1.35])
+  })
+
   it('has the highest-ranked reachable daemon as root, whichever daemons are lost', () => {
     for (let seed = 0; seed < 40; seed += 1) {
       const lost = new Set([...ZONES.keys()].filter((_, index) => (index * 7_919 + seed * 104_729) % 11 < 1 + seed % 9))
