--- a/packages/figquay-serving/src/FigquayServingDaemon.ts
+++ b/packages/figquay-serving/src/FigquayServingDaemon.ts
@@ -189,6 +189,7 @@
       makeSnapshot: (request) => this.storeWatcher.makeSnapshot(request),
       serveConfiguration: (request) => configurationSource.serveRequest(request),
       findNewestVersion: () => configurationSync.newestVersion,
+      noteVersions: (peer, versions) => configurationSync.noteAnnouncement(peer, versions),
       comparePeerProgress: (peer, progress) => {
         configurationSync.noteAnnouncement(peer, progress)
         this.storeWatcher.comparePeerProgress(peer, progress)
--- a/packages/figquay-serving/src/FigquayServingPeers.ts
+++ b/packages/figquay-serving/src/FigquayServingPeers.ts
@@ -47,6 +47,8 @@
   readonly findNewestVersion: () => number
   /** Called with each read of the store that a peer reports, whether or not this daemon has what was read. */
   readonly noteStoreRead?: ((report: StoreReadReport, reportedAtMs: number) => void) | undefined
+  /** Called with the versions of the configuration that a peer has sent with a snapshot. */
+  readonly noteVersions: (peer: string, versions: VersionAnnouncement) => void
   readonly comparePeerProgress: (peer: string, progress: PeerProgress & VersionAnnouncement) => void
   /** Returns the earliest monotonic time, in milliseconds, at which what is read from sockets now may have arrived. */
   readonly estimateArrivalMs: () => number
@@ -287,7 +289,12 @@
     const startedAtMs = clock.readMonotonicMs()
     // While a connection is opened, nothing is requested from other peers.
     const snapshot = await this.mesh.callPeer<FleetSnapshot>(peer, 'fleet.read', request, peers.includes(peer) ? undefined : UNCONNECTED_TIMEOUT_MS)
-    if (snapshot.ok) return snapshot.value
+    if (snapshot.ok) {
+      const { configurationVersions } = snapshot.value
+      // The snapshot says how recently its sender has read the store: what it found there counts, too.
+      if (configurationVersions !== undefined) this.options.noteVersions(peer, configurationVersions)
+      return snapshot.value
+    }
     logger.info('snapshot request to a peer failed', { peer, ...request, error: describeError(snapshot.error), tookMs: Math.round(clock.readMonotonicMs() - startedAtMs) })
     return undefined
   }
@@ -368,7 +375,7 @@
       'stream.remember': (memories: readonly StreamMemory[]) => this.options.streamOrigins().handleRemember(memories),
       'stream.find': (query: StreamQuery) => this.options.streamOrigins().handleFind(query),
       'forwarding.offer': () => this.options.makeForwardingOffer(),
-      'fleet.read': (request: SnapshotRequest) => this.options.makeSnapshot(request),
+      'fleet.read': (request: SnapshotRequest): FleetSnapshot => ({ ...this.options.makeSnapshot(request), configurationVersions: { version: this.options.configurations.version, newestVersion: this.options.findNewestVersion() } }),
       'fleet.configuration': (request: ConfigurationRequest) => this.options.serveConfiguration(request)
     }
   }
--- a/packages/figquay-serving/src/FigquayServingSnapshot.ts
+++ b/packages/figquay-serving/src/FigquayServingSnapshot.ts
@@ -1,5 +1,6 @@
 /** Snapshots of the list of runners between daemons: what a peer lacks, also after the store was restored from an older copy. */
 import { BEFORE_LOG, decodePosition, encodePosition, readEra, type EncodedPosition, type Fact, type FleetRunnerTable, type LogGap, type LogPosition, type Runner } from 'figquay-fleet'
+import type { VersionAnnouncement } from './FigquayServingConfigurationSync.js'
 import type { DaemonList } from './FigquayServingDaemonRecords.js'
 import type { StoreReadReport } from './FigquayServingNewestStoreRead.js'
 
@@ -17,6 +18,8 @@
   readonly era?: number
   /** Offset up to which the sender has read the list of runners. */
   readonly position: number
+  /** Versions of the configuration that the sender has and knows of; missing from a daemon of an older release. */
+  readonly configurationVersions?: VersionAnnouncement
   /** Undefined if they weren't requested, or while the sender hasn't loaded them itself. */
   readonly facts: readonly Fact[] | undefined
 }
--- a/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
+++ b/packages/figquay-serving/src/__tests__/standins/SimulatedNetwork.ts
@@ -22,7 +22,7 @@
 export type ChooseCallFault = (from: string, to: string, method: string) => CallFault | undefined
 
 /** Fields of messages, and notifications, that daemons of the release before neither send nor know. */
-const NEW_FIELDS = ['processors', 'daemonsDigest']
+const NEW_FIELDS = ['configurationVersions', 'processors', 'daemonsDigest']
 
 /** Time after which a call finds that its connection is closed, in milliseconds. */
 const CLOSE_MS = 100
--- a/packages/figquay-serving/src/__tests__/unit/AddedRoutes.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/AddedRoutes.test.ts
@@ -61,6 +61,35 @@
     }
   }
 
+  it('isn\'t refused as not found after the limit while every second daemon is of the release before, and every fifth is cut off from the store', async () => {
+    const fleet = await SimulatedFleet.create({ zones: ['a', 'b', 'c'], daemonsPerZone: 22, bytesPerMs: 17_500, isPreviousRelease: (_zoneIndex, index) => index % 2 === 1 }, makeConfiguration(1, FIRST_ROUTES))
+    fleet.addRunners(8)
+    await fleet.clock.runFor(3_000)
+    fleet.cutFromStore([...fleet.daemons.keys()].filter((_address, index) => index % 5 === 0))
+    const changed = makeConfiguration(2, FIRST_ROUTES + 1)
+    fleet.publish(changed)
+    const refusing = await findLateRefusals(fleet, changed.routes.at(-1)!, ACTIVATION_LIMIT_MS)
+    expect([[...refusing], fleet.listBehind(2)]).toEqual([[], []])
+    await fleet.close()
+  })
+
+  // Guards against a snapshot that tells of a read of the store, and not of what was found there.
+  it('isn\'t refused as not found after the limit by daemons whose exchanges and calls to the store fail, and which get snapshots', async (test) => {
+    const fleet = await SimulatedFleet.create({ zones: ['a', 'b', 'c'], daemonsPerZone: 22, bytesPerMs: 17_500 }, makeConfiguration(1, FIRST_ROUTES))
+    fleet.addRunners(8)
+    await fleet.clock.runFor(3_000)
+    const cut = [...fleet.daemons.keys()].filter((address, index) => index % 5 === 0 && !fleet.listTopRanked().includes(address))
+    fleet.cutFromStore(cut)
+    fleet.network.setCallFaults((from, _to, method) => cut.includes(from) && method === 'fleet.exchange' ? { type: 'closed' } : undefined)
+    await fleet.clock.runFor(ACTIVATION_LIMIT_MS)
+    const changed = makeConfiguration(2, FIRST_ROUTES + 1)
+    fleet.publish(changed)
+    const refusing = await findLateRefusals(fleet, changed.routes.at(-1)!, ACTIVATION_LIMIT_MS)
+    test.diagnostic(`${refusing.size} of ${cut.length} daemons refuse it after the limit, the last one ${Math.max(0, ...refusing.values())} ms after the change; ${fleet.listBehind(2).length} lack it ${ACTIVATION_LIMIT_MS + OBSERVED_MS} ms after it`)
+    expect([...refusing]).toEqual([])
+    await fleet.close()
+  })
+
   for (const { boundMs, ...size } of SILENCED_FLEETS) {
     const daemonCount = size.daemonCount ?? size.zones.length * size.daemonsPerZone
     for (const delayMs of SILENCE_DELAYS_MS) {
--- a/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/LeaderUpdates.test.ts
@@ -68,6 +68,7 @@
     makeSnapshot: () => ({}) as FleetSnapshot,
     serveConfiguration: () => ({ type: 'none' }),
     findNewestVersion: () => -1,
+    noteVersions: () => {},
     comparePeerProgress: () => {},
     estimateArrivalMs: () => clock.readMonotonicMs(),
     findOwnRead: () => NewestStoreRead.create(clock),
--- a/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
+++ b/packages/figquay-serving/src/__tests__/unit/Peers.test.ts
@@ -40,6 +40,7 @@
     makeSnapshot: () => snapshot,
     serveConfiguration: (request) => source.serveRequest(request),
     findNewestVersion: () => -1,
+    noteVersions: () => {},
     comparePeerProgress: () => {},
     estimateArrivalMs: () => clock.readMonotonicMs(),
     findOwnRead: () => NewestStoreRead.create(clock),
