--- a/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
+++ b/packages/figquay-serving/src/FigquayServingConfigurationSync.ts
@@ -295,8 +295,8 @@
     const isConnected = this.options.listConnected().includes(peer)
     const reply = await this.options.callPeer<ConfigurationReply>(peer, 'fleet.configuration', request, isConnected ? CHUNK_TIMEOUT_MS : UNCONNECTED_TIMEOUT_MS)
     if (reply.ok && isConfigurationReply(reply.value)) return reply.value
-    const wasClosed = !reply.ok && this.options.clock.readMonotonicMs() - startedAtMs < CHUNK_TIMEOUT_MS
-    this.noteFailure(peer, reply.ok ? 'the reply is malformed' : reply.error, startedAtMs, wasClosed ? this.chooseBusyBackoff() : FAILED_PEER_BACKOFF_MS)
+    const failedEarly = !reply.ok && this.options.clock.readMonotonicMs() - startedAtMs < CHUNK_TIMEOUT_MS
+    this.noteFailure(peer, reply.ok ? 'the reply is malformed' : reply.error, startedAtMs, failedEarly ? this.chooseBusyBackoff() : FAILED_PEER_BACKOFF_MS)
     return undefined
   }
 
